--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,319 @@
+// dragonflyctl: the operators' tool.
+
+#include "ctl/ObjectDiff.h"
+#include "ctl/Publisher.h"
+
+#include <QCoreApplication>
+#include <QDateTime>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <iostream>
+
+namespace {
+
+namespace options = boost::program_options;
+using namespace dragonfly;
+
+/// Exit statuses, as documented in docs/operators.md.
+enum Exit : int {
+    Done = 0,
+    Failed = 1,
+    Usage = 2,
+    Invalid = 3,
+    Conflict = 4,
+    Unknown = 5,
+};
+
+constexpr const char* baseFile = ".dragonfly-base";
+constexpr const char* help = R"(dragonflyctl [options] COMMAND
+
+  validate DIR          check the objects in DIR
+  diff DIR              what publishing DIR would change
+  publish DIR           put the objects in DIR in force
+  show [KIND [NAME]]    the objects in force
+  status                each instance: revision, targets, limits
+  explain REQUEST-ID    why a request went where it went
+
+Exit status: 0 done, 1 failed, 2 wrong usage, 3 objects with mistakes,
+4 somebody else published first, 5 it is not known whether it took effect.
+)";
+
+struct Arguments {
+    std::vector<std::string> words;
+    std::vector<Endpoint> platform;
+    std::vector<Endpoint> admins;
+    std::optional<uint64_t> base;
+    std::string author;
+    bool json = false;
+};
+
+std::vector<Endpoint> readEndpoints(const std::vector<std::string>& texts)
+{
+    std::vector<Endpoint> endpoints;
+    for (const auto& text : texts) {
+        const auto endpoint = parseEndpoint(text);
+        if (!endpoint)
+            throw options::error("'" + text + "': expected an IP number and a port, such as 127.0.0.1:2379");
+        endpoints.push_back(*endpoint);
+    }
+    return endpoints;
+}
+
+std::optional<Arguments> readArguments(int argc, char** argv)
+{
+    Arguments arguments;
+    std::vector<std::string> platform;
+    std::vector<std::string> admins;
+    uint64_t base = 0;
+    options::options_description visible("Options");
+    visible.add_options()("platform", options::value(&platform)->composing(), "address of the platform's service")(
+        "admin", options::value(&admins)->composing(), "admin address of an instance; may be given several times")(
+        "base", options::value(&base), "publish: the revision that DIR was edited from; overrides DIR/.dragonfly-base")(
+        "author", options::value(&arguments.author)->default_value("operator"), "publish: who publishes")(
+        "json", "print JSON")("help", "print this help");
+    options::options_description all;
+    all.add(visible).add_options()("words", options::value(&arguments.words));
+    options::positional_options_description positional;
+    positional.add("words", -1);
+    options::variables_map given;
+    options::store(options::command_line_parser(argc, argv).options(all).positional(positional).run(), given);
+    options::notify(given);
+    if (given.count("help")) {
+        std::cout << help << "\n" << visible;
+        return std::nullopt;
+    }
+    arguments.platform = readEndpoints(platform);
+    arguments.admins = readEndpoints(admins);
+    arguments.json = given.count("json");
+    if (given.count("base"))
+        arguments.base = base;
+    return arguments;
+}
+
+int complain(Exit status, const std::string& message)
+{
+    std::cerr << "dragonflyctl: " << message << "\n";
+    return status;
+}
+
+/// Loads DIR and prints every mistake; empty when there are some.
+std::optional<pb::ConfigPart> loadChecked(const std::string& directory)
+{
+    auto loaded = config::loadObjects(directory);
+    for (const auto& problem : loaded.problems)
+        std::cerr << toString(problem) << "\n";
+    if (!loaded.problems.empty())
+        return std::nullopt;
+    return std::move(loaded.set.objects);
+}
+
+void printChanges(const std::vector<ctl::ObjectChange>& changes, bool json)
+{
+    if (!json) {
+        for (const auto& change : changes)
+            std::cout << toString(change) << "\n";
+        return;
+    }
+    QJsonArray list;
+    for (const auto& change : changes) {
+        static constexpr const char* kinds[] = { "added", "removed", "changed" };
+        list.append(QJsonObject { { "object", QString::fromStdString(change.object) },
+            { "change", kinds[static_cast<size_t>(change.kind)] } });
+    }
+    std::cout << QJsonDocument(list).toJson(QJsonDocument::Compact).toStdString() << "\n";
+}
+
+uint64_t baseOf(const Arguments& arguments, const std::string& directory)
+{
+    uint64_t base = 0;
+    std::ifstream(directory + "/" + baseFile) >> base;
+    return arguments.base.value_or(base);
+}
+
+int validate(const std::string& directory)
+{
+    const auto objects = loadChecked(directory);
+    if (!objects)
+        return Invalid;
+    std::cout << directory << ": ok, " << ctl::listObjects(*objects).size() << " objects\n";
+    return Done;
+}
+
+int diff(const Arguments& arguments, ctl::BlockingStore& store, const std::string& directory)
+{
+    const auto objects = loadChecked(directory);
+    if (!objects)
+        return Invalid;
+    const auto stored = ctl::readStored(store);
+    if (const auto* error = errorOf(stored))
+        return complain(Failed, error->detail);
+    printChanges(ctl::diffObjects(std::get<ctl::Stored>(stored).objects, *objects), arguments.json);
+    return Done;
+}
+
+int reportConflict(const Arguments& arguments, const ctl::PublishConflict& conflict, const pb::ConfigPart& objects)
+{
+    const auto& manifest = conflict.current.publication.manifest;
+    std::cerr << "dragonflyctl: nothing was published: revision " << manifest.revision() << " by '" << manifest.author()
+              << "' is in force, which these files were not edited from. What differs from it:\n";
+    printChanges(ctl::diffObjects(conflict.current.objects, objects), arguments.json);
+    std::cerr << "Take over what you want to keep, then publish with --base " << manifest.revision() << ".\n";
+    return Conflict;
+}
+
+int publish(const Arguments& arguments, ctl::BlockingStore& store, const std::string& directory)
+{
+    const auto objects = loadChecked(directory);
+    if (!objects)
+        return Invalid;
+    const auto outcome = ctl::publish(store, *objects, baseOf(arguments, directory), arguments.author);
+    if (const auto* conflict = std::get_if<ctl::PublishConflict>(&outcome))
+        return reportConflict(arguments, *conflict, *objects);
+    if (const auto* failed = std::get_if<ctl::PublishFailed>(&outcome))
+        return complain(Failed, failed->why);
+    if (std::holds_alternative<ctl::PublishUnknown>(outcome))
+        return complain(Unknown, "the platform's service stopped answering; run diff to see what is in force");
+    const auto revision = std::get<ctl::Published>(outcome).revision;
+    std::ofstream(directory + "/" + baseFile) << revision << "\n";
+    if (arguments.json)
+        std::cout << "{\"revision\":" << revision << "}\n";
+    else
+        std::cout << "published revision " << revision << "\n";
+    return Done;
+}
+
+int show(const Arguments& arguments, ctl::BlockingStore& store)
+{
+    const auto stored = ctl::readStored(store);
+    if (const auto* error = errorOf(stored))
+        return complain(Failed, error->detail);
+    const auto& words = arguments.words;
+    bool found = false;
+    for (const auto& object : ctl::listObjects(std::get<ctl::Stored>(stored).objects)) {
+        if ((words.size() > 1 && object.kind != words[1]) || (words.size() > 2 && object.name != words[2]))
+            continue;
+        found = true;
+        if (arguments.json || words.size() > 1)
+            std::cout << object.json << "\n";
+        else
+            std::cout << object.kind << "/" << object.name << "\n";
+    }
+    return found || words.size() == 1 ? Done : complain(Failed, "there is no such object in force");
+}
+
+void printStatus(const QJsonObject& status)
+{
+    const auto since = QDateTime::fromMSecsSinceEpoch(status["config_in_force_since_unix_ms"].toInteger(), Qt::UTC);
+    std::cout << status["instance"].toString().toStdString() << " (" << status["data_centre"].toString().toStdString()
+              << "): " << status["phase"].toString().toStdString() << ", revision "
+              << status["config_revision"].toInteger() << " since " << since.toString(Qt::ISODate).toStdString()
+              << ", platform " << (status["platform_reachable"].toBool() ? "reached" : "out of reach") << ", "
+              << status["live_peers"].toArray().size() << " peers, " << status["active_requests"].toInt()
+              << " requests under way, share of limits " << status["limit_share"].toDouble() << "\n";
+    for (const auto& item : status["targets"].toArray()) {
+        const auto target = item.toObject();
+        std::cout << "  " << target["name"].toString().toStdString() << ": "
+                  << (target["leaving"].toBool() ? "leaving" : (target["avoided"].toBool() ? "avoided" : "in use"))
+                  << ", " << target["in_flight"].toInt() << " under way, " << target["queued_tokens"].toInt()
+                  << " tokens queued\n";
+    }
+}
+
+int status(const Arguments& arguments)
+{
+    int result = Done;
+    for (const auto& admin : arguments.admins) {
+        const auto answer = ctl::fetch(admin, "/status");
+        if (const auto* error = errorOf(answer)) {
+            result = complain(Failed, admin.toString() + ": " + error->detail);
+            continue;
+        }
+        const auto& body = std::get<std::string>(answer);
+        if (arguments.json)
+            std::cout << body << "\n";
+        else
+            printStatus(QJsonDocument::fromJson(QByteArray::fromStdString(body)).object());
+    }
+    return result;
+}
+
+void printExplanation(const QJsonObject& explanation)
+{
+    std::cout << "request " << explanation["request_id"].toString().toStdString() << ": "
+              << explanation["outcome"].toString().toStdString() << " after " << explanation["took_us"].toInteger()
+              << " us; organisation " << explanation["organisation"].toString().toStdString() << ", route "
+              << explanation["route"].toString().toStdString() << ", configuration "
+              << explanation["config_revision"].toInteger() << "; " << explanation["cached_tokens"].toInt()
+              << " of about " << explanation["prompt_tokens"].toInt() << " prompt tokens cached, "
+              << explanation["completion_tokens"].toInt() << " tokens answered\n";
+    for (const auto& item : explanation["attempts"].toArray()) {
+        const auto attempt = item.toObject();
+        std::cout << "  " << attempt["target"].toString().toStdString() << " ("
+                  << attempt["reach"].toString().toStdString() << "): " << attempt["reason"].toString().toStdString()
+                  << ", of " << attempt["candidates"].toInt() << " candidates; believed cached "
+                  << attempt["believed_cached_tokens"].toInt() << " tokens; first token expected after "
+                  << attempt["expected_first_token_us"].toInteger() << " us, came after "
+                  << attempt["first_token_us"].toInteger() << " us; " << attempt["outcome"].toString().toStdString()
+                  << "\n";
+    }
+}
+
+int explain(const Arguments& arguments, const std::string& requestId)
+{
+    for (const auto& admin : arguments.admins) {
+        const auto answer = ctl::fetch(admin, "/explain/" + requestId);
+        if (errorOf(answer))
+            continue;
+        const auto& body = std::get<std::string>(answer);
+        if (arguments.json)
+            std::cout << body << "\n";
+        else
+            printExplanation(QJsonDocument::fromJson(QByteArray::fromStdString(body)).object());
+        return Done;
+    }
+    return complain(Failed, "no instance asked remembers request " + requestId);
+}
+
+int run(const Arguments& arguments)
+{
+    const auto& words = arguments.words;
+    const auto command = words.empty() ? std::string() : words[0];
+    const bool hasDirectory = words.size() == 2;
+    if (command == "validate" && hasDirectory)
+        return validate(words[1]);
+    if ((command == "status" && words.size() == 1) || (command == "explain" && hasDirectory)) {
+        if (arguments.admins.empty())
+            return complain(Usage, "--admin ADDRESS is required");
+        return command == "status" ? status(arguments) : explain(arguments, words[1]);
+    }
+    const bool usesStore
+        = ((command == "diff" || command == "publish") && hasDirectory) || (command == "show" && words.size() <= 3);
+    if (!usesStore) {
+        std::cerr << help;
+        return Usage;
+    }
+    if (arguments.platform.empty())
+        return complain(Usage, "--platform ADDRESS is required");
+    http::ClientPool pool;
+    platform::HttpStore httpStore(arguments.platform, &pool);
+    ctl::BlockingStore store(httpStore);
+    if (command == "show")
+        return show(arguments, store);
+    return command == "diff" ? diff(arguments, store, words[1]) : publish(arguments, store, words[1]);
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    QCoreApplication application(argc, argv);
+    try {
+        const auto arguments = readArguments(argc, argv);
+        return arguments ? run(*arguments) : Done;
+    } catch (const options::error& failure) {
+        return complain(Usage, failure.what());
+    }
+}
--- /dev/null
+++ b/src/daemon/Daemon.cpp
@@ -0,0 +1,331 @@
+#include "daemon/Daemon.h"
+
+#include <QCoreApplication>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QTcpServer>
+#include <charconv>
+#include <iostream>
+
+namespace dragonfly::daemon {
+
+namespace {
+
+    constexpr std::chrono::milliseconds gaugePeriod { 500 };
+    constexpr std::chrono::milliseconds drainPoll { 50 };
+    constexpr std::chrono::milliseconds flushTime { 10000 };
+
+    QString text(const std::string& value)
+    {
+        return QString::fromStdString(value);
+    }
+
+    QString text(std::string_view value)
+    {
+        return QString::fromUtf8(value.data(), static_cast<qsizetype>(value.size()));
+    }
+
+    QJsonObject toJson(const entry::AttemptRecord& attempt)
+    {
+        static constexpr std::string_view reaches[] = { "same data centre", "same region", "other region" };
+        return { { "target", text(attempt.target) }, { "reach", text(reaches[static_cast<size_t>(attempt.reach)]) },
+            { "reason", text(routing::toString(attempt.reason)) },
+            { "candidates", static_cast<int>(attempt.candidates) },
+            { "believed_cached_tokens", static_cast<int>(attempt.believedCachedTokens) },
+            { "expected_first_token_us", static_cast<qint64>(attempt.expectedFirstToken.count()) },
+            { "first_token_us", static_cast<qint64>(attempt.firstToken.count()) },
+            { "outcome", text(attempt.outcome) } };
+    }
+
+    QJsonObject toJson(const entry::Explanation& explanation)
+    {
+        QJsonArray attempts;
+        for (const auto& attempt : explanation.attempts)
+            attempts.append(toJson(attempt));
+        QJsonObject object;
+        object["request_id"] = text(explanation.requestId);
+        object["organisation"] = text(explanation.organisation);
+        object["route"] = text(explanation.route);
+        object["config_revision"] = static_cast<qint64>(explanation.configRevision);
+        object["started_unix_ms"] = static_cast<qint64>(unixTime(explanation.started).count());
+        object["took_us"] = static_cast<qint64>(explanation.took.count());
+        object["prompt_tokens"] = static_cast<int>(explanation.promptTokens);
+        object["cached_tokens"] = static_cast<int>(explanation.cachedTokens);
+        object["completion_tokens"] = static_cast<int>(explanation.completionTokens);
+        object["outcome"] = text(explanation.outcome);
+        object["attempts"] = attempts;
+        return object;
+    }
+
+}
+
+Daemon::Daemon(const Settings& settings)
+    : settings(settings)
+    , spans(settings.traceCollector, settings.instance)
+    , store(settings.platform, &this->pool)
+    , ledger(this->store, settings.claims, settings.claimWritesPerSecond)
+    , transport(this->metrics)
+    , prefixes(settings.prefixSlots)
+    , shared { settings.instance, settings.place, settings.policy, settings.requests, settings.traceSample, this->views,
+        this->prefixes, this->retries, this->explanations, this->metrics, this->spans, this->ledger,
+        [this](const std::string& target) {
+            QMetaObject::invokeMethod(
+                this, [this, target] { this->noteLeaving(target); }, Qt::QueuedConnection);
+        },
+        {} }
+    , startedAt(WallClock::now())
+{
+}
+
+Daemon::~Daemon()
+{
+    for (auto& worker : this->workers) {
+        worker->quit();
+        worker->wait();
+    }
+}
+
+Status Daemon::start()
+{
+    const auto bound = this->transport.bind(this->settings.peers);
+    if (const auto* error = errorOf(bound))
+        return *error;
+    const auto peerAddress = std::get<Endpoint>(bound).toString();
+    this->keeper = std::make_unique<membership::ConfigKeeper>(this->store, this->transport, this->metrics,
+        [this](const config::Publication& publication, const pb::ConfigPart& objects) {
+            this->applyConfig(publication, objects);
+        });
+    std::vector<std::string> seeds;
+    for (const auto& seed : this->settings.seeds)
+        seeds.push_back(seed.toString());
+    this->fleet = std::make_unique<membership::Fleet>(
+        membership::Member { this->settings.instance, peerAddress, this->settings.place, Clock::now() }, seeds,
+        this->transport, *this->keeper, this->metrics);
+    this->sync = std::make_unique<membership::PlatformSync>(this->store, *this->keeper, *this->fleet, this->metrics);
+    this->prober = std::make_unique<membership::Prober>(*this->fleet, this->pool, this->metrics,
+        [this](const routing::Target& target, const http::Headers& headers) { this->reportProbe(target, headers); });
+    this->keeper->onApplied = [this] { this->fleet->spreadNow(); };
+    this->sync->onLeaving = [this](const std::string& target) { this->noteLeaving(target); };
+    this->fleet->onTargetNews
+        = [this](const std::string& target, const membership::TargetNews& news) { this->noteTargetNews(target, news); };
+    for (const auto& step : { &Daemon::startWorkers, &Daemon::startAdmin, &Daemon::startMetrics }) {
+        if (auto status = (this->*step)(); errorOf(status))
+            return status;
+    }
+    std::cout << "peers " << peerAddress << std::endl;
+    connect(&this->gaugeTimer, &QTimer::timeout, this, &Daemon::updateGauges);
+    this->gaugeTimer.start(gaugePeriod);
+    this->fleet->start();
+    this->sync->start();
+    this->prober->start();
+    observe::logChange(observe::LogLevel::Info, "serving", { { "listen", this->listening.toString() } });
+    std::cout << "ready" << std::endl;
+    return Success {};
+}
+
+Status Daemon::startWorkers()
+{
+    auto at = this->settings.listen;
+    for (uint64_t i = 0; i < this->settings.threads; ++i) {
+        auto worker = std::make_unique<entry::Worker>(this->shared, this->settings.server, at);
+        worker->start();
+        auto listened = worker->waitUntilListening();
+        this->workers.push_back(std::move(worker));
+        if (const auto* error = errorOf(listened))
+            return *error;
+        at = std::get<Endpoint>(listened); // the others share the port that the first one got
+    }
+    this->listening = at;
+    std::cout << "listen " << at.toString() << std::endl;
+    return Success {};
+}
+
+Status Daemon::startAdmin()
+{
+    this->admin.route("/ready", [this] {
+        const bool ready = this->phase == Phase::Serving && this->view;
+        return QHttpServerResponse(ready ? "ready\n" : "not ready\n",
+            ready ? QHttpServerResponse::StatusCode::Ok : QHttpServerResponse::StatusCode::ServiceUnavailable);
+    });
+    this->admin.route("/status", [this] { return QHttpServerResponse("application/json", this->statusJson()); });
+    this->admin.route("/explain/<arg>", [this](const QString& requestId) { return this->explain(requestId); });
+    const auto& at = this->settings.admin;
+    const auto port = this->admin.listen(QHostAddress(text(at.host)), at.port);
+    if (!port)
+        return Error { ErrorKind::Internal, "cannot listen on " + at.toString(), Execution::NotRun, {} };
+    std::cout << "admin " << Endpoint { at.host, port }.toString() << std::endl;
+    return Success {};
+}
+
+Status Daemon::startMetrics()
+{
+    const auto& at = this->settings.metrics;
+    try {
+        this->exposer = std::make_unique<prometheus::Exposer>(at.toString(), 1);
+    } catch (const std::exception& failure) {
+        return Error { ErrorKind::Internal, "cannot listen on " + at.toString() + ": " + failure.what(),
+            Execution::NotRun, {} };
+    }
+    this->exposer->RegisterCollectable(this->metrics.registry());
+    std::cout << "metrics " << at.host << ":" << this->exposer->GetListeningPorts().front() << std::endl;
+    return Success {};
+}
+
+void Daemon::applyConfig(const config::Publication& publication, const pb::ConfigPart& objects)
+{
+    this->view = routing::buildView(
+        objects, publication.manifest.revision(), publication.digest(), this->settings.place, this->registry);
+    this->views.replace(this->view);
+    this->prober->setView(this->view);
+    this->registry.collect();
+}
+
+const routing::Target* Daemon::findTarget(const std::string& name) const
+{
+    if (!this->view)
+        return nullptr;
+    for (const auto& target : this->view->targets) {
+        if (target.name == name)
+            return &target;
+    }
+    return nullptr;
+}
+
+void Daemon::noteLeaving(const std::string& target)
+{
+    const auto* found = this->findTarget(target);
+    if (!found)
+        return;
+    if (routing::noteLeaving(*found->state, Clock::now()))
+        observe::logChange(observe::LogLevel::Info, "target is leaving", { { "target", target } });
+    membership::TargetNews news;
+    news.leaving = true;
+    news.observedAt = Clock::now();
+    this->fleet->report(target, news);
+}
+
+void Daemon::noteTargetNews(const std::string& target, const membership::TargetNews& news)
+{
+    const auto* found = this->findTarget(target);
+    if (!found)
+        return;
+    auto& state = *found->state;
+    routing::noteIncarnation(state, news.incarnation);
+    if (!news.weights.empty())
+        state.weights.store(fastHash(news.weights), std::memory_order_relaxed);
+    if (news.observedAt > routing::timeOf(state.reportedAt) && !news.incarnation.empty())
+        routing::noteLoad(state, news.queuedTokens, news.observedAt);
+    if (news.leaving && routing::noteLeaving(state, Clock::now()))
+        observe::logChange(
+            observe::LogLevel::Info, "target is leaving", { { "target", target }, { "heard_from", "peer" } });
+}
+
+void Daemon::reportProbe(const routing::Target& target, const http::Headers& headers)
+{
+    entry::noteAnswerHeaders(this->shared, target, headers);
+    membership::TargetNews news;
+    news.leaving = routing::isLeaving(*target.state);
+    news.incarnation = headers.valueOr("X-Target-Incarnation", "");
+    news.weights = headers.valueOr("X-Target-Weights", "");
+    const auto queued = headers.valueOr("X-Target-Queued-Tokens", "0");
+    std::from_chars(queued.data(), queued.data() + queued.size(), news.queuedTokens);
+    news.observedAt = Clock::now();
+    this->fleet->report(target.name, news);
+}
+
+void Daemon::updateGauges()
+{
+    const auto& counters = this->ledger.counters();
+    this->metrics.activeRequests.Set(this->shared.activeRequests.load());
+    this->metrics.claimsPending.Set(static_cast<double>(this->ledger.pendingOperations()));
+    this->metrics.claimsGranted.Set(static_cast<double>(counters.granted));
+    this->metrics.claimWrites.Set(static_cast<double>(counters.writes));
+    this->metrics.claimConflicts.Set(static_cast<double>(counters.conflicts));
+    this->metrics.claimsUnreachable.Set(static_cast<double>(counters.unreachable));
+}
+
+QByteArray Daemon::statusJson() const
+{
+    QJsonObject status;
+    status["instance"] = text(this->settings.instance);
+    status["data_centre"] = text(this->settings.place.dataCentre);
+    status["started_unix_ms"] = static_cast<qint64>(unixTime(this->startedAt).count());
+    status["phase"] = this->phase == Phase::Serving ? "serving" : "draining";
+    status["platform_reachable"] = this->sync->isReachable();
+    status["config_revision"] = static_cast<qint64>(this->keeper->revision());
+    status["config_in_force_since_unix_ms"] = static_cast<qint64>(unixTime(this->keeper->inForceSince()).count());
+    status["config_manifest"] = text(toHex(this->keeper->manifestDigest()));
+    status["active_requests"] = this->shared.activeRequests.load();
+    status["limit_share"] = this->view ? this->view->share.ofFleet : 0.0;
+    QJsonArray peers;
+    for (const auto& member : this->fleet->liveMembers())
+        peers.append(
+            QJsonObject { { "instance", text(member.instance) }, { "data_centre", text(member.place.dataCentre) } });
+    status["live_peers"] = peers;
+    QJsonArray targets;
+    const auto now = Clock::now();
+    for (size_t i = 0; this->view && i < this->view->targets.size(); ++i) {
+        const auto& target = this->view->targets[i];
+        const auto& state = *target.state;
+        targets.append(QJsonObject { { "name", text(target.name) }, { "data_centre", text(target.place.dataCentre) },
+            { "leaving", routing::isLeaving(state) }, { "avoided", routing::timeOf(state.avoidUntil) > now },
+            { "in_flight", static_cast<int>(state.inFlight.load()) },
+            { "queued_tokens", static_cast<int>(routing::queuedTokens(state)) },
+            { "nanoseconds_per_token", static_cast<int>(state.nanosecondsPerToken.load()) } });
+    }
+    status["targets"] = targets;
+    return QJsonDocument(status).toJson(QJsonDocument::Compact);
+}
+
+QHttpServerResponse Daemon::explain(const QString& requestId) const
+{
+    const auto found = this->explanations.find(requestId.toStdString());
+    if (!found)
+        return QHttpServerResponse(
+            "application/json", "{\"error\":\"no such request here\"}", QHttpServerResponse::StatusCode::NotFound);
+    return QHttpServerResponse("application/json", QJsonDocument(toJson(*found)).toJson(QJsonDocument::Compact));
+}
+
+void Daemon::drain()
+{
+    if (this->phase != Phase::Serving)
+        return;
+    this->phase = Phase::Noticed;
+    observe::logChange(observe::LogLevel::Info, "draining");
+    // New work is still taken until the balancer has had time to see that /ready says no.
+    QTimer::singleShot(this->settings.drainNotice, this, &Daemon::finishRequests);
+}
+
+void Daemon::finishRequests()
+{
+    this->phase = Phase::Finishing;
+    for (auto& worker : this->workers)
+        worker->stopAccepting();
+    this->waitForRequests(Clock::now() + this->settings.drainTime);
+}
+
+bool Daemon::isIdle() const
+{
+    int open = this->shared.activeRequests.load();
+    for (const auto& worker : this->workers)
+        open += worker->connectionCount();
+    return !open;
+}
+
+void Daemon::waitForRequests(Deadline deadline)
+{
+    if (!this->isIdle() && Clock::now() < deadline) {
+        QTimer::singleShot(drainPoll, this, [this, deadline] { this->waitForRequests(deadline); });
+        return;
+    }
+    this->ledger.flush(Clock::now() + flushTime, [this] { this->leave(); });
+}
+
+void Daemon::leave()
+{
+    observe::logChange(observe::LogLevel::Info, "leaving");
+    this->sync->stop([] { QCoreApplication::quit(); });
+}
+
+}
--- /dev/null
+++ b/src/daemon/Settings.cpp
@@ -0,0 +1,112 @@
+#include "daemon/Settings.h"
+
+namespace dragonfly::daemon {
+
+namespace {
+
+    using config::MapReader;
+    using std::chrono::milliseconds;
+    using std::chrono::minutes;
+    using std::chrono::seconds;
+
+    constexpr const char* anyPort = "127.0.0.1:0";
+
+    void readServer(MapReader reader, http::ServerLimits& limits)
+    {
+        limits.bodyBytes = reader.bytes("body", limits.bodyBytes);
+        limits.headerBytes = static_cast<uint32_t>(reader.bytes("headers", limits.headerBytes));
+        limits.headerTime = reader.duration("headerTime", limits.headerTime);
+        limits.bodyTime = reader.duration("bodyTime", limits.bodyTime);
+        limits.idleTime = reader.duration("idleTime", limits.idleTime);
+        limits.connections = static_cast<int>(reader.number("connections", 4096, 1, 1000000));
+        limits.connectionsPerAddress = static_cast<int>(reader.number("connectionsPerAddress", 2048, 1, 1000000));
+        reader.finish();
+    }
+
+    void readRequests(MapReader reader, entry::RequestLimits& limits)
+    {
+        limits.progressTime = reader.duration("progressTime", limits.progressTime);
+        limits.connectTime = reader.duration("connectTime", limits.connectTime);
+        limits.mostAttempts = static_cast<uint32_t>(reader.number("attempts", limits.mostAttempts, 1, 16));
+        limits.answerBytes = reader.bytes("answer", limits.answerBytes);
+        limits.slowCallerBytes = reader.bytes("slowCaller", limits.slowCallerBytes);
+        reader.finish();
+    }
+
+    void readRouting(MapReader reader, Settings& settings)
+    {
+        const auto name = reader.text("policy", "expected-first-token");
+        if (const auto policy = routing::parsePolicy(name))
+            settings.policy = *policy;
+        else
+            reader.complain(
+                "policy", "expected expected-first-token, bounded-hash, two-choices, least-loaded or round-robin");
+        settings.prefixSlots = reader.number("prefixSlots", 1 << 18, 1 << 10, 1 << 26);
+        reader.finish();
+    }
+
+    void readClaims(MapReader reader, Settings& settings)
+    {
+        settings.claims.retention = std::chrono::duration_cast<seconds>(reader.duration("retention", minutes(24 * 60)));
+        settings.claimWritesPerSecond = static_cast<uint32_t>(reader.number("writesPerSecond", 50, 1, 10000));
+        reader.finish();
+    }
+
+    void readTrace(MapReader reader, Settings& settings)
+    {
+        const auto collector = reader.endpoints("collectors");
+        if (!collector.empty())
+            settings.traceCollector = collector.front();
+        settings.traceSample = reader.fraction("sample", 0.01);
+        reader.finish();
+    }
+
+    void readDrain(MapReader reader, Settings& settings)
+    {
+        settings.drainNotice = reader.duration("notice", seconds(5));
+        settings.drainTime = reader.duration("time", minutes(5));
+        reader.finish();
+    }
+
+    void readAll(const std::string& file, const YAML::Node& node, LoadedSettings& loaded)
+    {
+        auto& settings = loaded.settings;
+        MapReader reader(file, node, loaded.problems);
+        const auto part = [&](const char* name) { return MapReader(file, reader.child(name), loaded.problems); };
+        settings.instance = reader.requiredText("instance");
+        settings.place.region = reader.requiredText("region");
+        settings.place.dataCentre = reader.requiredText("dataCentre");
+        settings.listen = reader.endpoint("listen", anyPort);
+        settings.admin = reader.endpoint("admin", anyPort);
+        settings.metrics = reader.endpoint("metrics", anyPort);
+        settings.peers = reader.endpoint("peers", anyPort);
+        settings.seeds = reader.endpoints("seeds");
+        settings.platform = reader.endpoints("platform");
+        if (settings.platform.empty())
+            reader.complain("platform", "expected at least one address, such as [127.0.0.1:2379]");
+        settings.threads = reader.number("threads", 4, 1, 256);
+        readServer(part("http"), settings.server);
+        readRequests(part("requests"), settings.requests);
+        readRouting(part("routing"), settings);
+        readClaims(part("claims"), settings);
+        readTrace(part("trace"), settings);
+        readDrain(part("drain"), settings);
+        reader.finish();
+    }
+
+}
+
+LoadedSettings loadSettings(const std::string& file)
+{
+    LoadedSettings loaded;
+    try {
+        readAll(file, YAML::LoadFile(file), loaded);
+    } catch (const YAML::BadFile&) {
+        loaded.problems.push_back({ { file, 0 }, "cannot be read" });
+    } catch (const YAML::Exception& failure) {
+        loaded.problems.push_back({ { file, failure.mark.line + 1 }, failure.msg });
+    }
+    return loaded;
+}
+
+}
--- /dev/null
+++ b/src/daemon/Settings.h
@@ -0,0 +1,39 @@
+#pragma once
+// The settings of one instance, read from a YAML file and checked whole.
+
+#include "claims/Claims.h"
+#include "config/YamlReader.h"
+#include "entry/Context.h"
+
+namespace dragonfly::daemon {
+
+struct Settings {
+    std::string instance;
+    routing::Place place;
+    Endpoint listen; ///< for callers
+    Endpoint admin; ///< for operators: /ready, /status, /explain/ID
+    Endpoint metrics;
+    Endpoint peers;
+    std::vector<Endpoint> seeds;
+    std::vector<Endpoint> platform;
+    uint64_t threads = 4;
+    http::ServerLimits server;
+    entry::RequestLimits requests;
+    routing::Policy policy;
+    size_t prefixSlots = 0;
+    claims::LedgerLimits claims;
+    uint32_t claimWritesPerSecond = 0;
+    std::optional<Endpoint> traceCollector;
+    double traceSample = 0;
+    std::chrono::milliseconds drainNotice { 0 }; ///< still taking new work, while the balancer takes notice
+    std::chrono::milliseconds drainTime { 0 }; ///< then at most this long for requests under way
+};
+
+struct LoadedSettings {
+    Settings settings;
+    std::vector<config::Problem> problems; ///< empty when the settings may be used
+};
+
+LoadedSettings loadSettings(const std::string& file);
+
+}
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,92 @@
+// dragonflyd: the daemon, one process for each entry instance.
+
+#include "daemon/Daemon.h"
+
+#include <QCoreApplication>
+#include <QSocketNotifier>
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <iostream>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr const char* version = "dragonflyd 0.1.0";
+constexpr int exitFailure = 1;
+constexpr int exitUsage = 2;
+
+/// Blocks SIGTERM and SIGINT for all threads; they arrive on the returned descriptor instead.
+int openSignalDescriptor()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
+int runDaemon(int argc, char** argv, const dragonfly::daemon::Settings& settings)
+{
+    const int signals = openSignalDescriptor();
+    QCoreApplication application(argc, argv);
+    dragonfly::observe::startLog(settings.instance);
+    dragonfly::daemon::Daemon daemon(settings);
+    const auto started = daemon.start();
+    if (const auto* error = dragonfly::errorOf(started)) {
+        std::cerr << "dragonflyd: " << error->detail << "\n";
+        return exitFailure;
+    }
+    QSocketNotifier notifier(signals, QSocketNotifier::Read);
+    QObject::connect(&notifier, &QSocketNotifier::activated, &daemon, [&daemon, signals] {
+        signalfd_siginfo info;
+        while (read(signals, &info, sizeof(info)) == sizeof(info))
+            daemon.drain();
+    });
+    return QCoreApplication::exec();
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    std::string file;
+    options::options_description description("dragonflyd --settings FILE");
+    description.add_options()("settings", options::value(&file)->value_name("FILE"),
+        "YAML file with this instance's settings")("check", "check the settings and exit")(
+        "version", "print the version and exit")("help", "print this help and exit");
+    options::variables_map given;
+    try {
+        options::store(options::parse_command_line(argc, argv, description), given);
+        options::notify(given);
+    } catch (const options::error& failure) {
+        std::cerr << "dragonflyd: " << failure.what() << "\n" << description;
+        return exitUsage;
+    }
+    if (given.count("help")) {
+        std::cout << description;
+        return 0;
+    }
+    if (given.count("version")) {
+        std::cout << version << "\n";
+        return 0;
+    }
+    if (file.empty()) {
+        std::cerr << "dragonflyd: --settings FILE is required\n";
+        return exitUsage;
+    }
+    const auto loaded = dragonfly::daemon::loadSettings(file);
+    for (const auto& problem : loaded.problems)
+        std::cerr << toString(problem) << "\n";
+    if (!loaded.problems.empty())
+        return exitUsage;
+    if (given.count("check")) {
+        std::cout << file << ": ok\n";
+        return 0;
+    }
+    return runDaemon(argc, argv, loaded.settings);
+}
--- /dev/null
+++ b/src/entry/InferenceCall.cpp
@@ -0,0 +1,483 @@
+#include "entry/InferenceCall.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QTimer>
+
+namespace dragonfly::entry {
+
+namespace {
+
+    constexpr size_t mostRefusalBytes = 4096;
+    constexpr int statusOk = 200;
+    constexpr int firstClientError = 400;
+    constexpr int statusWrongWeights = 409;
+    constexpr int statusTooManyRequests = 429;
+    constexpr int firstServerError = 500;
+    constexpr uint32_t costSmoothing = 8;
+    constexpr uint32_t leastTokensToLearnFrom = 64;
+
+    std::string toCompactJson(const QJsonObject& object)
+    {
+        return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+    }
+
+    QString textOf(const QJsonObject& choice)
+    {
+        return choice.contains("delta") ? choice["delta"].toObject()["content"].toString() : choice["text"].toString();
+    }
+
+}
+
+InferenceCall::InferenceCall(WorkerScope& scope, Request request, InferenceBody body)
+    : scope(scope)
+    , request(std::move(request))
+    , body(std::move(body))
+    , chain(routing::buildPrefixChain(this->body.prompt,
+          routing::scopeSeed(this->request.organisation->cacheScope, this->model().name, this->model().weights)))
+    , promptTokens(routing::tokensOf(this->chain.promptBytes))
+{
+}
+
+const routing::Model& InferenceCall::model() const
+{
+    return this->request.view->models[this->request.route->model];
+}
+
+const routing::Target& InferenceCall::target() const
+{
+    return this->request.view->targets[this->attempt->target];
+}
+
+bool InferenceCall::expired() const
+{
+    return Clock::now() >= this->request.deadline;
+}
+
+void InferenceCall::start()
+{
+    if (this->promptTokens > this->model().contextTokens) {
+        this->fail({ ErrorKind::BadRequest, "the prompt is longer than the model's context", Execution::NotRun, {} });
+        return;
+    }
+    this->request.exchange->onCallerGone = [self = this->weak_from_this()] {
+        if (auto call = self.lock())
+            call->callerGone();
+    };
+    this->request.exchange->onDrained = [self = this->weak_from_this()] {
+        if (auto call = self.lock())
+            call->watchSlowCaller();
+    };
+    this->request.explanation.promptTokens = this->promptTokens;
+    this->scope.shared.retries.noteFirstTry();
+    this->nextAttempt();
+}
+
+void InferenceCall::nextAttempt()
+{
+    if (this->ended)
+        return;
+    const auto execution = this->mayHaveRun ? Execution::Unknown : Execution::NotRun;
+    if (this->expired()) {
+        this->fail({ ErrorKind::DeadlineExceeded, "the deadline passed", execution, {} });
+        return;
+    }
+    auto& shared = this->scope.shared;
+    auto choice = chooseNext(shared, this->request, &this->chain, this->promptTokens, this->tried);
+    if (!choice && !this->tried.empty()) {
+        this->tried.clear();
+        choice = chooseNext(shared, this->request, &this->chain, this->promptTokens, {});
+    }
+    if (!choice) {
+        this->fail({ ErrorKind::NoTarget, "no target serves this model now", execution, std::chrono::seconds(1) });
+        return;
+    }
+    if (!this->attempts && Clock::now() + choice->expectedFirstToken > this->request.deadline) {
+        this->fail({ ErrorKind::Overloaded, "the queues are too long for the deadline", Execution::NotRun,
+            std::chrono::seconds(1) });
+        return;
+    }
+    this->attempt.emplace();
+    this->attempt->target = choice->target;
+    this->attempt->choice = *choice;
+    this->attempt->id = attemptId(this->request, this->attempts++);
+    this->attempt->queuedTokens = routing::queuedTokens(*this->target().state);
+    this->attempt->trace = observe::childOf(this->request.trace);
+    this->attempt->started = WallClock::now();
+    this->send(this->target());
+}
+
+http::Request InferenceCall::engineRequest()
+{
+    EngineOrder order;
+    order.attempt = this->attempt->id;
+    order.cacheSalt = toHex(
+        sha256(this->request.organisation->cacheScope + "\n" + this->model().name + "\n" + this->model().weights))
+                          .substr(0, 32);
+    order.weights = this->model().weights;
+    const auto level = this->request.route->priorityLevel;
+    order.priority = level < 0 ? this->request.organisation->priorityLevel : static_cast<uint32_t>(level);
+    order.resumeTokens = this->tokens;
+    order.resumeText = this->text;
+    const auto* path = this->body.shape == InferenceShape::Chat ? "/v1/chat/completions" : "/v1/completions";
+    return { "POST", path,
+        { { "Content-Type", "application/json" }, { "X-Request-Id", this->attempt->id },
+            { "traceparent", observe::toTraceparent(this->attempt->trace) } },
+        toEngineBody(this->body, order) };
+}
+
+void InferenceCall::send(const routing::Target& target)
+{
+    auto& shared = this->scope.shared;
+    shared.metrics.attempts.Increment();
+    this->tried.push_back(this->attempt->target);
+    const auto uncached = this->promptTokens - std::min(this->promptTokens, this->attempt->choice.cachedTokens);
+    this->attempt->load = TargetLoad(target.state, uncached);
+    const auto now = Clock::now();
+    this->attempt->sentAt = now;
+    const auto request = this->engineRequest();
+    if (this->attempt->choice.reach == routing::Reach::OtherRegion)
+        shared.metrics.crossRegionBytes.Increment(static_cast<double>(request.body.size()));
+    const http::CallOptions options { now + shared.limits.connectTime,
+        std::min(now + shared.limits.progressTime, this->request.deadline), true };
+    // The events keep this object alive; the connection drops them when the call ends.
+    http::CallEvents events;
+    events.onHead = [self = this->shared_from_this()](const http::ResponseHead& head) { self->onHead(head); };
+    events.onBody = [self = this->shared_from_this()](std::string_view bytes) { self->onBody(bytes); };
+    events.onComplete = [self = this->shared_from_this()] { self->onComplete(); };
+    events.onFailure
+        = [self = this->shared_from_this()](const http::CallFailure& failure) { self->onFailure(failure); };
+    this->attempt->call = this->scope.targets.send(target.endpoint, request, options, std::move(events));
+}
+
+void InferenceCall::onHead(const http::ResponseHead& head)
+{
+    noteAnswerHeaders(this->scope.shared, this->target(), head.headers);
+    this->attempt->status = head.status;
+    this->attempt->refusedUnrun = head.headers.valueOr("Dragonfly-Execution", "") == "not-run";
+    this->moveProgressDeadline();
+    if (head.status != statusOk)
+        return;
+    if (head.headers.valueOr("X-Target-Weights", this->model().weights) != this->model().weights) {
+        this->attempt->call->cancel();
+        this->mayHaveRun = true;
+        this->attemptFailed(ErrorKind::TargetFailed, "the engine answered with other weights");
+        return;
+    }
+    if (!head.headers.valueOr("Content-Type", "").starts_with("text/event-stream")) {
+        this->attempt->call->cancel();
+        this->mayHaveRun = true;
+        this->attemptFailed(ErrorKind::TargetFailed, "the engine did not answer with a stream");
+    }
+}
+
+void InferenceCall::onBody(std::string_view bytes)
+{
+    this->moveProgressDeadline();
+    if (this->attempt->status != statusOk) {
+        if (this->attempt->refusal.size() < mostRefusalBytes)
+            this->attempt->refusal.append(bytes);
+        return;
+    }
+    if (this->attempt->choice.reach == routing::Reach::OtherRegion)
+        this->scope.shared.metrics.crossRegionBytes.Increment(static_cast<double>(bytes.size()));
+    const auto number = this->attempts;
+    const bool fits = this->attempt->events.feed(bytes, [this, number](std::string_view data) {
+        return this->onEvent(data) && this->attempt && this->attempts == number;
+    });
+    if (!fits && this->attempt && this->attempts == number) {
+        this->attempt->call->cancel();
+        this->mayHaveRun = true;
+        this->attemptFailed(ErrorKind::TargetFailed, "the engine sent an event that is too large");
+    }
+}
+
+/// Takes one event of the engine's stream; false when the attempt is over.
+bool InferenceCall::onEvent(std::string_view data)
+{
+    if (data == "[DONE]")
+        return true; // what counts is the finish reason; the connection is kept when the body has ended
+    const auto document = QJsonDocument::fromJson(QByteArray(data.data(), static_cast<qsizetype>(data.size())));
+    const auto event = document.object();
+    if (event["id"].toString().toStdString() != this->attempt->id) {
+        this->scope.shared.metrics.mismatchedAnswers.Increment();
+        this->attempt->call->cancel();
+        this->mayHaveRun = true;
+        this->attemptFailed(ErrorKind::TargetFailed, "the engine sent the answer to another request");
+        return false;
+    }
+    if (event.contains("usage"))
+        this->takeUsage(event["usage"].toObject());
+    return !event.contains("choices") || event["choices"].toArray().isEmpty() || this->takeChoice(event);
+}
+
+bool InferenceCall::takeChoice(const QJsonObject& event)
+{
+    const auto choice = event["choices"].toArray().first().toObject();
+    const auto index = event.contains("token_index") ? event["token_index"].toInt() : static_cast<int>(this->tokens);
+    const auto piece = textOf(choice);
+    if (!piece.isEmpty()) {
+        if (static_cast<uint32_t>(index) < this->tokens)
+            return true; // the caller has it already
+        if (static_cast<uint32_t>(index) > this->tokens) {
+            this->attempt->call->cancel();
+            this->mayHaveRun = true;
+            this->attemptFailed(ErrorKind::TargetFailed, "the engine left out a token");
+            return false;
+        }
+        this->noteFirstToken();
+        ++this->tokens;
+        this->text += piece.toStdString();
+    }
+    if (choice["finish_reason"].isString())
+        this->finishReason = choice["finish_reason"].toString();
+    if (!piece.isEmpty() || !this->finishReason.isEmpty())
+        this->forward(event);
+    return true;
+}
+
+void InferenceCall::takeUsage(const QJsonObject& usage)
+{
+    const auto promptTokens = static_cast<uint32_t>(usage["prompt_tokens"].toInt());
+    const auto cachedTokens = static_cast<uint32_t>(usage["prompt_tokens_details"].toObject()["cached_tokens"].toInt());
+    const bool isFirst = !this->enginePromptTokens;
+    this->enginePromptTokens = promptTokens;
+    if (!isFirst)
+        return;
+    this->engineCachedTokens = cachedTokens;
+    auto& state = *this->target().state;
+    routing::noteCacheOutcome(state, this->attempt->choice.cachedTokens, cachedTokens, this->attempt->choice.cachedAge);
+    const auto work = promptTokens - std::min(promptTokens, cachedTokens) + this->attempt->queuedTokens;
+    if (work < leastTokensToLearnFrom)
+        return;
+    const auto took
+        = std::chrono::duration_cast<std::chrono::nanoseconds>(Clock::now() - this->attempt->sentAt).count();
+    const auto perToken = static_cast<uint32_t>(took / work);
+    const auto before = state.nanosecondsPerToken.load(std::memory_order_relaxed);
+    const auto after = before ? before - before / costSmoothing + perToken / costSmoothing : perToken;
+    state.nanosecondsPerToken.store(after, std::memory_order_relaxed);
+}
+
+void InferenceCall::noteFirstToken()
+{
+    if (this->attempt->firstTokenSeen)
+        return;
+    this->attempt->firstTokenSeen = true;
+    this->attempt->load.promptDone();
+    const auto now = Clock::now();
+    auto& shared = this->scope.shared;
+    routing::noteSuccess(*this->target().state);
+    routing::rememberPrompt(shared.prefixes, this->chain, this->target(), now);
+    this->request.explanation.attempts.back().firstToken
+        = std::chrono::duration_cast<std::chrono::microseconds>(now - this->attempt->sentAt);
+    if (!this->tokens) {
+        const std::chrono::duration<double> took = now - this->request.arrived;
+        shared.metrics.firstTokenSeconds.Observe(took.count());
+    }
+}
+
+void InferenceCall::forward(const QJsonObject& event)
+{
+    if (!this->body.stream)
+        return;
+    if (!this->streamBegun) {
+        this->streamBegun = true;
+        this->request.exchange->beginStream(statusOk,
+            { { "Content-Type", "text/event-stream" }, { "Cache-Control", "no-store" },
+                { "X-Request-Id", this->request.id }, { "Dragonfly-Target", this->target().name } });
+    }
+    auto own = event;
+    own["id"] = QString::fromStdString(this->request.id);
+    own.remove("token_index");
+    own.remove("usage");
+    this->request.exchange->write(toEvent(toCompactJson(own)));
+    this->watchSlowCaller();
+}
+
+/// Passes the pace of a slow caller on to the engine, so that unsent bytes stay bounded.
+void InferenceCall::watchSlowCaller()
+{
+    if (!this->attempt || !this->attempt->call)
+        return;
+    const auto bound = static_cast<int64_t>(this->scope.shared.limits.slowCallerBytes);
+    const auto unsent = this->request.exchange->unsentBytes();
+    if (!this->paused && unsent > bound) {
+        this->paused = true;
+        this->attempt->call->setPaused(true);
+        this->attempt->call->setDeadline(this->request.deadline);
+    } else if (this->paused && unsent < bound / 2) {
+        this->paused = false;
+        this->attempt->call->setPaused(false);
+        this->moveProgressDeadline();
+    }
+}
+
+void InferenceCall::moveProgressDeadline()
+{
+    if (this->paused || !this->attempt || !this->attempt->call)
+        return;
+    const auto next = std::min(Clock::now() + this->scope.shared.limits.progressTime, this->request.deadline);
+    this->attempt->call->setDeadline(next);
+}
+
+void InferenceCall::onComplete()
+{
+    if (!this->finishReason.isEmpty()) {
+        this->endAttempt("answered", false);
+        this->succeed();
+        return;
+    }
+    const auto status = this->attempt->status;
+    const auto refusal = this->attempt->refusal;
+    if (status == statusOk) {
+        this->mayHaveRun = true;
+        this->attemptFailed(ErrorKind::TargetFailed, "the engine ended its stream too early");
+    } else if (status >= firstServerError || status == statusTooManyRequests || status == statusWrongWeights) {
+        this->mayHaveRun |= !this->attempt->refusedUnrun;
+        this->attemptFailed(ErrorKind::TargetFailed, "the engine refused with status " + std::to_string(status));
+    } else if (status >= firstClientError) {
+        this->endAttempt("refused", true);
+        this->fail({ ErrorKind::BadRequest, "the engine found the request wrong: " + refusal, Execution::NotRun, {} });
+    } else {
+        this->attemptFailed(ErrorKind::TargetFailed, "unexpected status " + std::to_string(status));
+    }
+}
+
+void InferenceCall::onFailure(const http::CallFailure& failure)
+{
+    if (!this->finishReason.isEmpty()) {
+        this->endAttempt("answered", false);
+        this->succeed();
+        return;
+    }
+    this->mayHaveRun |= failure.requestSent;
+    if (this->expired()) {
+        this->endAttempt("deadline passed", true);
+        const auto execution = this->mayHaveRun ? Execution::Unknown : Execution::NotRun;
+        this->fail({ ErrorKind::DeadlineExceeded, "the deadline passed", execution, {} });
+        return;
+    }
+    this->attemptFailed(ErrorKind::TargetFailed, failure.detail);
+}
+
+void InferenceCall::attemptFailed(ErrorKind kind, const std::string& detail)
+{
+    routing::noteFailure(*this->target().state, Clock::now());
+    this->endAttempt(detail, true);
+    const auto execution = this->mayHaveRun ? Execution::Unknown : Execution::NotRun;
+    this->retryLater({ kind, detail, execution, std::chrono::seconds(1) });
+}
+
+void InferenceCall::endAttempt(const std::string& outcome, bool failed)
+{
+    this->request.explanation.attempts.back().outcome = outcome;
+    if (this->attempt->trace.sampled)
+        this->scope.shared.spans.submit({ this->attempt->trace, "attempt", this->attempt->started, WallClock::now(),
+            { { "target", this->target().name }, { "outcome", outcome } }, failed });
+    this->attempt.reset();
+    this->paused = false;
+}
+
+void InferenceCall::retryLater(const Error& lastError)
+{
+    auto& shared = this->scope.shared;
+    if (this->attempts >= shared.limits.mostAttempts) {
+        this->fail(lastError);
+        return;
+    }
+    if (!shared.retries.take()) {
+        shared.metrics.retriesDenied.Increment();
+        this->fail(lastError);
+        return;
+    }
+    shared.metrics.retries.Increment();
+    if (this->tokens)
+        shared.metrics.streamsResumed.Increment();
+    QTimer::singleShot(
+        retryDelay(this->attempts - 1), &this->scope.loop, [self = this->shared_from_this()] { self->nextAttempt(); });
+}
+
+QJsonObject InferenceCall::usageObject() const
+{
+    return { { "prompt_tokens", static_cast<int>(this->enginePromptTokens) },
+        { "completion_tokens", static_cast<int>(this->tokens) },
+        { "total_tokens", static_cast<int>(this->enginePromptTokens + this->tokens) },
+        { "prompt_tokens_details", QJsonObject { { "cached_tokens", static_cast<int>(this->engineCachedTokens) } } } };
+}
+
+std::string InferenceCall::wholeAnswer() const
+{
+    const auto content = QString::fromStdString(this->text);
+    QJsonObject choice { { "index", 0 }, { "finish_reason", this->finishReason } };
+    if (this->body.shape == InferenceShape::Chat)
+        choice["message"] = QJsonObject { { "role", "assistant" }, { "content", content } };
+    else
+        choice["text"] = content;
+    QJsonObject answer;
+    answer["id"] = QString::fromStdString(this->request.id);
+    answer["object"] = this->body.shape == InferenceShape::Chat ? "chat.completion" : "text_completion";
+    answer["model"] = QString::fromStdString(this->body.model);
+    answer["choices"] = QJsonArray { choice };
+    answer["usage"] = this->usageObject();
+    return toCompactJson(answer);
+}
+
+void InferenceCall::succeed()
+{
+    this->ended = true;
+    auto& metrics = this->scope.shared.metrics;
+    metrics.answered.Increment();
+    metrics.promptTokens.Increment(this->enginePromptTokens);
+    metrics.cachedTokens.Increment(this->engineCachedTokens);
+    this->request.explanation.cachedTokens = this->engineCachedTokens;
+    this->request.explanation.completionTokens = this->tokens;
+    auto& exchange = *this->request.exchange;
+    if (!this->body.stream) {
+        exchange.respond(statusOk, { { "Content-Type", "application/json" }, { "X-Request-Id", this->request.id } },
+            this->wholeAnswer());
+    } else {
+        if (this->body.wantsUsage) {
+            const QJsonObject last { { "id", QString::fromStdString(this->request.id) }, { "choices", QJsonArray() },
+                { "usage", this->usageObject() } };
+            exchange.write(toEvent(toCompactJson(last)));
+        }
+        exchange.write(toEvent("[DONE]"));
+        exchange.finish();
+    }
+    recordEnd(this->scope.shared, this->request, "answered", false);
+}
+
+void InferenceCall::fail(Error error)
+{
+    if (this->ended)
+        return;
+    this->ended = true;
+    if (!this->streamBegun) {
+        answerError(this->scope.shared, this->request, error);
+        return;
+    }
+    // The caller's stream has begun: it ends with an error event and without [DONE].
+    if (error.kind == ErrorKind::TargetFailed || error.kind == ErrorKind::NoTarget)
+        error.kind = ErrorKind::StreamInterrupted;
+    error.execution = Execution::Unknown;
+    this->scope.shared.metrics.failed(error.kind).Increment();
+    this->request.exchange->write(toNamedEvent("error", http::errorBody(error, this->request.id)));
+    this->request.exchange->finish();
+    recordEnd(this->scope.shared, this->request, std::string(answerFor(error.kind).name), true);
+}
+
+void InferenceCall::callerGone()
+{
+    if (this->ended)
+        return;
+    this->ended = true;
+    this->scope.shared.metrics.callersGone.Increment();
+    if (this->attempt) {
+        if (this->attempt->call)
+            this->attempt->call->cancel(); // closing the connection makes the engine stop
+        this->endAttempt("caller gone", true);
+    }
+    recordEnd(this->scope.shared, this->request, "caller gone", true);
+}
+
+}
--- /dev/null
+++ b/src/entry/InferenceCall.h
@@ -0,0 +1,92 @@
+#pragma once
+// One completion request: attempts at engines until the caller has the whole answer.
+//
+// The engine is always asked to stream. When it is lost in mid-stream, another engine with the same
+// weights is asked to continue after the tokens that the caller has; if there is none, the caller's
+// stream ends with an error event and without its normal end.
+
+#include "entry/EventStream.h"
+#include "entry/InferenceBody.h"
+#include "entry/Request.h"
+#include "entry/TargetLoad.h"
+
+#include <optional>
+
+namespace dragonfly::entry {
+
+class InferenceCall : public std::enable_shared_from_this<InferenceCall> {
+public:
+    InferenceCall(WorkerScope& scope, Request request, InferenceBody body);
+
+    /// Begins the first attempt. The object keeps itself alive until the request has ended.
+    void start();
+
+private:
+    /// What is known of the attempt under way.
+    struct Attempt {
+        uint32_t target = 0;
+        routing::Choice choice;
+        std::string id;
+        Clock::time_point sentAt;
+        uint32_t queuedTokens = 0; ///< at the target, when it was chosen
+        std::optional<http::Call> call;
+        TargetLoad load;
+        EventStreamReader events;
+        int status = 0;
+        std::string refusal; ///< body of an answer that is no stream
+        bool refusedUnrun = false; ///< the target's own word that it did not run
+        bool firstTokenSeen = false;
+        observe::TraceContext trace;
+        WallClock::time_point started;
+    };
+
+    void nextAttempt();
+    http::Request engineRequest();
+    void send(const routing::Target& target);
+    void onHead(const http::ResponseHead& head);
+    void onBody(std::string_view bytes);
+    bool onEvent(std::string_view data);
+    bool takeChoice(const QJsonObject& event);
+    void takeUsage(const QJsonObject& usage);
+    void onComplete();
+    void onFailure(const http::CallFailure& failure);
+
+    /// Ends the attempt and decides between another one and an error.
+    void attemptFailed(ErrorKind kind, const std::string& detail);
+    void endAttempt(const std::string& outcome, bool failed);
+    void retryLater(const Error& lastError);
+
+    void forward(const QJsonObject& event);
+    void noteFirstToken();
+    void watchSlowCaller();
+    void moveProgressDeadline();
+    void succeed();
+    void fail(Error error);
+    void callerGone();
+    bool expired() const;
+    const routing::Target& target() const;
+    const routing::Model& model() const;
+    std::string wholeAnswer() const;
+    QJsonObject usageObject() const;
+
+    WorkerScope& scope;
+    Request request;
+    InferenceBody body;
+    routing::PrefixChain chain;
+    uint32_t promptTokens;
+    std::vector<uint32_t> tried;
+    std::optional<Attempt> attempt;
+    size_t attempts = 0;
+
+    uint32_t tokens = 0; ///< tokens the caller has, or will get in one piece
+    std::string text; ///< their text
+    QString finishReason; ///< empty until the engine said that the answer is whole
+    uint32_t enginePromptTokens = 0;
+    uint32_t engineCachedTokens = 0;
+    bool streamBegun = false;
+    bool paused = false;
+    bool ended = false;
+    bool mayHaveRun = false;
+};
+
+}
--- /dev/null
+++ b/src/entry/Request.cpp
@@ -0,0 +1,111 @@
+#include "entry/Request.h"
+
+#include <QRandomGenerator>
+#include <charconv>
+#include <utility>
+
+namespace dragonfly::entry {
+
+namespace {
+
+    constexpr std::chrono::milliseconds firstRetryBound { 20 };
+    constexpr size_t mostDoublings = 5;
+
+}
+
+Activity::Activity(std::atomic<int>& count)
+    : count(&count)
+{
+    count.fetch_add(1, std::memory_order_relaxed);
+}
+
+Activity::~Activity()
+{
+    if (this->count)
+        this->count->fetch_sub(1, std::memory_order_relaxed);
+}
+
+Activity::Activity(Activity&& other) noexcept
+    : count(std::exchange(other.count, nullptr))
+{
+}
+
+Activity& Activity::operator=(Activity&& other) noexcept
+{
+    std::swap(this->count, other.count);
+    return *this;
+}
+
+std::string attemptId(const Request& request, size_t attempt)
+{
+    return request.id + "-" + std::to_string(attempt);
+}
+
+std::optional<routing::Choice> chooseNext(Context& shared, Request& request, const routing::PrefixChain* chain,
+    uint32_t promptTokens, std::span<const uint32_t> excluded)
+{
+    const auto begin = Clock::now();
+    const routing::CandidateQuery query { *request.view, *request.route, shared.place, chain, &shared.prefixes,
+        excluded, begin };
+    const auto candidates = routing::gatherCandidates(query);
+    const routing::Question question { promptTokens, chain ? routing::homeTokens(*chain) : 0,
+        QRandomGenerator::global()->generate64(), request.route->prefer == pb::REUSE };
+    const auto choice = routing::chooseTarget(shared.policy, candidates, question);
+    const std::chrono::duration<double> took = Clock::now() - begin;
+    shared.metrics.decisionSeconds.Observe(took.count());
+    if (!choice)
+        return std::nullopt;
+    request.explanation.attempts.push_back({ request.view->targets[choice->target].name, choice->reach, choice->reason,
+        candidates.size(), choice->cachedTokens,
+        std::chrono::duration_cast<std::chrono::microseconds>(choice->expectedFirstToken), {}, "under way" });
+    return choice;
+}
+
+std::chrono::milliseconds retryDelay(size_t retry)
+{
+    const auto bound = firstRetryBound * (1 << std::min(retry, mostDoublings));
+    return std::chrono::milliseconds(QRandomGenerator::global()->bounded(static_cast<int>(bound.count())));
+}
+
+void noteAnswerHeaders(Context& shared, const routing::Target& target, const http::Headers& headers)
+{
+    auto& state = *target.state;
+    routing::noteIncarnation(state, headers.valueOr("X-Target-Incarnation", ""));
+    if (const auto weights = headers.find("X-Target-Weights"))
+        state.weights.store(fastHash(*weights), std::memory_order_relaxed);
+    if (const auto queued = headers.find("X-Target-Queued-Tokens")) {
+        uint32_t tokens = 0;
+        std::from_chars(queued->data(), queued->data() + queued->size(), tokens);
+        routing::noteLoad(state, tokens, Clock::now());
+    }
+    if (headers.valueOr("X-Target-State", "") == "leaving" && routing::noteLeaving(state, Clock::now())
+        && shared.onLeaving)
+        shared.onLeaving(target.name);
+}
+
+void answerError(Context& shared, Request& request, const Error& error)
+{
+    shared.metrics.failed(error.kind).Increment();
+    recordEnd(shared, request, std::string(answerFor(error.kind).name), true);
+    http::respondWithError(*request.exchange, error, request.id);
+}
+
+void recordEnd(Context& shared, Request& request, const std::string& outcome, bool failed)
+{
+    auto& explanation = request.explanation;
+    explanation.requestId = request.id;
+    explanation.took = std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - request.arrived);
+    explanation.outcome = outcome;
+    if (request.organisation)
+        explanation.organisation = request.organisation->name;
+    if (request.route)
+        explanation.route = request.route->name;
+    if (request.view)
+        explanation.configRevision = request.view->revision;
+    if (request.trace.sampled)
+        shared.spans.submit({ request.trace, "entry", explanation.started, WallClock::now(),
+            { { "request.id", request.id }, { "outcome", outcome } }, failed });
+    shared.explanations.add(std::move(explanation));
+}
+
+}
--- /dev/null
+++ b/src/entry/ViewHolder.cpp
@@ -0,0 +1,39 @@
+#include "entry/ViewHolder.h"
+
+#include <urcu/urcu-memb.h>
+
+namespace dragonfly::entry {
+
+ReaderThread::ReaderThread()
+{
+    urcu_memb_register_thread();
+}
+
+ReaderThread::~ReaderThread()
+{
+    urcu_memb_unregister_thread();
+}
+
+ViewHolder::~ViewHolder()
+{
+    delete this->holder;
+}
+
+routing::ViewPointer ViewHolder::current() const
+{
+    urcu_memb_read_lock();
+    const auto* found = rcu_dereference(this->holder);
+    auto view = found ? *found : nullptr;
+    urcu_memb_read_unlock();
+    return view;
+}
+
+void ViewHolder::replace(routing::ViewPointer view)
+{
+    auto* next = new routing::ViewPointer(std::move(view));
+    auto* previous = rcu_xchg_pointer(&this->holder, next);
+    urcu_memb_synchronize_rcu();
+    delete previous;
+}
+
+}
--- /dev/null
+++ b/src/entry/Worker.cpp
@@ -0,0 +1,191 @@
+#include "entry/Worker.h"
+
+#include "entry/InferenceCall.h"
+#include "entry/ServiceCall.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <charconv>
+
+namespace dragonfly::entry {
+
+namespace {
+
+    constexpr std::string_view bearerPrefix = "Bearer ";
+    constexpr size_t mostRequestIdBytes = 128;
+
+    std::string_view pathOf(std::string_view target)
+    {
+        return target.substr(0, target.find('?'));
+    }
+
+    std::string requestIdOf(const http::Headers& headers)
+    {
+        const auto given = headers.valueOr("X-Request-Id", "");
+        const auto isSafe
+            = given.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:");
+        if (given.empty() || given.size() > mostRequestIdBytes || isSafe != std::string_view::npos)
+            return randomId();
+        return std::string(given);
+    }
+
+    /// The caller's own deadline in milliseconds, when it gave one that can be read.
+    std::optional<std::chrono::milliseconds> callerDeadline(const http::Headers& headers)
+    {
+        const auto text = headers.find("Dragonfly-Deadline-Ms");
+        uint32_t number = 0;
+        if (!text || std::from_chars(text->data(), text->data() + text->size(), number).ec != std::errc() || !number)
+            return std::nullopt;
+        return std::chrono::milliseconds(number);
+    }
+
+}
+
+Worker::Worker(Context& shared, const http::ServerLimits& limits, const Endpoint& listen)
+    : shared(shared)
+    , limits(limits)
+    , listenAt(listen)
+{
+}
+
+Result<Endpoint> Worker::waitUntilListening()
+{
+    return this->listening.get_future().get();
+}
+
+void Worker::run()
+{
+    const ReaderThread reader;
+    QObject loop;
+    http::ClientPool targets;
+    WorkerScope scope { this->shared, targets, loop };
+    http::Server server(
+        this->limits, [this, &scope](const http::ExchangePointer& exchange) { this->handle(scope, exchange); });
+    server.onRefusal = [this](ErrorKind kind) { this->shared.metrics.failed(kind).Increment(); };
+    this->control = &loop;
+    this->server = &server;
+    auto listened = server.listenShared(this->listenAt);
+    const bool failed = errorOf(listened);
+    this->listening.set_value(std::move(listened));
+    if (!failed)
+        this->exec();
+}
+
+int Worker::connectionCount() const
+{
+    return this->server ? this->server->connectionCount() : 0;
+}
+
+void Worker::stopAccepting()
+{
+    QMetaObject::invokeMethod(this->control, [this] {
+        this->server->close();
+        this->server->stopKeepingConnections();
+    });
+}
+
+Result<Success> Worker::authenticate(Request& request) const
+{
+    const auto header = request.exchange->request().headers.valueOr("Authorization", "");
+    const Error refused { ErrorKind::Unauthorised, "Authorization: a known API key is required", Execution::NotRun,
+        {} };
+    if (!header.starts_with(bearerPrefix))
+        return refused;
+    const auto hash = toHex(sha256(header.substr(bearerPrefix.size())));
+    const auto found = request.view->organisationByKeyHash.find(hash);
+    if (found == request.view->organisationByKeyHash.end() || !equalInConstantTime(found->first, hash))
+        return refused;
+    request.organisation = &request.view->organisations[found->second];
+    return Success {};
+}
+
+void Worker::handle(WorkerScope& scope, const http::ExchangePointer& exchange)
+{
+    const auto& headers = exchange->request().headers;
+    Request request;
+    request.exchange = exchange;
+    request.id = requestIdOf(headers);
+    request.arrived = Clock::now();
+    request.explanation.started = WallClock::now();
+    request.trace = observe::beginTrace(headers.valueOr("traceparent", ""), this->shared.traceSample);
+    request.activity = Activity(this->shared.activeRequests);
+    request.view = this->shared.views.current();
+    this->route(scope, std::move(request));
+}
+
+void Worker::route(WorkerScope& scope, Request request)
+{
+    if (!request.view) {
+        answerError(this->shared, request,
+            { ErrorKind::NotConfigured, "no configuration has been received yet", Execution::NotRun,
+                std::chrono::seconds(1) });
+        return;
+    }
+    if (const auto authenticated = this->authenticate(request); const auto* error = errorOf(authenticated)) {
+        answerError(this->shared, request, *error);
+        return;
+    }
+    const auto& received = request.exchange->request();
+    const auto path = pathOf(received.target);
+    if (received.method == "GET" && path == "/v1/models") {
+        this->handleModels(request);
+        return;
+    }
+    if (received.method == "POST" && (path == "/v1/completions" || path == "/v1/chat/completions")) {
+        this->routeInference(scope, std::move(request));
+        return;
+    }
+    request.route = routing::findRouteByPath(*request.view, path);
+    if (!request.route) {
+        answerError(this->shared, request, { ErrorKind::UnknownPath, "no route has this path", Execution::NotRun, {} });
+        return;
+    }
+    if (this->prepare(request))
+        std::make_shared<ServiceCall>(scope, std::move(request))->start();
+}
+
+void Worker::routeInference(WorkerScope& scope, Request request)
+{
+    const auto& received = request.exchange->request();
+    const auto shape = pathOf(received.target) == "/v1/completions" ? InferenceShape::Completion : InferenceShape::Chat;
+    auto parsed = parseInferenceBody(shape, received.body);
+    if (const auto* error = errorOf(parsed)) {
+        answerError(this->shared, request, *error);
+        return;
+    }
+    auto& body = std::get<InferenceBody>(parsed);
+    const auto found = request.view->routeByModel.find(body.model);
+    if (found == request.view->routeByModel.end()) {
+        answerError(
+            this->shared, request, { ErrorKind::UnknownModel, "no route serves this model", Execution::NotRun, {} });
+        return;
+    }
+    request.route = &request.view->routes[found->second];
+    if (this->prepare(request))
+        std::make_shared<InferenceCall>(scope, std::move(request), std::move(body))->start();
+}
+
+bool Worker::prepare(Request& request)
+{
+    const auto given = callerDeadline(request.exchange->request().headers);
+    request.deadline = request.arrived + given.value_or(request.route->deadline);
+    auto admitted = admit(*request.organisation, request.view->share, request.arrived);
+    if (const auto* error = errorOf(admitted)) {
+        answerError(this->shared, request, *error);
+        return false;
+    }
+    request.admission = std::move(std::get<Admission>(admitted));
+    return true;
+}
+
+void Worker::handleModels(const Request& request)
+{
+    QJsonArray models;
+    for (const auto& [model, route] : request.view->routeByModel)
+        models.append(QJsonObject { { "id", QString::fromStdString(model) }, { "object", "model" } });
+    const QJsonObject body { { "object", "list" }, { "data", models } };
+    request.exchange->respond(200, { { "Content-Type", "application/json" }, { "X-Request-Id", request.id } },
+        QJsonDocument(body).toJson(QJsonDocument::Compact).toStdString());
+}
+
+}
--- /dev/null
+++ b/src/http/ClientConnection.h
@@ -0,0 +1,114 @@
+#pragma once
+// One connection to a target, carrying one call at a time.
+
+#include "http/Client.h"
+
+#include <QTcpSocket>
+#include <QTimer>
+#include <boost/beast/http/basic_parser.hpp>
+
+namespace dragonfly::http {
+
+namespace internal {
+
+    /// Hands the parts of a response on as they arrive, and stores no body.
+    class ResponseParser : public boost::beast::http::basic_parser<false> {
+    public:
+        ResponseHead head;
+        bool headDone = false;
+        std::string body; ///< body bytes since they were last taken
+
+    private:
+        using Text = boost::beast::string_view;
+        using Code = boost::beast::error_code;
+
+        void on_request_impl(boost::beast::http::verb, Text, Text, int, Code&) override
+        {
+        }
+        void on_response_impl(int status, Text, int, Code&) override
+        {
+            this->head.status = status;
+        }
+        void on_field_impl(boost::beast::http::field, Text name, Text value, Code&) override
+        {
+            this->head.headers.add({ name.data(), name.size() }, { value.data(), value.size() });
+        }
+        void on_header_impl(Code&) override
+        {
+            this->headDone = true;
+        }
+        void on_body_init_impl(boost::optional<std::uint64_t> const&, Code&) override
+        {
+        }
+        std::size_t on_body_impl(Text text, Code&) override
+        {
+            this->body.append(text.data(), text.size());
+            return text.size();
+        }
+        void on_chunk_header_impl(std::uint64_t, Text, Code&) override
+        {
+        }
+        std::size_t on_chunk_body_impl(std::uint64_t, Text text, Code&) override
+        {
+            this->body.append(text.data(), text.size());
+            return text.size();
+        }
+        void on_finish_impl(Code&) override
+        {
+        }
+    };
+
+}
+
+class ClientConnection : public QObject {
+    Q_OBJECT
+public:
+    ClientConnection(ClientPool* pool, Endpoint endpoint);
+
+    void start(uint64_t number, const Request& request, const CallOptions& options, CallEvents events);
+    void cancel();
+    void setDeadline(Deadline deadline);
+    void setPaused(bool paused);
+
+    bool usable() const;
+    bool requestSent() const
+    {
+        return this->sent;
+    }
+    uint64_t callNumber() const
+    {
+        return this->number;
+    }
+    const Endpoint& remote() const
+    {
+        return this->endpoint;
+    }
+
+private:
+    void writeRequest();
+    void readMore();
+    bool takeParsed();
+    void onDisconnected();
+    void checkDeadline();
+    void armTimer();
+    void complete();
+    void fail(CallFailureKind kind, std::string detail);
+    void close();
+
+    ClientPool* pool;
+    Endpoint endpoint;
+    QTcpSocket socket;
+    QTimer timer;
+    Deadline deadline;
+    Deadline connectDeadline;
+    uint64_t number = 0; ///< zero while no call is under way
+    std::string outgoing;
+    std::string unparsed;
+    std::unique_ptr<internal::ResponseParser> parser;
+    std::shared_ptr<CallEvents> events; ///< shared, so that a handler may end its own call
+    bool headReported = false;
+    bool sent = false;
+    bool paused = false;
+};
+
+}
--- /dev/null
+++ b/src/http/Message.h
@@ -0,0 +1,58 @@
+#pragma once
+// HTTP messages as plain values.
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dragonfly::http {
+
+struct Header {
+    std::string name;
+    std::string value;
+};
+
+/// Header fields in order; names compare without regard to case.
+class Headers {
+public:
+    Headers() = default;
+    Headers(std::initializer_list<Header> fields)
+        : fields(fields)
+    {
+    }
+
+    /// The value of the first field called @p name.
+    std::optional<std::string_view> find(std::string_view name) const;
+    std::string_view valueOr(std::string_view name, std::string_view fallback) const;
+    void add(std::string_view name, std::string_view value);
+
+    auto begin() const
+    {
+        return this->fields.begin();
+    }
+    auto end() const
+    {
+        return this->fields.end();
+    }
+
+private:
+    std::vector<Header> fields;
+};
+
+struct Request {
+    std::string method;
+    std::string target; ///< path and query
+    Headers headers;
+    std::string body;
+};
+
+struct ResponseHead {
+    int status = 0;
+    Headers headers;
+};
+
+/// The standard reason phrase of @p status.
+std::string_view reasonPhrase(int status);
+
+}
--- /dev/null
+++ b/src/http/Server.cpp
@@ -0,0 +1,170 @@
+#include "http/Server.h"
+
+#include "http/ServerConnection.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace dragonfly::http {
+
+namespace {
+
+    constexpr int listenBacklog = 1024;
+
+    QString peerOf(qintptr descriptor)
+    {
+        sockaddr_storage storage {};
+        socklen_t length = sizeof(storage);
+        if (getpeername(static_cast<int>(descriptor), reinterpret_cast<sockaddr*>(&storage), &length))
+            return {};
+        return QHostAddress(reinterpret_cast<const sockaddr*>(&storage)).toString();
+    }
+
+    /// A listening IPv4 socket that other threads may share, or -1.
+    int openShared(const Endpoint& endpoint)
+    {
+        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+        const int on = 1;
+        setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        setsockopt(descriptor, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(endpoint.port);
+        address.sin_addr.s_addr = htonl(QHostAddress(QString::fromStdString(endpoint.host)).toIPv4Address());
+        if (bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address))
+            || listen(descriptor, listenBacklog)) {
+            close(descriptor);
+            return -1;
+        }
+        return descriptor;
+    }
+
+}
+
+Server::Server(const ServerLimits& limits, Handler handler, QObject* parent)
+    : QTcpServer(parent)
+    , limits(limits)
+    , handler(std::move(handler))
+{
+}
+
+Server::~Server()
+{
+    // Connections count themselves out of this object, so they go before its members do.
+    qDeleteAll(this->findChildren<ServerConnection*>());
+}
+
+Result<Endpoint> Server::listenShared(const Endpoint& endpoint)
+{
+    const int descriptor = openShared(endpoint);
+    if (descriptor < 0 || !this->setSocketDescriptor(descriptor))
+        return Error { ErrorKind::Internal, "cannot listen on " + endpoint.toString(), Execution::NotRun, {} };
+    return Endpoint { endpoint.host, this->serverPort() };
+}
+
+void Server::incomingConnection(qintptr descriptor)
+{
+    const auto address = peerOf(descriptor);
+    auto& fromAddress = this->connectionsByAddress[address];
+    if (this->openConnections >= this->limits.connections || fromAddress >= this->limits.connectionsPerAddress) {
+        if (this->onRefusal)
+            this->onRefusal(ErrorKind::TooManyConnections);
+        ::close(static_cast<int>(descriptor));
+        return;
+    }
+    ++fromAddress;
+    ++this->openConnections;
+    new ServerConnection(this, descriptor, address); // deletes itself when the connection ends
+}
+
+void Server::release(const QString& address)
+{
+    --this->openConnections;
+    if (--this->connectionsByAddress[address] <= 0)
+        this->connectionsByAddress.remove(address);
+}
+
+void Server::stopKeepingConnections()
+{
+    this->closing = true;
+    for (auto* connection : this->findChildren<ServerConnection*>())
+        connection->closeWhenIdle();
+}
+
+Exchange::Exchange(ServerConnection* connection, Request request)
+    : connection(connection)
+    , received(std::move(request))
+    , address(connection->addressText())
+{
+}
+
+void Exchange::respond(int status, const Headers& headers, std::string_view body)
+{
+    if (this->connection)
+        this->connection->sendWhole(status, headers, body);
+}
+
+void Exchange::beginStream(int status, const Headers& headers)
+{
+    if (this->connection)
+        this->connection->sendHead(status, headers);
+}
+
+void Exchange::write(std::string_view chunk)
+{
+    if (this->connection)
+        this->connection->sendChunk(chunk);
+}
+
+void Exchange::finish()
+{
+    if (this->connection)
+        this->connection->sendLastChunk();
+}
+
+void Exchange::abort()
+{
+    if (this->connection)
+        this->connection->drop();
+}
+
+int64_t Exchange::unsentBytes() const
+{
+    return this->connection ? this->connection->unsentBytes() : 0;
+}
+
+bool Exchange::callerGone() const
+{
+    return !this->connection;
+}
+
+std::string errorBody(const Error& error, std::string_view requestId)
+{
+    const auto& answer = answerFor(error.kind);
+    QJsonObject fields;
+    fields["kind"] = QString::fromUtf8(answer.name.data(), static_cast<qsizetype>(answer.name.size()));
+    fields["message"] = QString::fromStdString(error.detail);
+    fields["execution"] = QString::fromStdString(std::string(toString(error.execution)));
+    fields["retryable"] = answer.retryable;
+    if (!requestId.empty())
+        fields["request_id"] = QString::fromStdString(std::string(requestId));
+    QJsonObject body;
+    body["error"] = fields;
+    return QJsonDocument(body).toJson(QJsonDocument::Compact).toStdString();
+}
+
+void respondWithError(Exchange& exchange, const Error& error, std::string_view requestId)
+{
+    Headers headers { { "Content-Type", "application/json" },
+        { "Dragonfly-Execution", std::string(toString(error.execution)) } };
+    if (!requestId.empty())
+        headers.add("X-Request-Id", requestId);
+    if (error.retryAfter.count() > 0)
+        headers.add("Retry-After", std::to_string(error.retryAfter.count()));
+    exchange.respond(answerFor(error.kind).status, headers, errorBody(error, requestId));
+}
+
+}
--- /dev/null
+++ b/src/http/ServerConnection.h
@@ -0,0 +1,61 @@
+#pragma once
+// One accepted connection: reads requests one at a time and writes their answers.
+
+#include "http/Server.h"
+
+#include <QTcpSocket>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+
+namespace dragonfly::http {
+
+class ServerConnection : public QObject {
+    Q_OBJECT
+public:
+    ServerConnection(Server* server, qintptr descriptor, QString address);
+    ~ServerConnection() override;
+
+    void sendWhole(int status, const Headers& headers, std::string_view body);
+    void sendHead(int status, const Headers& headers);
+    void sendChunk(std::string_view chunk);
+    void sendLastChunk();
+    void drop();
+    void closeWhenIdle();
+
+    int64_t unsentBytes() const
+    {
+        return this->socket.bytesToWrite();
+    }
+    std::string addressText() const
+    {
+        return this->address.toStdString();
+    }
+
+private:
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    enum class State { Idle, Headers, Body, Answering, Closed };
+
+    void readMore();
+    void parse();
+    bool feedParser();
+    void dispatch();
+    void refuse(ErrorKind kind, std::string detail);
+    void answerEnded();
+    void checkDeadline();
+    void setDeadline(std::chrono::milliseconds time);
+    std::string headText(int status, const Headers& headers, std::string_view framing) const;
+
+    Server* server;
+    QString address;
+    QTcpSocket socket;
+    QTimer timer;
+    Deadline deadline;
+    State state = State::Idle;
+    std::optional<Parser> parser;
+    std::string unparsed; ///< bytes of a later request wait here while an answer is under way
+    std::weak_ptr<Exchange> exchange;
+    bool keepAlive = true;
+};
+
+}
--- /dev/null
+++ b/src/membership/ConfigKeeper.cpp
@@ -0,0 +1,225 @@
+#include "membership/ConfigKeeper.h"
+
+#include "observe/Log.h"
+
+#include <QRandomGenerator>
+#include <algorithm>
+
+namespace dragonfly::membership {
+
+namespace {
+
+    constexpr uint32_t protocolVersion = 1;
+    constexpr std::chrono::milliseconds fetchTime { 2000 };
+    constexpr std::chrono::milliseconds manifestTime { 500 };
+    constexpr std::chrono::milliseconds storeTime { 2000 };
+    constexpr int longestRestoreDelayMs = 3000;
+    constexpr size_t partsPerRead = 32;
+
+}
+
+pb::PeerMessage newMessage(const std::string& ownAddress)
+{
+    pb::PeerMessage message;
+    message.set_protocol_version(protocolVersion);
+    message.set_reply_to(ownAddress);
+    return message;
+}
+
+ConfigKeeper::ConfigKeeper(
+    platform::KeyValueStore& store, PeerTransport& peers, observe::Metrics& metrics, ApplyConfig apply)
+    : store(store)
+    , peers(peers)
+    , metrics(metrics)
+    , apply(std::move(apply))
+{
+}
+
+bool ConfigKeeper::isNews(uint64_t revision) const
+{
+    if (revision <= this->revision())
+        return false;
+    if (!this->pending || this->pending->deadline <= Clock::now())
+        return true;
+    return revision > this->pending->publication.manifest.revision();
+}
+
+void ConfigKeeper::offerFromPlatform(const platform::KeyValue& stored)
+{
+    const auto manifest = config::parseManifest(stored.value);
+    if (!manifest)
+        return;
+    if (this->isNews(manifest->revision())) {
+        this->begin(stored.value, {});
+    } else if (manifest->revision() < this->revision()) {
+        this->metrics.configRefusedOlder.Increment();
+        this->restorePlatform(stored.modRevision);
+    }
+}
+
+void ConfigKeeper::hearOfRevision(const std::string& peerAddress, uint64_t revision, const std::string& ownAddress)
+{
+    const auto now = Clock::now();
+    if (!this->isNews(revision) || now < this->peerAskedUntil)
+        return;
+    this->peerAskedUntil = now + manifestTime;
+    auto message = newMessage(ownAddress);
+    message.mutable_fetch_manifest();
+    this->peers.send(peerAddress, message);
+}
+
+void ConfigKeeper::answer(const pb::FetchManifest&, const std::string& replyTo)
+{
+    if (!this->current)
+        return;
+    auto message = newMessage({});
+    message.mutable_manifest_reply()->set_manifest(this->current->manifestBytes);
+    this->peers.send(replyTo, message);
+}
+
+void ConfigKeeper::answer(const pb::FetchPart& request, const std::string& replyTo)
+{
+    auto message = newMessage({});
+    auto* reply = message.mutable_part_reply();
+    reply->set_sha256(request.sha256());
+    if (this->current) {
+        const auto found = this->current->parts.find(request.sha256());
+        if (found != this->current->parts.end())
+            reply->set_part(found->second);
+    }
+    this->peers.send(replyTo, message);
+}
+
+void ConfigKeeper::take(const pb::ManifestReply& reply, const std::string& peerAddress, const std::string& ownAddress)
+{
+    this->peerAskedUntil = {};
+    const auto manifest = config::parseManifest(reply.manifest());
+    if (!manifest || !this->isNews(manifest->revision()))
+        return;
+    this->begin(reply.manifest(), peerAddress);
+    if (!this->pending)
+        return;
+    for (const auto& digest : this->pending->missing) {
+        auto message = newMessage(ownAddress);
+        message.mutable_fetch_part()->set_sha256(digest);
+        this->peers.send(peerAddress, message);
+    }
+}
+
+/// Starts to collect the parts of a newer manifest; those of the one in force are here already.
+void ConfigKeeper::begin(std::string_view manifestBytes, const std::string& peer)
+{
+    Pending next;
+    next.publication.manifest = *config::parseManifest(manifestBytes);
+    next.publication.manifestBytes = manifestBytes;
+    next.deadline = Clock::now() + fetchTime;
+    next.peer = peer;
+    for (const auto& reference : next.publication.manifest.parts()) {
+        const bool isHere = this->current && this->current->parts.contains(reference.sha256());
+        if (isHere)
+            next.publication.parts.emplace(reference.sha256(), this->current->parts.at(reference.sha256()));
+        else
+            next.missing.push_back(reference.sha256());
+    }
+    this->pending = std::move(next);
+    this->applyWhenWhole();
+    if (this->pending && peer.empty())
+        this->fetchFromPlatform();
+}
+
+void ConfigKeeper::fetchFromPlatform()
+{
+    const auto& missing = this->pending->missing;
+    for (size_t first = 0; first < missing.size(); first += partsPerRead) {
+        std::vector<platform::ReadRequest> ranges;
+        for (size_t i = first; i < std::min(first + partsPerRead, missing.size()); ++i)
+            ranges.push_back({ config::partKey(missing[i]) });
+        this->metrics.platformCalls.Increment();
+        this->store.read(ranges, Clock::now() + fetchTime, [this](platform::ReadResult result) {
+            const auto* pairs = std::get_if<std::vector<platform::KeyValue>>(&result);
+            if (!pairs) {
+                this->metrics.platformFailures.Increment();
+                return;
+            }
+            for (const auto& pair : *pairs)
+                this->addPart(sha256(pair.value), pair.value);
+        });
+    }
+}
+
+void ConfigKeeper::take(const pb::PartReply& reply)
+{
+    if (!reply.part().empty() && sha256(reply.part()) == reply.sha256())
+        this->addPart(reply.sha256(), reply.part());
+}
+
+void ConfigKeeper::addPart(const std::string& digest, const std::string& bytes)
+{
+    if (!this->pending || !std::erase(this->pending->missing, digest))
+        return;
+    this->pending->publication.parts.emplace(digest, bytes);
+    this->applyWhenWhole();
+}
+
+void ConfigKeeper::applyWhenWhole()
+{
+    if (!this->pending || !this->pending->missing.empty())
+        return;
+    const auto objects = config::joinParts(this->pending->publication);
+    if (!objects) {
+        this->pending.reset();
+        return;
+    }
+    const bool fromPeer = !this->pending->peer.empty();
+    this->current = std::make_shared<config::Publication>(std::move(this->pending->publication));
+    this->pending.reset();
+    this->appliedAt = WallClock::now();
+    this->metrics.configApplied.Increment();
+    this->metrics.configRevision.Set(static_cast<double>(this->revision()));
+    if (fromPeer)
+        this->metrics.configFromPeers.Increment();
+    observe::logChange(observe::LogLevel::Info, "configuration in force",
+        { { "revision", std::to_string(this->revision()) }, { "source", fromPeer ? "peer" : "platform" },
+            { "author", this->current->manifest.author() } });
+    this->apply(*this->current, *objects);
+    if (this->onApplied)
+        this->onApplied();
+}
+
+/// The platform lost a manifest that is in force here: give it back, unless somebody else does so first.
+void ConfigKeeper::restorePlatform(int64_t storedModRevision)
+{
+    if (this->restoring)
+        return;
+    this->restoring = true;
+    observe::logChange(observe::LogLevel::Warning, "the platform holds an older configuration; restoring ours",
+        { { "revision", std::to_string(this->revision()) } });
+    const auto delay = QRandomGenerator::global()->bounded(longestRestoreDelayMs);
+    QTimer::singleShot(delay, this, [this, publication = this->current, storedModRevision] {
+        this->putPartsThenManifest(publication, 0, storedModRevision);
+    });
+}
+
+void ConfigKeeper::putPartsThenManifest(
+    std::shared_ptr<const config::Publication> publication, size_t part, int64_t storedModRevision)
+{
+    const auto deadline = Clock::now() + storeTime;
+    this->metrics.platformCalls.Increment();
+    if (part == publication->parts.size()) {
+        // A newer manifest that was published meanwhile makes this swap fail, as it should.
+        this->store.compareAndSwap(std::string(config::manifestKey), storedModRevision, publication->manifestBytes,
+            deadline, [this](const platform::SwapResult&) { this->restoring = false; });
+        return;
+    }
+    const auto& [digest, bytes] = *std::next(publication->parts.begin(), static_cast<ptrdiff_t>(part));
+    this->store.put(config::partKey(digest), bytes, 0, deadline,
+        [this, publication, part, storedModRevision](const platform::WriteResult& result) {
+            if (std::holds_alternative<platform::StoreFailure>(result)) {
+                this->restoring = false;
+                return;
+            }
+            this->putPartsThenManifest(publication, part + 1, storedModRevision);
+        });
+}
+
+}
--- /dev/null
+++ b/src/membership/Fleet.cpp
@@ -0,0 +1,229 @@
+#include "membership/Fleet.h"
+
+#include <QRandomGenerator>
+#include <algorithm>
+
+namespace dragonfly::membership {
+
+namespace {
+
+    constexpr std::chrono::milliseconds period { 1000 };
+    constexpr int jitterMs = 200;
+    constexpr size_t peersPerTick = 2;
+    constexpr size_t peersPerNews = 3;
+    constexpr size_t mostPeersTold = 6;
+    constexpr size_t mostReportsTold = 12;
+    constexpr std::chrono::seconds liveTime { 10 };
+    constexpr std::chrono::minutes rememberedTime { 60 };
+    constexpr std::chrono::milliseconds replyPause { 200 };
+    constexpr std::chrono::seconds reportLife { 120 };
+
+    uint64_t millisecondsSince(Clock::time_point then, Clock::time_point now)
+    {
+        return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - then).count());
+    }
+
+}
+
+Fleet::Fleet(Member self, std::vector<std::string> seeds, PeerTransport& transport, ConfigKeeper& keeper,
+    observe::Metrics& metrics)
+    : own(std::move(self))
+    , seeds(std::move(seeds))
+    , transport(transport)
+    , keeper(keeper)
+    , metrics(metrics)
+{
+    this->transport.onMessage = [this](const pb::PeerMessage& message) { this->receive(message); };
+    connect(&this->timer, &QTimer::timeout, this, &Fleet::tick);
+    this->timer.setSingleShot(true);
+}
+
+void Fleet::start()
+{
+    this->tick();
+}
+
+void Fleet::tick()
+{
+    this->forgetSilent();
+    for (const auto& address : this->randomAddresses(peersPerTick))
+        this->sendGossip(address);
+    this->metrics.livePeers.Set(static_cast<double>(this->liveMembers().size()));
+    this->timer.start(period + std::chrono::milliseconds(QRandomGenerator::global()->bounded(jitterMs)));
+}
+
+void Fleet::spreadNow()
+{
+    for (const auto& address : this->randomAddresses(peersPerNews))
+        this->sendGossip(address);
+}
+
+std::vector<Member> Fleet::liveMembers() const
+{
+    std::vector<Member> live;
+    const auto oldest = Clock::now() - liveTime;
+    for (const auto& [instance, member] : this->members) {
+        if (member.heardAt > oldest)
+            live.push_back(member);
+    }
+    return live;
+}
+
+void Fleet::forgetSilent()
+{
+    const auto now = Clock::now();
+    for (auto member = this->members.begin(); member != this->members.end();) {
+        if (now - member->second.heardAt < rememberedTime) {
+            ++member;
+            continue;
+        }
+        this->transport.drop(member->second.address);
+        member = this->members.erase(member);
+    }
+    std::erase_if(this->news, [now](const auto& entry) { return now - entry.second.observedAt > reportLife; });
+    std::erase_if(this->answeredAt, [now](const auto& entry) { return now - entry.second > liveTime; });
+}
+
+/// Mostly live members; now and then one that fell silent, or a seed, so that healed parts find each other.
+std::vector<std::string> Fleet::randomAddresses(size_t count) const
+{
+    std::vector<std::string> live;
+    std::vector<std::string> other = this->seeds;
+    const auto oldest = Clock::now() - liveTime;
+    for (const auto& [instance, member] : this->members)
+        (member.heardAt > oldest ? live : other).push_back(member.address);
+    auto& random = *QRandomGenerator::global();
+    std::shuffle(live.begin(), live.end(), random);
+    std::shuffle(other.begin(), other.end(), random);
+    live.resize(std::min(live.size(), count));
+    if (!other.empty() && (live.size() < count || !random.bounded(5)))
+        live.push_back(other.front());
+    std::erase(live, this->own.address);
+    return live;
+}
+
+void Fleet::addKnown(const Member& member)
+{
+    if (member.instance == this->own.instance)
+        return;
+    auto& known = this->members[member.instance];
+    if (!known.address.empty() && known.address != member.address)
+        this->transport.drop(known.address);
+    known.instance = member.instance;
+    known.address = member.address;
+    known.place = member.place;
+    known.heardAt = std::max(known.heardAt, member.heardAt);
+}
+
+void Fleet::report(const std::string& target, const TargetNews& news)
+{
+    const auto found = this->news.find(target);
+    const bool isNewlyLeaving = news.leaving && (found == this->news.end() || !found->second.leaving);
+    this->news[target] = news;
+    if (isNewlyLeaving)
+        this->spreadNow();
+}
+
+pb::PeerMessage Fleet::buildGossip()
+{
+    const auto now = Clock::now();
+    auto message = newMessage(this->own.address);
+    auto* gossip = message.mutable_gossip();
+    auto* sender = gossip->mutable_sender();
+    sender->set_instance(this->own.instance);
+    sender->set_address(this->own.address);
+    sender->set_region(this->own.place.region);
+    sender->set_data_centre(this->own.place.dataCentre);
+    gossip->set_config_revision(this->keeper.revision());
+    std::vector<const Member*> told;
+    for (const auto& [instance, member] : this->members)
+        told.push_back(&member);
+    std::shuffle(told.begin(), told.end(), *QRandomGenerator::global());
+    told.resize(std::min(told.size(), mostPeersTold));
+    for (const auto* member : told) {
+        auto* peer = gossip->add_peers();
+        peer->set_instance(member->instance);
+        peer->set_address(member->address);
+        peer->set_region(member->place.region);
+        peer->set_data_centre(member->place.dataCentre);
+        peer->set_heard_ms_ago(millisecondsSince(member->heardAt, now));
+    }
+    const auto add = [&](const std::string& target, const TargetNews& news) {
+        auto* report = gossip->add_targets();
+        report->set_target(target);
+        report->set_leaving(news.leaving);
+        report->set_incarnation(news.incarnation);
+        report->set_weights(news.weights);
+        report->set_queued_tokens(news.queuedTokens);
+        report->set_observed_ms_ago(millisecondsSince(news.observedAt, now));
+    };
+    // Leaving targets go into every message, the rest takes turns.
+    for (const auto& [target, news] : this->news) {
+        if (news.leaving && gossip->targets_size() < static_cast<int>(mostReportsTold))
+            add(target, news);
+    }
+    for (size_t i = 0; i < this->news.size() && gossip->targets_size() < static_cast<int>(mostReportsTold); ++i) {
+        const auto entry
+            = std::next(this->news.begin(), static_cast<ptrdiff_t>(this->nextReport++ % this->news.size()));
+        if (!entry->second.leaving)
+            add(entry->first, entry->second);
+    }
+    return message;
+}
+
+void Fleet::sendGossip(const std::string& address)
+{
+    this->transport.send(address, this->buildGossip());
+}
+
+void Fleet::receive(const pb::PeerMessage& message)
+{
+    switch (message.body_case()) {
+    case pb::PeerMessage::kGossip:
+        this->receiveGossip(message.gossip());
+        break;
+    case pb::PeerMessage::kFetchManifest:
+        this->keeper.answer(message.fetch_manifest(), message.reply_to());
+        break;
+    case pb::PeerMessage::kFetchPart:
+        this->keeper.answer(message.fetch_part(), message.reply_to());
+        break;
+    case pb::PeerMessage::kManifestReply:
+        this->keeper.take(message.manifest_reply(), message.reply_to(), this->own.address);
+        break;
+    case pb::PeerMessage::kPartReply:
+        this->keeper.take(message.part_reply());
+        break;
+    case pb::PeerMessage::BODY_NOT_SET:
+        break; // from a later version of the protocol
+    }
+}
+
+void Fleet::receiveGossip(const pb::Gossip& gossip)
+{
+    const auto now = Clock::now();
+    const auto& sender = gossip.sender();
+    this->addKnown({ sender.instance(), sender.address(), { sender.region(), sender.data_centre() }, now });
+    for (const auto& peer : gossip.peers()) {
+        const auto heardAt = now - std::chrono::milliseconds(peer.heard_ms_ago());
+        this->addKnown({ peer.instance(), peer.address(), { peer.region(), peer.data_centre() }, heardAt });
+    }
+    for (const auto& report : gossip.targets()) {
+        const TargetNews told { report.leaving(), report.incarnation(), report.weights(), report.queued_tokens(),
+            now - std::chrono::milliseconds(report.observed_ms_ago()) };
+        const auto found = this->news.find(report.target());
+        if (found != this->news.end() && found->second.observedAt >= told.observedAt)
+            continue;
+        if (this->onTargetNews)
+            this->onTargetNews(report.target(), told);
+        this->report(report.target(), told);
+    }
+    this->keeper.hearOfRevision(sender.address(), gossip.config_revision(), this->own.address);
+    auto& answered = this->answeredAt[sender.address()];
+    if (gossip.config_revision() < this->keeper.revision() && now - answered > replyPause) {
+        answered = now;
+        this->sendGossip(sender.address());
+    }
+}
+
+}
--- /dev/null
+++ b/src/membership/Fleet.h
@@ -0,0 +1,78 @@
+#pragma once
+// The other instances, as far as this one has heard of them, and what they tell each other.
+//
+// All of it is soft state, exchanged with a few random peers each second; a lost or late message costs
+// quality and nothing else. News (a newer configuration, a leaving target) goes out at once.
+
+#include "membership/ConfigKeeper.h"
+#include "membership/PeerTransport.h"
+#include "routing/View.h"
+
+#include <QObject>
+#include <QTimer>
+#include <map>
+
+namespace dragonfly::membership {
+
+struct Member {
+    std::string instance;
+    std::string address;
+    routing::Place place;
+    Clock::time_point heardAt; ///< when anyone last heard from it, as far as we were told
+};
+
+/// What is known about a target, to be told to peers. A report is news only if it was observed later.
+struct TargetNews {
+    bool leaving = false;
+    std::string incarnation;
+    std::string weights;
+    uint32_t queuedTokens = 0;
+    Clock::time_point observedAt;
+};
+
+class Fleet : public QObject {
+    Q_OBJECT
+public:
+    Fleet(Member self, std::vector<std::string> seeds, PeerTransport& transport, ConfigKeeper& keeper,
+        observe::Metrics& metrics);
+
+    /// Begins to exchange messages.
+    void start();
+    /// Adds an instance from the platform's list.
+    void addKnown(const Member& member);
+    /// Observed here: goes to peers with the next messages, or at once when the target is leaving.
+    void report(const std::string& target, const TargetNews& news);
+    /// Sends what is new to a few peers now.
+    void spreadNow();
+
+    std::vector<Member> liveMembers() const;
+    const Member& self() const
+    {
+        return this->own;
+    }
+
+    /// A peer's news about a target that was not known here.
+    std::function<void(const std::string& target, const TargetNews&)> onTargetNews;
+
+private:
+    void tick();
+    void receive(const pb::PeerMessage& message);
+    void receiveGossip(const pb::Gossip& gossip);
+    void sendGossip(const std::string& address);
+    pb::PeerMessage buildGossip();
+    std::vector<std::string> randomAddresses(size_t count) const;
+    void forgetSilent();
+
+    Member own;
+    std::vector<std::string> seeds;
+    PeerTransport& transport;
+    ConfigKeeper& keeper;
+    observe::Metrics& metrics;
+    std::map<std::string, Member> members; ///< by instance
+    std::map<std::string, TargetNews> news; ///< by target
+    std::map<std::string, Clock::time_point> answeredAt; ///< by address: replies to peers that lag
+    size_t nextReport = 0;
+    QTimer timer;
+};
+
+}
--- /dev/null
+++ b/src/membership/Prober.cpp
@@ -0,0 +1,75 @@
+#include "membership/Prober.h"
+
+#include <algorithm>
+
+namespace dragonfly::membership {
+
+namespace {
+
+    constexpr std::chrono::milliseconds period { 1000 };
+    constexpr std::chrono::milliseconds connectTime { 500 };
+    constexpr std::chrono::milliseconds answerTime { 900 };
+    constexpr size_t probersPerTarget = 2;
+
+    uint64_t rankOf(const std::string& instance, const std::string& target)
+    {
+        return fastHash(target, fastHash(instance));
+    }
+
+}
+
+Prober::Prober(Fleet& fleet, http::ClientPool& pool, observe::Metrics& metrics, ProbeObserver observer)
+    : fleet(fleet)
+    , pool(pool)
+    , metrics(metrics)
+    , observer(std::move(observer))
+{
+    connect(&this->timer, &QTimer::timeout, this, &Prober::tick);
+}
+
+void Prober::start()
+{
+    this->timer.start(period);
+}
+
+void Prober::tick()
+{
+    if (!this->view)
+        return;
+    const auto live = this->fleet.liveMembers();
+    for (const auto& target : this->view->targets) {
+        if (this->isOurs(target, live))
+            this->probe(target);
+    }
+}
+
+/// The instances of the target's data centre that rank highest for it, as everyone computes alike.
+bool Prober::isOurs(const routing::Target& target, const std::vector<Member>& live) const
+{
+    const auto& self = this->fleet.self();
+    if (self.place.dataCentre != target.place.dataCentre)
+        return false;
+    const auto own = rankOf(self.instance, target.name);
+    const auto before = std::count_if(live.begin(), live.end(), [&](const Member& member) {
+        return member.place.dataCentre == target.place.dataCentre && rankOf(member.instance, target.name) > own;
+    });
+    return static_cast<size_t>(before) < probersPerTarget;
+}
+
+void Prober::probe(const routing::Target& target)
+{
+    this->metrics.probes.Increment();
+    const auto now = Clock::now();
+    http::CallEvents events;
+    // The view keeps the target alive for as long as the call may last.
+    events.onHead = [this, view = this->view, &target](const http::ResponseHead& head) {
+        routing::noteSuccess(*target.state);
+        this->observer(target, head.headers);
+    };
+    events.onFailure
+        = [view = this->view, &target](const http::CallFailure&) { routing::noteFailure(*target.state, Clock::now()); };
+    this->pool.send(target.endpoint, { "GET", "/health", {}, {} }, { now + connectTime, now + answerTime, true },
+        std::move(events));
+}
+
+}
--- /dev/null
+++ b/src/membership/ZmqTransport.cpp
@@ -0,0 +1,88 @@
+#include "membership/ZmqTransport.h"
+
+namespace dragonfly::membership {
+
+namespace {
+
+    constexpr int queuedMessages = 64;
+    constexpr int heartbeatMs = 1000;
+    constexpr int heartbeatTimeoutMs = 3000;
+    constexpr int firstReconnectMs = 100;
+    constexpr int longestReconnectMs = 2000;
+    constexpr int64_t mostMessageBytes = 4 << 20;
+    constexpr std::chrono::milliseconds sweepPeriod { 100 };
+
+    /// Without heartbeats a connection that has gone silent would never be replaced.
+    void setCommonOptions(zmq::socket_t& socket)
+    {
+        socket.set(zmq::sockopt::linger, 0);
+        socket.set(zmq::sockopt::heartbeat_ivl, heartbeatMs);
+        socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeoutMs);
+        socket.set(zmq::sockopt::maxmsgsize, mostMessageBytes);
+    }
+
+}
+
+ZmqTransport::ZmqTransport(observe::Metrics& metrics)
+    : metrics(metrics)
+    , receiver(this->context, zmq::socket_type::pull)
+{
+    setCommonOptions(this->receiver);
+}
+
+Result<Endpoint> ZmqTransport::bind(const Endpoint& endpoint)
+{
+    try {
+        const auto port = endpoint.port ? std::to_string(endpoint.port) : std::string("*");
+        this->receiver.bind("tcp://" + endpoint.host + ":" + port);
+    } catch (const zmq::error_t& failure) {
+        return Error { ErrorKind::Internal, "cannot bind " + endpoint.toString() + ": " + failure.what(),
+            Execution::NotRun, {} };
+    }
+    this->notifier = std::make_unique<QSocketNotifier>(this->receiver.get(zmq::sockopt::fd), QSocketNotifier::Read);
+    connect(this->notifier.get(), &QSocketNotifier::activated, this, &ZmqTransport::receiveAll);
+    connect(&this->sweep, &QTimer::timeout, this, &ZmqTransport::receiveAll);
+    this->sweep.start(sweepPeriod);
+    const auto bound = this->receiver.get(zmq::sockopt::last_endpoint);
+    return parseEndpoint(bound.substr(bound.rfind('/') + 1)).value_or(endpoint);
+}
+
+void ZmqTransport::receiveAll()
+{
+    zmq::message_t message;
+    while (this->receiver.recv(message, zmq::recv_flags::dontwait)) {
+        pb::PeerMessage parsed;
+        if (parsed.ParseFromArray(message.data(), static_cast<int>(message.size())) && this->onMessage)
+            this->onMessage(parsed);
+    }
+}
+
+zmq::socket_t& ZmqTransport::socketTo(const std::string& address)
+{
+    const auto found = this->senders.find(address);
+    if (found != this->senders.end())
+        return found->second;
+    zmq::socket_t socket(this->context, zmq::socket_type::push);
+    setCommonOptions(socket);
+    socket.set(zmq::sockopt::sndhwm, queuedMessages);
+    socket.set(zmq::sockopt::reconnect_ivl, firstReconnectMs);
+    socket.set(zmq::sockopt::reconnect_ivl_max, longestReconnectMs);
+    socket.connect("tcp://" + address);
+    return this->senders.emplace(address, std::move(socket)).first->second;
+}
+
+void ZmqTransport::send(const std::string& address, const pb::PeerMessage& message)
+{
+    const auto bytes = message.SerializeAsString();
+    if (!this->socketTo(address).send(zmq::buffer(bytes), zmq::send_flags::dontwait))
+        return;
+    this->metrics.peerMessages.Increment();
+    this->metrics.peerBytes.Increment(static_cast<double>(bytes.size()));
+}
+
+void ZmqTransport::drop(const std::string& address)
+{
+    this->senders.erase(address);
+}
+
+}
--- /dev/null
+++ b/src/observe/Metrics.h
@@ -0,0 +1,69 @@
+#pragma once
+// All counters, gauges and histograms of one instance. docs/metrics.md has the same list for operators.
+
+#include "base/Base.h"
+
+#include <memory>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <vector>
+
+namespace dragonfly::observe {
+
+class Metrics {
+public:
+    Metrics();
+
+    /// Requests that were answered in full.
+    prometheus::Counter& answered;
+    /// Requests that ended with an error of @p kind.
+    prometheus::Counter& failed(ErrorKind kind)
+    {
+        return *this->failures[static_cast<size_t>(kind)];
+    }
+
+    prometheus::Counter& attempts;
+    prometheus::Counter& retries;
+    prometheus::Counter& retriesDenied;
+    prometheus::Counter& streamsResumed;
+    prometheus::Counter& mismatchedAnswers;
+    prometheus::Counter& callersGone;
+    prometheus::Counter& promptTokens;
+    prometheus::Counter& cachedTokens;
+    prometheus::Counter& believedTokens;
+    prometheus::Counter& crossRegionBytes;
+    prometheus::Histogram& firstTokenSeconds;
+    prometheus::Histogram& decisionSeconds;
+    prometheus::Gauge& activeRequests;
+
+    prometheus::Gauge& configRevision;
+    prometheus::Counter& configApplied;
+    prometheus::Counter& configRefusedOlder;
+    prometheus::Counter& configFromPeers;
+    prometheus::Counter& platformCalls;
+    prometheus::Counter& platformFailures;
+    prometheus::Gauge& livePeers;
+    prometheus::Counter& peerMessages;
+    prometheus::Counter& peerBytes;
+    prometheus::Counter& probes;
+    prometheus::Gauge& claimsPending;
+    prometheus::Gauge& claimsGranted;
+    prometheus::Gauge& claimWrites;
+    prometheus::Gauge& claimConflicts;
+    prometheus::Gauge& claimsUnreachable;
+
+    const std::shared_ptr<prometheus::Registry>& registry() const
+    {
+        return this->all;
+    }
+
+private:
+    explicit Metrics(std::shared_ptr<prometheus::Registry> registry);
+
+    std::shared_ptr<prometheus::Registry> all;
+    std::vector<prometheus::Counter*> failures;
+};
+
+}
--- /dev/null
+++ b/src/observe/Observe.h
@@ -0,0 +1,6 @@
+#pragma once
+// What operators see: logs, metrics and traces.
+
+#include "observe/Log.h"
+#include "observe/Metrics.h"
+#include "observe/Trace.h"
--- /dev/null
+++ b/src/platform/HttpStore.cpp
@@ -0,0 +1,159 @@
+#include "platform/HttpStore.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+
+namespace dragonfly::platform {
+
+namespace {
+
+    constexpr std::chrono::milliseconds connectTime { 500 };
+    constexpr int tooManyRequests = 429;
+
+    QString encode(std::string_view bytes)
+    {
+        return QString::fromLatin1(QByteArray(bytes.data(), static_cast<qsizetype>(bytes.size())).toBase64());
+    }
+
+    std::string decode(const QJsonValue& value)
+    {
+        return QByteArray::fromBase64(value.toString().toLatin1()).toStdString();
+    }
+
+    /// The gateway writes 64-bit numbers as texts.
+    int64_t numberOf(const QJsonValue& value)
+    {
+        return value.isString() ? value.toString().toLongLong() : value.toInteger();
+    }
+
+    KeyValue keyValueOf(const QJsonObject& object)
+    {
+        return { decode(object["key"]), decode(object["value"]), numberOf(object["mod_revision"]) };
+    }
+
+    QJsonObject rangeOf(const ReadRequest& request)
+    {
+        QJsonObject range;
+        range["key"] = encode(request.key);
+        if (request.isPrefix) {
+            auto end = request.key;
+            ++end.back();
+            range["range_end"] = encode(end);
+        }
+        if (request.leastModRevision)
+            range["min_mod_revision"] = QString::number(request.leastModRevision);
+        return range;
+    }
+
+    template <typename Outcome, typename Read> auto translate(std::function<void(Outcome)> done, Read read)
+    {
+        return [done = std::move(done), read](const std::variant<QJsonObject, StoreFailure>& reply) {
+            if (const auto* failure = std::get_if<StoreFailure>(&reply))
+                done(*failure);
+            else
+                done(read(std::get<QJsonObject>(reply)));
+        };
+    }
+
+}
+
+HttpStore::HttpStore(std::vector<Endpoint> endpoints, http::ClientPool* pool)
+    : endpoints(std::move(endpoints))
+    , pool(pool)
+{
+}
+
+void HttpStore::post(const char* path, const QJsonObject& body, Deadline deadline, std::function<void(Reply)> done)
+{
+    struct Answer {
+        int status = 0;
+        std::string body;
+    };
+    http::Request request { "POST", path, { { "Content-Type", "application/json" } },
+        QJsonDocument(body).toJson(QJsonDocument::Compact).toStdString() };
+    auto answer = std::make_shared<Answer>();
+    http::CallEvents events;
+    events.onHead = [answer](const http::ResponseHead& head) { answer->status = head.status; };
+    events.onBody = [answer](std::string_view bytes) { answer->body.append(bytes); };
+    events.onComplete = [answer, done] {
+        const auto document = QJsonDocument::fromJson(QByteArray::fromStdString(answer->body));
+        if (answer->status == 200 && document.isObject())
+            done(document.object());
+        else
+            done(answer->status == tooManyRequests ? StoreFailure::NotDone : StoreFailure::Unknown);
+    };
+    events.onFailure = [this, done](const http::CallFailure& failure) {
+        ++this->next;
+        done(failure.requestSent ? StoreFailure::Unknown : StoreFailure::NotDone);
+    };
+    const auto connectDeadline = std::min(deadline, Clock::now() + connectTime);
+    this->pool->send(this->endpoints[this->next % this->endpoints.size()], request, { connectDeadline, deadline, true },
+        std::move(events));
+}
+
+void HttpStore::read(const std::vector<ReadRequest>& ranges, Deadline deadline, std::function<void(ReadResult)> done)
+{
+    QJsonArray operations;
+    for (const auto& range : ranges)
+        operations.append(QJsonObject { { "request_range", rangeOf(range) } });
+    const QJsonObject body { { "compare", QJsonArray() }, { "success", operations } };
+    this->post("/v3/kv/txn", body, deadline, translate(std::move(done), [](const QJsonObject& reply) -> ReadResult {
+        std::vector<KeyValue> found;
+        for (const auto& response : reply["responses"].toArray()) {
+            for (const auto& pair : response.toObject()["response_range"].toObject()["kvs"].toArray())
+                found.push_back(keyValueOf(pair.toObject()));
+        }
+        return found;
+    }));
+}
+
+void HttpStore::compareAndSwap(const std::string& key, int64_t expected, const std::string& value, Deadline deadline,
+    std::function<void(SwapResult)> done)
+{
+    const QJsonObject compare { { "key", encode(key) }, { "target", "MOD" }, { "result", "EQUAL" },
+        { "mod_revision", QString::number(expected) } };
+    const QJsonObject write { { "request_put", QJsonObject { { "key", encode(key) }, { "value", encode(value) } } } };
+    const QJsonObject readBack { { "request_range", rangeOf({ key }) } };
+    const QJsonObject body { { "compare", QJsonArray { compare } }, { "success", QJsonArray { write } },
+        { "failure", QJsonArray { readBack } } };
+    this->post("/v3/kv/txn", body, deadline, translate(std::move(done), [key](const QJsonObject& reply) -> SwapResult {
+        if (reply["succeeded"].toBool())
+            return Swapped { numberOf(reply["header"].toObject()["revision"]) };
+        const auto range = reply["responses"].toArray().first().toObject()["response_range"].toObject();
+        const auto pairs = range["kvs"].toArray();
+        return Conflict { pairs.isEmpty() ? KeyValue { key, {}, 0 } : keyValueOf(pairs.first().toObject()) };
+    }));
+}
+
+void HttpStore::put(const std::string& key, const std::string& value, int64_t lease, Deadline deadline,
+    std::function<void(WriteResult)> done)
+{
+    const QJsonObject body { { "key", encode(key) }, { "value", encode(value) }, { "lease", QString::number(lease) } };
+    this->post("/v3/kv/put", body, deadline,
+        translate(std::move(done), [](const QJsonObject&) -> WriteResult { return Success {}; }));
+}
+
+void HttpStore::remove(const std::string& key, Deadline deadline, std::function<void(WriteResult)> done)
+{
+    this->post("/v3/kv/deleterange", { { "key", encode(key) } }, deadline,
+        translate(std::move(done), [](const QJsonObject&) -> WriteResult { return Success {}; }));
+}
+
+void HttpStore::grantLease(std::chrono::seconds life, Deadline deadline, std::function<void(LeaseResult)> done)
+{
+    this->post("/v3/lease/grant", { { "TTL", QString::number(life.count()) } }, deadline,
+        translate(std::move(done), [](const QJsonObject& reply) -> LeaseResult { return numberOf(reply["ID"]); }));
+}
+
+void HttpStore::keepLease(int64_t lease, Deadline deadline, std::function<void(LeaseResult)> done)
+{
+    this->post("/v3/lease/keepalive", { { "ID", QString::number(lease) } }, deadline,
+        translate(std::move(done), [](const QJsonObject& reply) -> LeaseResult {
+            const auto result = reply["result"].toObject();
+            if (numberOf(result["TTL"]) <= 0)
+                return StoreFailure::NotDone;
+            return numberOf(result["ID"]);
+        }));
+}
+
+}
--- /dev/null
+++ b/src/platform/HttpStore.h
@@ -0,0 +1,34 @@
+#pragma once
+// The key-value service over its JSON gateway: /v3/kv/range, /v3/kv/txn, /v3/kv/put, /v3/lease/...
+
+#include "http/Http.h"
+#include "platform/KeyValueStore.h"
+
+#include <QJsonObject>
+
+namespace dragonfly::platform {
+
+class HttpStore : public KeyValueStore {
+public:
+    /// @param endpoints addresses of the service; a failed call moves on to the next one
+    HttpStore(std::vector<Endpoint> endpoints, http::ClientPool* pool);
+
+    void read(const std::vector<ReadRequest>& ranges, Deadline deadline, std::function<void(ReadResult)> done) override;
+    void compareAndSwap(const std::string& key, int64_t expected, const std::string& value, Deadline deadline,
+        std::function<void(SwapResult)> done) override;
+    void put(const std::string& key, const std::string& value, int64_t lease, Deadline deadline,
+        std::function<void(WriteResult)> done) override;
+    void remove(const std::string& key, Deadline deadline, std::function<void(WriteResult)> done) override;
+    void grantLease(std::chrono::seconds life, Deadline deadline, std::function<void(LeaseResult)> done) override;
+    void keepLease(int64_t lease, Deadline deadline, std::function<void(LeaseResult)> done) override;
+
+private:
+    using Reply = std::variant<QJsonObject, StoreFailure>;
+    void post(const char* path, const QJsonObject& body, Deadline deadline, std::function<void(Reply)> done);
+
+    std::vector<Endpoint> endpoints;
+    http::ClientPool* pool;
+    size_t next = 0;
+};
+
+}
--- /dev/null
+++ b/src/routing/TargetState.cpp
@@ -0,0 +1,64 @@
+#include "routing/TargetState.h"
+
+#include <algorithm>
+
+namespace dragonfly::routing {
+
+namespace {
+
+    constexpr std::chrono::milliseconds firstAvoidance { 250 };
+    constexpr uint32_t mostDoublings = 5;
+
+}
+
+void noteFailure(TargetState& state, Clock::time_point now)
+{
+    const auto doublings = std::min(state.failures.fetch_add(1, std::memory_order_relaxed), mostDoublings);
+    const auto until = now + firstAvoidance * (1 << doublings);
+    state.avoidUntil.store(until.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
+void noteSuccess(TargetState& state)
+{
+    if (!state.failures.load(std::memory_order_relaxed))
+        return;
+    state.failures.store(0, std::memory_order_relaxed);
+    state.avoidUntil.store(0, std::memory_order_relaxed);
+}
+
+bool noteLeaving(TargetState& state, Clock::time_point now)
+{
+    Clock::rep stays = 0;
+    return state.leavingSince.compare_exchange_strong(stays, now.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
+bool noteIncarnation(TargetState& state, std::string_view incarnation)
+{
+    if (incarnation.empty())
+        return false;
+    const auto hash = fastHash(incarnation);
+    const auto before = state.incarnation.exchange(hash, std::memory_order_relaxed);
+    if (before == hash)
+        return false;
+    // A new process is not the one that was leaving, and its queue is empty.
+    state.leavingSince.store(0, std::memory_order_relaxed);
+    state.reportedTokens.store(0, std::memory_order_relaxed);
+    return before;
+}
+
+void noteLoad(TargetState& state, uint32_t queuedTokens, Clock::time_point now)
+{
+    state.reportedTokens.store(queuedTokens, std::memory_order_relaxed);
+    state.pendingAtReport.store(state.pendingTokens.load(std::memory_order_relaxed), std::memory_order_relaxed);
+    state.reportedAt.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
+uint32_t queuedTokens(const TargetState& state)
+{
+    const int64_t reported = state.reportedTokens.load(std::memory_order_relaxed);
+    const int64_t pending = state.pendingTokens.load(std::memory_order_relaxed);
+    const int64_t atReport = state.pendingAtReport.load(std::memory_order_relaxed);
+    return static_cast<uint32_t>(std::max(pending, reported + pending - atReport));
+}
+
+}
--- /dev/null
+++ b/src/routing/TargetState.h
@@ -0,0 +1,49 @@
+#pragma once
+// What an instance currently believes about one target. Shared by all threads, written without locks.
+
+#include "base/Base.h"
+
+#include <atomic>
+
+namespace dragonfly::routing {
+
+/// Outlives the views that refer to it. Every field may lag; none of them decides correctness.
+struct TargetState {
+    std::atomic<uint32_t> inFlight { 0 }; ///< calls of this instance under way
+    std::atomic<uint32_t> pendingTokens { 0 }; ///< prompt tokens of this instance not yet answered with a first token
+    std::atomic<uint32_t> reportedTokens { 0 }; ///< the target's own word on its queue, in prompt tokens
+    std::atomic<uint32_t> pendingAtReport { 0 }; ///< pendingTokens when that word arrived
+    std::atomic<Clock::rep> reportedAt { 0 };
+    std::atomic<Clock::rep> avoidUntil { 0 }; ///< after failures; targets avoided are used only as a last resort
+    std::atomic<Clock::rep> leavingSince { 0 }; ///< 0 while it stays
+    std::atomic<uint32_t> failures { 0 }; ///< in a row
+    std::atomic<uint64_t> incarnation { 0 }; ///< hash of the incarnation that answered last; 0 while unknown
+    std::atomic<uint64_t> weights { 0 }; ///< hash of the weights it answered with last; 0 while unknown
+    std::atomic<uint32_t> nanosecondsPerToken { 0 }; ///< observed prefill cost; 0 while unknown
+    std::atomic<uint32_t> cacheLifeMs { 60000 }; ///< how long a cached prefix was last seen to survive
+};
+
+inline Clock::time_point timeOf(const std::atomic<Clock::rep>& value)
+{
+    return Clock::time_point(Clock::duration(value.load(std::memory_order_relaxed)));
+}
+
+inline bool isLeaving(const TargetState& state)
+{
+    return state.leavingSince.load(std::memory_order_relaxed);
+}
+
+/// Notes one failure; the target is avoided for a time that doubles with each failure in a row.
+void noteFailure(TargetState& state, Clock::time_point now);
+void noteSuccess(TargetState& state);
+/// True when this is news.
+bool noteLeaving(TargetState& state, Clock::time_point now);
+/// True when the target is another process than before: whatever it had cached is gone.
+bool noteIncarnation(TargetState& state, std::string_view incarnation);
+void noteLoad(TargetState& state, uint32_t queuedTokens, Clock::time_point now);
+
+/// Prompt tokens that stand before a new request: the reported queue, corrected by what this
+/// instance has sent and seen answered since the report.
+uint32_t queuedTokens(const TargetState& state);
+
+}
