Prove that bookings run at most once, and that refusals tell the truth

Change: a small test site (platform, engines and services behind the fault-injecting proxy, entry instances as processes) and ten tests that read the executions the services counted: a target that reads and closes, repeats through other instances, races of three instances for thirty keys, platform writes whose answers are lost, platform down, a holder frozen at ever later moments, a killed holder, a refusing target, crossed and silent answers, a missing key.

Found by them: an instance that got its first configuration from a peer ended with 'Invalid argument', since replies bore no return address and the next fetch went to an empty one. Replies now bear it, and the transport refuses and counts what is no address instead of throwing.

Ruled out: widening the wait in the test; the log showed the exception.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -92,7 +92,7 @@
     if (const auto* error = errorOf(bound))
         return *error;
     const auto peerAddress = std::get<Endpoint>(bound).toString();
-    this->keeper = std::make_unique<membership::ConfigKeeper>(this->store, this->transport, this->metrics,
+    this->keeper = std::make_unique<membership::ConfigKeeper>(peerAddress, this->store, this->transport, this->metrics,
         [this](const config::Publication& publication, const pb::ConfigPart& objects) {
             this->applyConfig(publication, objects);
         });
--- a/src/membership/ConfigKeeper.cpp
+++ b/src/membership/ConfigKeeper.cpp
@@ -26,9 +26,10 @@
     return message;
 }
 
-ConfigKeeper::ConfigKeeper(
-    platform::KeyValueStore& store, PeerTransport& peers, observe::Metrics& metrics, ApplyConfig apply)
-    : store(store)
+ConfigKeeper::ConfigKeeper(std::string ownAddress, platform::KeyValueStore& store, PeerTransport& peers,
+    observe::Metrics& metrics, ApplyConfig apply)
+    : ownAddress(std::move(ownAddress))
+    , store(store)
     , peers(peers)
     , metrics(metrics)
     , apply(std::move(apply))
@@ -57,13 +58,13 @@
     }
 }
 
-void ConfigKeeper::hearOfRevision(const std::string& peerAddress, uint64_t revision, const std::string& ownAddress)
+void ConfigKeeper::hearOfRevision(const std::string& peerAddress, uint64_t revision)
 {
     const auto now = Clock::now();
     if (!this->isNews(revision) || now < this->peerAskedUntil)
         return;
     this->peerAskedUntil = now + manifestTime;
-    auto message = newMessage(ownAddress);
+    auto message = newMessage(this->ownAddress);
     message.mutable_fetch_manifest();
     this->peers.send(peerAddress, message);
 }
@@ -72,14 +73,14 @@
 {
     if (!this->current)
         return;
-    auto message = newMessage({});
+    auto message = newMessage(this->ownAddress);
     message.mutable_manifest_reply()->set_manifest(this->current->manifestBytes);
     this->peers.send(replyTo, message);
 }
 
 void ConfigKeeper::answer(const pb::FetchPart& request, const std::string& replyTo)
 {
-    auto message = newMessage({});
+    auto message = newMessage(this->ownAddress);
     auto* reply = message.mutable_part_reply();
     reply->set_sha256(request.sha256());
     if (this->current) {
@@ -90,7 +91,7 @@
     this->peers.send(replyTo, message);
 }
 
-void ConfigKeeper::take(const pb::ManifestReply& reply, const std::string& peerAddress, const std::string& ownAddress)
+void ConfigKeeper::take(const pb::ManifestReply& reply, const std::string& peerAddress)
 {
     this->peerAskedUntil = {};
     const auto manifest = config::parseManifest(reply.manifest());
@@ -100,7 +101,7 @@
     if (!this->pending)
         return;
     for (const auto& digest : this->pending->missing) {
-        auto message = newMessage(ownAddress);
+        auto message = newMessage(this->ownAddress);
         message.mutable_fetch_part()->set_sha256(digest);
         this->peers.send(peerAddress, message);
     }
--- a/src/membership/ConfigKeeper.h
+++ b/src/membership/ConfigKeeper.h
@@ -22,7 +22,8 @@
 class ConfigKeeper : public QObject {
     Q_OBJECT
 public:
-    ConfigKeeper(platform::KeyValueStore& store, PeerTransport& peers, observe::Metrics& metrics, ApplyConfig apply);
+    ConfigKeeper(std::string ownAddress, platform::KeyValueStore& store, PeerTransport& peers,
+        observe::Metrics& metrics, ApplyConfig apply);
 
     uint64_t revision() const
     {
@@ -40,11 +41,11 @@
     /// What the platform holds under the manifest's key; an older one than ours is written over again.
     void offerFromPlatform(const platform::KeyValue& stored);
     /// A peer says that it has @p revision in force.
-    void hearOfRevision(const std::string& peerAddress, uint64_t revision, const std::string& ownAddress);
+    void hearOfRevision(const std::string& peerAddress, uint64_t revision);
 
     void answer(const pb::FetchManifest& request, const std::string& replyTo);
     void answer(const pb::FetchPart& request, const std::string& replyTo);
-    void take(const pb::ManifestReply& reply, const std::string& peerAddress, const std::string& ownAddress);
+    void take(const pb::ManifestReply& reply, const std::string& peerAddress);
     void take(const pb::PartReply& reply);
 
     /// Called once a newer configuration is in force.
@@ -68,6 +69,7 @@
     void putPartsThenManifest(
         std::shared_ptr<const config::Publication> publication, size_t part, int64_t storedModRevision);
 
+    std::string ownAddress; ///< where peers send their replies to
     platform::KeyValueStore& store;
     PeerTransport& peers;
     observe::Metrics& metrics;
--- a/src/membership/Fleet.cpp
+++ b/src/membership/Fleet.cpp
@@ -189,7 +189,7 @@
         this->keeper.answer(message.fetch_part(), message.reply_to());
         break;
     case pb::PeerMessage::kManifestReply:
-        this->keeper.take(message.manifest_reply(), message.reply_to(), this->own.address);
+        this->keeper.take(message.manifest_reply(), message.reply_to());
         break;
     case pb::PeerMessage::kPartReply:
         this->keeper.take(message.part_reply());
@@ -218,7 +218,7 @@
             this->onTargetNews(report.target(), told);
         this->report(report.target(), told);
     }
-    this->keeper.hearOfRevision(sender.address(), gossip.config_revision(), this->own.address);
+    this->keeper.hearOfRevision(sender.address(), gossip.config_revision());
     auto& answered = this->answeredAt[sender.address()];
     if (gossip.config_revision() < this->keeper.revision() && now - answered > replyPause) {
         answered = now;
--- a/src/membership/ZmqTransport.cpp
+++ b/src/membership/ZmqTransport.cpp
@@ -52,7 +52,9 @@
     zmq::message_t message;
     while (this->receiver.recv(message, zmq::recv_flags::dontwait)) {
         pb::PeerMessage parsed;
-        if (parsed.ParseFromArray(message.data(), static_cast<int>(message.size())) && this->onMessage)
+        if (!parsed.ParseFromArray(message.data(), static_cast<int>(message.size())))
+            this->metrics.peerMessagesRefused.Increment();
+        else if (this->onMessage)
             this->onMessage(parsed);
     }
 }
@@ -73,6 +75,11 @@
 
 void ZmqTransport::send(const std::string& address, const pb::PeerMessage& message)
 {
+    // Addresses come from other instances; one that is none must not end this process.
+    if (!parseEndpoint(address)) {
+        this->metrics.peerMessagesRefused.Increment();
+        return;
+    }
     const auto bytes = message.SerializeAsString();
     if (!this->socketTo(address).send(zmq::buffer(bytes), zmq::send_flags::dontwait))
         return;
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -57,6 +57,8 @@
     , livePeers(gauge(*registry, "dragonfly_live_peers", "Instances heard from lately"))
     , peerMessages(counter(*registry, "dragonfly_peer_messages_total", "Messages sent to peers"))
     , peerBytes(counter(*registry, "dragonfly_peer_bytes_total", "Bytes sent to peers"))
+    , peerMessagesRefused(
+          counter(*registry, "dragonfly_peer_messages_refused_total", "Peer messages that made no sense"))
     , probes(counter(*registry, "dragonfly_probes_total", "Probes sent to targets"))
     , claimsPending(gauge(*registry, "dragonfly_claims_pending", "Claim operations waiting for the platform"))
     , claimsGranted(gauge(*registry, "dragonfly_claims_granted", "Claims granted since the start"))
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -47,6 +47,7 @@
     prometheus::Gauge& livePeers;
     prometheus::Counter& peerMessages;
     prometheus::Counter& peerBytes;
+    prometheus::Counter& peerMessagesRefused;
     prometheus::Counter& probes;
     prometheus::Gauge& claimsPending;
     prometheus::Gauge& claimsGranted;
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -6,6 +6,7 @@
 
 #include "standins/PrefixCache.h"
 #include "standins/Program.h"
+#include "standins/Tokens.h"
 
 #include <QJsonArray>
 #include <QTimer>
@@ -47,13 +48,6 @@
 
 using JobPointer = std::shared_ptr<Job>;
 
-std::string tokenText(const Job& job, const std::string& weights, uint32_t index)
-{
-    const auto seed = dragonfly::fastHash(weights, dragonfly::fastHash(job.prompt));
-    const auto hash = dragonfly::fastHash(std::to_string(index), seed);
-    return " w" + std::to_string(hash % 100000);
-}
-
 class Engine {
 public:
     explicit Engine(const Settings& settings)
@@ -229,7 +223,7 @@
     {
         if (!job.started)
             job.exchange->beginStream(200, this->headers("text/event-stream"));
-        const auto text = QString::fromStdString(tokenText(job, this->weights, job.next));
+        const auto text = QString::fromStdString(tokenText(job.prompt, this->weights, job.next));
         QJsonObject choice { { "index", 0 },
             { "finish_reason", job.next + 1 >= job.end ? QJsonValue("length") : QJsonValue() } };
         if (job.isChat)
--- /dev/null
+++ b/tests/AtMostOnceTest.cpp
@@ -0,0 +1,284 @@
+// Non-idempotent calls run at most once, and what a refusal says about it is true (points 5 and 6).
+// The services count executions by key; the checks read those counts, not the router's word.
+
+#include "tests/support/Site.h"
+
+#include <criterion/criterion.h>
+
+using namespace testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+AnswerPointer book(Caller& caller, const dragonfly::Endpoint& entry, const std::string& key,
+    const std::string& body = "{\"visit\":1}", const std::string& deadlineMs = "3000")
+{
+    return caller.post(
+        entry, "/book/visit", body, { { "Idempotency-Key", key }, { "Dragonfly-Deadline-Ms", deadlineMs } });
+}
+
+/// What each refusal said holds against what the services counted.
+void checkTruth(const Site& site, const std::map<std::string, std::vector<AnswerPointer>>& byKey)
+{
+    const auto counted = executions(site);
+    for (const auto& [key, answers] : byKey) {
+        const auto found = counted.find(key);
+        const int runs = found == counted.end() ? 0 : found->second;
+        cr_assert_leq(runs, 1, "%s ran %d times", key.c_str(), runs);
+        const bool allSayNotRun = std::all_of(answers.begin(), answers.end(),
+            [](const AnswerPointer& answer) { return answer->status != 200 && answer->execution() == "not-run"; });
+        if (allSayNotRun)
+            cr_assert_eq(runs, 0, "%s ran although every answer said that it did not", key.c_str());
+        for (const auto& answer : answers) {
+            if (answer->status == 200)
+                cr_assert_eq(runs, 1, "%s was answered but did not run", key.c_str());
+        }
+    }
+}
+
+}
+
+Test(atMostOnce, targetThatReadsAndClosesRunsOnce, .timeout = 60)
+{
+    const Application application;
+    Site site;
+    site.startEntry();
+    control(site.services[0]->direct(), { { "mode", "close" } });
+    Caller caller(apiKey);
+    const auto answer = book(caller, site.entry(0), "closed");
+    cr_assert(waitFor(answer));
+    cr_assert_eq(answer->status, 504);
+    cr_assert_str_eq(answer->execution().c_str(), "unknown");
+    cr_assert_eq(executions(site)["closed"], 1);
+    control(site.services[0]->direct(), { { "mode", "normal" } });
+    const auto repeat = book(caller, site.entry(0), "closed");
+    cr_assert(waitFor(repeat));
+    cr_assert_str_eq(repeat->execution().c_str(), "unknown");
+    cr_assert_eq(executions(site)["closed"], 1);
+}
+
+Test(atMostOnce, repeatsGetTheSameAnswerFromAnyInstance, .timeout = 60)
+{
+    const Application application;
+    SiteOptions options;
+    options.dataCentres = 2;
+    Site site(options);
+    site.startEntry(0);
+    site.startEntry(1);
+    Caller caller(apiKey);
+    const auto first = book(caller, site.entry(0), "visit-1");
+    cr_assert(waitFor(first));
+    cr_assert_eq(first->status, 200);
+    for (size_t entry = 0; entry < 2; ++entry) {
+        const auto repeat = book(caller, site.entry(entry), "visit-1");
+        cr_assert(waitFor(repeat));
+        cr_assert_eq(repeat->status, 200);
+        cr_assert_str_eq(repeat->body.c_str(), first->body.c_str());
+    }
+    const auto other = book(caller, site.entry(1), "visit-1", "{\"visit\":2}");
+    cr_assert(waitFor(other));
+    cr_assert_eq(other->status, 422);
+    cr_assert_eq(executions(site)["visit-1"], 1);
+}
+
+Test(atMostOnce, racingRepeatsOnAllInstancesRunOnce, .timeout = 90)
+{
+    const Application application;
+    SiteOptions options;
+    options.dataCentres = 3;
+    Site site(options);
+    for (int centre = 0; centre < 3; ++centre)
+        site.startEntry(centre);
+    for (const auto& service : site.services)
+        control(service->direct(), { { "delay_ms", 50 } });
+    Caller caller(apiKey);
+    std::map<std::string, std::vector<AnswerPointer>> byKey;
+    std::vector<AnswerPointer> all;
+    for (int key = 0; key < 30; ++key) {
+        for (size_t entry = 0; entry < 3; ++entry) {
+            const auto name = "race-" + std::to_string(key);
+            byKey[name].push_back(book(caller, site.entry(entry), name));
+            all.push_back(byKey[name].back());
+        }
+    }
+    cr_assert(waitForAll(all, 30s));
+    checkTruth(site, byKey);
+    for (const auto& [key, answers] : byKey) {
+        for (const auto& answer : answers)
+            cr_assert_eq(answer->status, 200, "%s: status %d %s", key.c_str(), answer->status, answer->body.c_str());
+    }
+}
+
+Test(atMostOnce, platformWritesWithLostAnswers, .timeout = 90)
+{
+    const Application application;
+    SiteOptions options;
+    options.dataCentres = 2;
+    Site site(options);
+    site.startEntry(0);
+    site.startEntry(1);
+    Caller caller(apiKey);
+    std::map<std::string, std::vector<AnswerPointer>> byKey;
+    std::vector<AnswerPointer> all;
+    control(site.platform->direct(), { { "mode", "lose-answers" } });
+    for (int key = 0; key < 10; ++key) {
+        const auto name = "lost-" + std::to_string(key);
+        byKey[name].push_back(book(caller, site.entry(0), name));
+        all.push_back(byKey[name].back());
+    }
+    runFor(1500ms);
+    control(site.platform->direct(), { { "mode", "up" } });
+    cr_assert(waitForAll(all, 20s));
+    for (int key = 0; key < 10; ++key) {
+        const auto name = "lost-" + std::to_string(key);
+        byKey[name].push_back(book(caller, site.entry(1), name));
+        all.push_back(byKey[name].back());
+    }
+    cr_assert(waitForAll(all, 20s));
+    checkTruth(site, byKey);
+    int answered = 0;
+    for (const auto& answer : all)
+        answered += answer->status == 200;
+    cr_assert_geq(answered, 10, "only %d of 20 were answered", answered);
+}
+
+Test(atMostOnce, platformDownRefusesTruthfully, .timeout = 60)
+{
+    const Application application;
+    Site site;
+    site.startEntry();
+    control(site.platform->direct(), { { "mode", "down" } });
+    Caller caller(apiKey);
+    const auto refused = book(caller, site.entry(0), "down", "{}", "1000");
+    cr_assert(waitFor(refused));
+    cr_assert_eq(refused->status, 503);
+    cr_assert_str_eq(refused->execution().c_str(), "not-run");
+    cr_assert_leq(refused->took().count(), 2000);
+    cr_assert_eq(executions(site).count("down"), 0);
+    const auto lookup = caller.send(site.entry(0), { "GET", "/history/1", {}, {} });
+    cr_assert(waitFor(lookup));
+    cr_assert_eq(lookup->status, 200, "idempotent calls need no claim");
+    control(site.platform->direct(), { { "mode", "up" } });
+    const auto again = waitUntil(
+        [&] {
+            const auto answer = book(caller, site.entry(0), "down", "{}", "2000");
+            waitFor(answer);
+            return answer->status == 200;
+        },
+        15s);
+    cr_assert(again, "the key stayed taken after the platform came back");
+    cr_assert_eq(executions(site)["down"], 1);
+    const auto counted = [&] { return site.metric(0, "dragonfly_claims_unreachable") >= 1; };
+    cr_assert(waitUntil(counted, 2s), "the refusal was not counted"); // the gauge is set twice a second
+}
+
+Test(atMostOnce, frozenHolderWakesAfterItsCallerWentElsewhere, .timeout = 90)
+{
+    const Application application;
+    SiteOptions options;
+    options.dataCentres = 2;
+    Site site(options);
+    auto& holder = site.startEntry(0);
+    site.startEntry(1);
+    Caller caller(apiKey);
+    std::map<std::string, std::vector<AnswerPointer>> byKey;
+    std::vector<AnswerPointer> all;
+    for (int round = 0; round < 8; ++round) {
+        const auto name = "frozen-" + std::to_string(round);
+        byKey[name].push_back(book(caller, site.entry(0), name, "{}", "2000"));
+        all.push_back(byKey[name].back());
+        runFor(std::chrono::milliseconds(round)); // freeze at ever later moments of the call
+        holder.freeze();
+        byKey[name].push_back(book(caller, site.entry(1), name, "{}", "1000"));
+        all.push_back(byKey[name].back());
+        cr_assert(waitFor(byKey[name].back()));
+        if (round % 2)
+            runFor(2500ms); // past the deadline of the frozen call
+        holder.thaw();
+    }
+    cr_assert(waitForAll(all, 60s));
+    checkTruth(site, byKey);
+}
+
+Test(atMostOnce, killedHolderLeavesItsKeyTaken, .timeout = 90)
+{
+    const Application application;
+    SiteOptions options;
+    options.dataCentres = 2;
+    Site site(options);
+    auto& holder = site.startEntry(0);
+    site.startEntry(1);
+    for (const auto& service : site.services)
+        control(service->direct(), { { "delay_ms", 500 } });
+    Caller caller(apiKey);
+    const auto first = book(caller, site.entry(0), "killed");
+    cr_assert(waitUntil([&] { return executions(site)["killed"] == 1; }, 5s));
+    holder.kill();
+    cr_assert(waitFor(first));
+    const auto repeat = book(caller, site.entry(1), "killed", "{\"visit\":1}", "1500");
+    cr_assert(waitFor(repeat));
+    cr_assert_neq(repeat->status, 200);
+    cr_assert_str_eq(repeat->execution().c_str(), "unknown");
+    cr_assert_eq(executions(site)["killed"], 1);
+}
+
+Test(atMostOnce, refusalOfTheTargetFreesTheKey, .timeout = 60)
+{
+    const Application application;
+    Site site;
+    site.startEntry();
+    control(site.services[0]->direct(), { { "mode", "refuse" } });
+    Caller caller(apiKey);
+    const auto refused = book(caller, site.entry(0), "refused");
+    cr_assert(waitFor(refused));
+    cr_assert_str_eq(refused->execution().c_str(), "not-run");
+    control(site.services[0]->direct(), { { "mode", "normal" } });
+    const auto again = book(caller, site.entry(0), "refused");
+    cr_assert(waitFor(again));
+    cr_assert_eq(again->status, 200);
+    cr_assert_eq(executions(site)["refused"], 1);
+}
+
+Test(atMostOnce, crossedAndSilentAnswersStayUnknown, .timeout = 90)
+{
+    const Application application;
+    Site site;
+    site.startEntry();
+    control(site.services[0]->direct(), { { "delay_ms", 100 } });
+    Caller caller(apiKey);
+    std::map<std::string, std::vector<AnswerPointer>> byKey;
+    std::vector<AnswerPointer> all;
+    site.services[0]->fault("cross");
+    for (int key = 0; key < 2; ++key) {
+        const auto name = "crossed-" + std::to_string(key);
+        byKey[name].push_back(book(caller, site.entry(0), name, "{\"visit\":" + std::to_string(key) + "}"));
+        all.push_back(byKey[name].back());
+    }
+    cr_assert(waitForAll(all, 10s));
+    for (const auto& [key, answers] : byKey) {
+        if (answers[0]->status == 200)
+            cr_assert_str_eq(answers[0]->json()["key"].toString().toStdString().c_str(), key.c_str(),
+                "a crossed answer got through");
+    }
+    site.services[0]->fault("pass");
+    const auto silent = book(caller, site.entry(0), "silent", "{}", "1500");
+    byKey["silent"].push_back(silent);
+    runFor(30ms);
+    site.services[0]->fault("silence");
+    cr_assert(waitFor(silent, 3s), "no answer past the deadline");
+    site.services[0]->fault("pass");
+    checkTruth(site, byKey);
+}
+
+Test(atMostOnce, keyIsRequired, .timeout = 60)
+{
+    const Application application;
+    Site site;
+    site.startEntry();
+    Caller caller(apiKey);
+    const auto answer = caller.post(site.entry(0), "/book/visit", "{}");
+    cr_assert(waitFor(answer));
+    cr_assert_eq(answer->status, 400);
+    cr_assert_str_eq(answer->execution().c_str(), "not-run");
+    cr_assert(executions(site).empty());
+}
--- /dev/null
+++ b/tests/support/Process.cpp
@@ -0,0 +1,127 @@
+#include "tests/support/Process.h"
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QThread>
+#include <QTimer>
+#include <criterion/criterion.h>
+#include <csignal>
+#include <fstream>
+#include <unistd.h>
+
+namespace testing {
+
+using namespace dragonfly;
+
+bool waitUntil(const std::function<bool()>& condition, std::chrono::milliseconds time)
+{
+    const auto deadline = Clock::now() + time;
+    while (!condition()) {
+        if (Clock::now() >= deadline)
+            return false;
+        QCoreApplication::processEvents(QEventLoop::AllEvents | QEventLoop::WaitForMoreEvents, 5);
+        QThread::usleep(200);
+    }
+    return true;
+}
+
+void runFor(std::chrono::milliseconds time)
+{
+    QEventLoop loop;
+    QTimer::singleShot(time, &loop, &QEventLoop::quit);
+    loop.exec();
+}
+
+Process::Process(const std::string& program, const QStringList& arguments, const std::string& readyLabel)
+{
+    this->process.start(QString::fromStdString(std::string(BUILD_FOLDER) + "/" + program), arguments);
+    QObject::connect(&this->process, &QProcess::readyReadStandardError,
+        [this] { this->errors += this->process.readAllStandardError().toStdString(); });
+    QObject::connect(&this->process, &QProcess::readyReadStandardOutput, [this] { this->readLines(); });
+    const bool ready
+        = waitUntil([&] { return this->printed.contains(readyLabel) || !this->isRunning(); }, std::chrono::seconds(20));
+    cr_assert(
+        ready && this->printed.contains(readyLabel), "%s did not start: %s", program.c_str(), this->errors.c_str());
+}
+
+Process::~Process()
+{
+    this->process.disconnect();
+    if (!this->isRunning())
+        return;
+    this->thaw();
+    this->process.kill();
+    this->process.waitForFinished();
+}
+
+void Process::readLines()
+{
+    while (this->process.canReadLine()) {
+        const auto line = this->process.readLine().trimmed().toStdString();
+        const auto space = line.find(' ');
+        this->printed[line.substr(0, space)] = space == std::string::npos ? "" : line.substr(space + 1);
+    }
+}
+
+Endpoint Process::address(const std::string& label)
+{
+    const auto endpoint = parseEndpoint(this->printed[label]);
+    cr_assert(endpoint.has_value(), "no address was printed after %s", label.c_str());
+    return *endpoint;
+}
+
+void Process::signal(int number)
+{
+    if (this->process.processId())
+        ::kill(static_cast<pid_t>(this->process.processId()), number);
+}
+
+void Process::kill()
+{
+    this->signal(SIGKILL);
+    this->process.waitForFinished();
+}
+
+void Process::freeze()
+{
+    this->signal(SIGSTOP);
+}
+
+void Process::thaw()
+{
+    this->signal(SIGCONT);
+}
+
+void Process::terminate()
+{
+    this->signal(SIGTERM);
+}
+
+int Process::waitForExit(std::chrono::milliseconds time)
+{
+    const bool ended = waitUntil([this] { return !this->isRunning(); }, time);
+    return ended && this->process.exitStatus() == QProcess::NormalExit ? this->process.exitCode() : -1;
+}
+
+uint64_t Process::residentBytes() const
+{
+    std::ifstream file("/proc/" + std::to_string(this->process.processId()) + "/statm");
+    uint64_t pages = 0;
+    file >> pages >> pages;
+    return pages * static_cast<uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
+Finished runToEnd(const std::string& program, const QStringList& arguments, std::chrono::milliseconds time)
+{
+    QProcess process;
+    process.start(QString::fromStdString(std::string(BUILD_FOLDER) + "/" + program), arguments);
+    const bool ended = process.waitForFinished(static_cast<int>(time.count()));
+    Finished finished;
+    if (ended && process.exitStatus() == QProcess::NormalExit)
+        finished.exitStatus = process.exitCode();
+    finished.output = process.readAllStandardOutput().toStdString();
+    finished.errors = process.readAllStandardError().toStdString();
+    return finished;
+}
+
+}
