--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -1,6 +1,7 @@
 #include "http/ServerConnection.h"
 
 #include <boost/asio/buffer.hpp>
+#include <sys/socket.h>
 
 namespace dragonfly::http {
 
@@ -10,6 +11,7 @@
 
     constexpr qint64 readBufferBytes = 256 << 10;
     constexpr size_t unparsedBytes = 64 << 10;
+constexpr std::chrono::milliseconds discardTime { 2000 };
 
     ErrorKind kindOf(const boost::beast::error_code& failure)
     {
@@ -65,7 +67,8 @@
 void ServerConnection::setDeadline(std::chrono::milliseconds time)
 {
     this->deadline = Clock::now() + time;
-    if (!this->timer.isActive())
+    // A deadline that moves out leaves the timer alone: it fires early once and is armed again.
+    if (!this->timer.isActive() || this->timer.remainingTimeAsDuration() > time)
         this->timer.start(time);
 }
 
@@ -84,6 +87,9 @@
     case State::Body:
         this->refuse(ErrorKind::RequestTimeout, "the request was not received in time");
         break;
+    case State::Discarding:
+        this->drop();
+        break;
     case State::Answering:
     case State::Closed:
         break;
@@ -95,13 +101,16 @@
     if (this->state == State::Answering && this->unparsed.size() >= unparsedBytes)
         return;
     const auto bytes = this->socket.readAll();
+    if (this->state == State::Discarding)
+        return;
     this->unparsed.append(bytes.constData(), static_cast<size_t>(bytes.size()));
     this->parse();
 }
 
 void ServerConnection::parse()
 {
-    while (!this->unparsed.empty() && this->state != State::Answering && this->state != State::Closed) {
+    const auto isReading = [this] { return this->state <= State::Body; };
+    while (!this->unparsed.empty() && isReading()) {
         if (this->state == State::Idle) {
             this->parser.emplace();
             this->parser->header_limit(this->server->limits.headerBytes);
@@ -164,8 +173,23 @@
     this->state = State::Answering;
     this->keepAlive = false;
     const Error error { kind, std::move(detail), Execution::NotRun, {} };
-    this->sendWhole(answerFor(kind).status,
-        { { "Content-Type", "application/json" }, { "Dragonfly-Execution", "not-run" } }, errorBody(error, ""));
+    const auto body = errorBody(error, "");
+    auto text = this->headText(answerFor(kind).status,
+        { { "Content-Type", "application/json" }, { "Dragonfly-Execution", "not-run" } },
+        "Content-Length: " + std::to_string(body.size()));
+    text.append(body);
+    this->socket.write(text.data(), static_cast<qint64>(text.size()));
+    this->discardRest();
+}
+
+/// Closing with unread bytes would reset the connection and could take the refusal with it.
+void ServerConnection::discardRest()
+{
+    this->state = State::Discarding;
+    this->unparsed.clear();
+    this->socket.flush();
+    ::shutdown(static_cast<int>(this->socket.socketDescriptor()), SHUT_WR);
+    this->setDeadline(discardTime);
 }
 
 std::string ServerConnection::headText(int status, const Headers& headers, std::string_view framing) const
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -34,7 +34,14 @@
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-    enum class State { Idle, Headers, Body, Answering, Closed };
+    enum class State {
+        Idle,
+        Headers,
+        Body,
+        Answering,
+        Discarding, ///< refused; the rest of the request is read and thrown away, so that the refusal arrives
+        Closed,
+    };
 
     void readMore();
     void parse();
@@ -42,6 +49,7 @@
     void dispatch();
     void refuse(ErrorKind kind, std::string detail);
     void answerEnded();
+    void discardRest();
     void checkDeadline();
     void setDeadline(std::chrono::milliseconds time);
     std::string headText(int status, const Headers& headers, std::string_view framing) const;
--- /dev/null
+++ b/tests/TargetsTest.cpp
@@ -0,0 +1,191 @@
+// Caches of the dead, of others and of older weights (point 1), leaving targets (point 7), and retries
+// that do not multiply the load.
+
+#include "standins/Tokens.h"
+#include "tests/support/Site.h"
+
+#include <QJsonArray>
+#include <criterion/criterion.h>
+
+using namespace testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string longPrompt(16000, 'x');
+
+int cachedTokensOf(const AnswerPointer& answer)
+{
+    return answer->json()["usage"].toObject()["prompt_tokens_details"].toObject()["cached_tokens"].toInt();
+}
+
+std::string textOf(const AnswerPointer& answer)
+{
+    return answer->json()["choices"].toArray().first().toObject()["text"].toString().toStdString();
+}
+
+AnswerPointer ask(const dragonfly::Endpoint& entry, const char* key, const std::string& prompt)
+{
+    Caller caller(key);
+    const auto answer = caller.complete(entry, "assistant", prompt, 4, "ask", false);
+    cr_assert(waitFor(answer));
+    return answer;
+}
+
+int requestsWhileLeaving(const Backend& engine)
+{
+    return control(engine.direct())["requests_while_leaving"].toInt();
+}
+
+/// Sends requests through every entry for @p time, one every few milliseconds.
+std::vector<AnswerPointer> loadFor(Caller& caller, Site& site, std::chrono::milliseconds time)
+{
+    std::vector<AnswerPointer> answers;
+    const auto end = dragonfly::Clock::now() + time;
+    while (dragonfly::Clock::now() < end) {
+        const auto number = answers.size();
+        const auto entry = number % site.entries.size();
+        answers.push_back(caller.complete(site.entry(entry), "assistant", "Question " + std::to_string(number), 3, "load-" + std::to_string(number)));
+        runFor(10ms);
+    }
+    return answers;
+}
+
+}
+
+Test(caches, areNotSharedAcrossOrganisations, .timeout = 60)
+{
+    const Application application;
+    SiteOptions options;
+    options.enginesPerCentre = 1;
+    Site site(options);
+    site.startEntry();
+    ask(site.entry(0), apiKey, longPrompt);
+    const auto again = ask(site.entry(0), apiKey, longPrompt);
+    cr_assert_geq(cachedTokensOf(again), 3900, "the engine's cache was not used at all");
+    const auto other = ask(site.entry(0), otherApiKey, longPrompt);
+    cr_assert_eq(cachedTokensOf(other), 0, "another organisation's prefix was used");
+}
+
+Test(caches, dieWithTheirEngine, .timeout = 60)
+{
+    const Application application;
+    SiteOptions options;
+    options.enginesPerCentre = 1;
+    Site site(options);
+    site.startEntry();
+    ask(site.entry(0), apiKey, longPrompt);
+    site.engines[0]->restart(); // on the same address, between two probes
+    const auto after = ask(site.entry(0), apiKey, longPrompt);
+    cr_assert_eq(after->status, 200);
+    cr_assert_eq(cachedTokensOf(after), 0);
+    cr_assert(textOf(after) == standins::answerText(longPrompt, weights, 4));
+}
+
+Test(caches, olderWeightsDoNotAnswer, .timeout = 90)
+{
+    const Application application;
+    Site site;
+    site.startEntry();
+    ask(site.entry(0), apiKey, longPrompt);
+    // One engine has the new weights already, the other has the old ones still; then v2 is published.
+    control(site.engines[0]->direct(), { { "weights", "v2" } });
+    std::string file = site.objectsFolder() + "/all.yaml";
+    cr_assert_eq(system(("sed -i 's/weights: v1/weights: v2/' " + file).c_str()), 0);
+    const auto published = site.publish({ "--json" });
+    cr_assert_eq(published.exitStatus, 0, "%s", published.errors.c_str());
+    const auto revision = std::stoull(published.output.substr(published.output.find(':') + 1));
+    cr_assert(site.waitForRevision(0, revision, 10s));
+    for (int i = 0; i < 6; ++i) {
+        const auto prompt = longPrompt + std::to_string(i);
+        const auto answer = ask(site.entry(0), apiKey, prompt);
+        cr_assert_eq(answer->status, 200, "%s", answer->body.c_str());
+        cr_assert(textOf(answer) == standins::answerText(prompt, "v2", 4), "older weights answered");
+    }
+}
+
+Test(leaving, targetGetsNoNewWorkOnceItSaysSo, .timeout = 60)
+{
+    const Application application;
+    SiteOptions options;
+    options.dataCentres = 2;
+    options.enginesPerCentre = 2;
+    Site site(options);
+    site.startEntry(0);
+    site.startEntry(1);
+    Caller caller(apiKey);
+    const auto underWay = caller.complete(site.entry(0), "assistant", "long one", 1500, "under-way");
+    cr_assert(waitUntil([&] { return !underWay->body.empty(); }, 10s));
+    // The platform is down and its list knows nothing: only the target's own answers tell.
+    control(site.platform->direct(), { { "mode", "down" } });
+    for (size_t i = 0; i < 4; i += 2)
+        control(site.engines[i]->direct(), { { "leaving", true } });
+    loadFor(caller, site, 3000ms);
+    const int settled = requestsWhileLeaving(*site.engines[0]) + requestsWhileLeaving(*site.engines[2]);
+    const auto answers = loadFor(caller, site, 2000ms);
+    const int after = requestsWhileLeaving(*site.engines[0]) + requestsWhileLeaving(*site.engines[2]);
+    cr_assert_eq(after, settled, "a leaving target got %d new requests after three seconds", after - settled);
+    cr_assert(waitForAll(answers, 10s));
+    cr_assert(waitFor(underWay));
+    cr_assert(readStream(*underWay, "under-way").done, "a stream under way was cut");
+}
+
+Test(leaving, theListsWordReachesInstancesThatCannotReadIt, .timeout = 60)
+{
+    const Application application;
+    Site site;
+    site.startEntry(0, false);
+    site.startEntry(0, true);
+    site.platform->fault("cut");
+    control(site.platform->direct(),
+        { { "put", QJsonObject { { "key", "platform/targets/engine-0" }, { "value", "{\"state\":\"leaving\"}" } } } });
+    const auto knows = [&](size_t entry) {
+        for (const auto& item : site.statusOf(entry)["targets"].toArray()) {
+            const auto target = item.toObject();
+            if (target["name"].toString() == "engine-0")
+                return target["leaving"].toBool();
+        }
+        return false;
+    };
+    cr_assert(waitUntil([&] { return knows(0) && knows(1); }, 5s));
+}
+
+Test(retries, halfTheTargetsRefusingDoesNotMultiplyTheLoad, .timeout = 90)
+{
+    const Application application;
+    SiteOptions options;
+    options.enginesPerCentre = 4;
+    Site site(options);
+    site.startEntry();
+    for (size_t i = 0; i < 2; ++i)
+        control(site.engines[i]->direct(), { { "refuse", true } });
+    Caller caller(apiKey);
+    const auto answers = loadFor(caller, site, 10000ms);
+    cr_assert(waitForAll(answers, 20s));
+    int tries = 0;
+    for (const auto& engine : site.engines)
+        tries += control(engine->direct())["requests"].toInt();
+    int answered = 0;
+    for (const auto& answer : answers)
+        answered += answer->status == 200;
+    cr_assert_leq(tries, 1.2 * static_cast<double>(answers.size()), "%d tries for %zu requests", tries, answers.size());
+    cr_assert_geq(answered, 0.95 * static_cast<double>(answers.size()), "%d of %zu answered", answered, answers.size());
+}
+
+Test(retries, allTargetsRefusingDoesNotMultiplyTheLoad, .timeout = 90)
+{
+    const Application application;
+    Site site;
+    site.startEntry();
+    for (const auto& engine : site.engines)
+        control(engine->direct(), { { "refuse", true } });
+    Caller caller(apiKey);
+    const auto answers = loadFor(caller, site, 5000ms);
+    cr_assert(waitForAll(answers, 20s));
+    int tries = 0;
+    for (const auto& engine : site.engines)
+        tries += control(engine->direct())["requests"].toInt();
+    cr_assert_leq(tries, 1.2 * static_cast<double>(answers.size()), "%d tries for %zu requests", tries, answers.size());
+    for (const auto& answer : answers)
+        cr_assert(answer->execution() == "not-run");
+}
