--- a/src/claims/ClaimRules.cpp
+++ b/src/claims/ClaimRules.cpp
@@ -95,11 +95,13 @@
 
 bool releaseClaim(pb::ClaimDocument& document, std::string_view key, std::string_view attempt)
 {
-    auto* claim = findHeld(document, key, attempt);
-    if (!claim)
+    const auto* held = findHeld(document, key, attempt);
+    if (!held)
         return false;
-    const auto index = static_cast<int>(claim - &*document.mutable_claims()->begin());
-    document.mutable_claims()->DeleteSubrange(index, 1);
+    auto* claims = document.mutable_claims();
+    const auto found
+        = std::find_if(claims->begin(), claims->end(), [held](const pb::Claim& claim) { return &claim == held; });
+    claims->erase(found);
     return true;
 }
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -91,7 +91,7 @@
     const auto bound = this->transport.bind(this->settings.peers);
     if (const auto* error = errorOf(bound))
         return *error;
-    const auto peerAddress = std::get<Endpoint>(bound).toString();
+    const auto peerAddress = this->settings.peersAdvertised.value_or(std::get<Endpoint>(bound)).toString();
     this->keeper = std::make_unique<membership::ConfigKeeper>(peerAddress, this->store, this->transport, this->metrics,
         [this](const config::Publication& publication, const pb::ConfigPart& objects) {
             this->applyConfig(publication, objects);
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -80,6 +80,8 @@
         settings.admin = reader.endpoint("admin", anyPort);
         settings.metrics = reader.endpoint("metrics", anyPort);
         settings.peers = reader.endpoint("peers", anyPort);
+        if (reader.child("peersAdvertised"))
+            settings.peersAdvertised = reader.endpoint("peersAdvertised", anyPort);
         settings.seeds = reader.endpoints("seeds");
         settings.platform = reader.endpoints("platform");
         if (settings.platform.empty())
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -14,6 +14,7 @@
     Endpoint admin; ///< for operators: /ready, /status, /explain/ID
     Endpoint metrics;
     Endpoint peers;
+    std::optional<Endpoint> peersAdvertised; ///< where peers reach this instance, when it is not where it listens
     std::vector<Endpoint> seeds;
     std::vector<Endpoint> platform;
     uint64_t threads = 4;
--- a/src/entry/InferenceCall.h
+++ b/src/entry/InferenceCall.h
@@ -5,12 +5,9 @@
 // weights is asked to continue after the tokens that the caller has; if there is none, the caller's
 // stream ends with an error event and without its normal end.
 
-#include "entry/EventStream.h"
+#include "entry/InferenceAttempt.h"
 #include "entry/InferenceBody.h"
 #include "entry/Request.h"
-#include "entry/TargetLoad.h"
-
-#include <optional>
 
 namespace dragonfly::entry {
 
@@ -22,24 +19,6 @@
     void start();
 
 private:
-    /// What is known of the attempt under way.
-    struct Attempt {
-        uint32_t target = 0;
-        routing::Choice choice;
-        std::string id;
-        Clock::time_point sentAt;
-        uint32_t queuedTokens = 0; ///< at the target, when it was chosen
-        std::optional<http::Call> call;
-        TargetLoad load;
-        EventStreamReader events;
-        int status = 0;
-        std::string refusal; ///< body of an answer that is no stream
-        bool refusedUnrun = false; ///< the target's own word that it did not run
-        bool firstTokenSeen = false;
-        observe::TraceContext trace;
-        WallClock::time_point started;
-    };
-
     void nextAttempt();
     http::Request engineRequest();
     void send(const routing::Target& target);
@@ -75,7 +54,7 @@
     routing::PrefixChain chain;
     uint32_t promptTokens;
     std::vector<uint32_t> tried;
-    std::optional<Attempt> attempt;
+    std::optional<InferenceAttempt> attempt;
     size_t attempts = 0;
 
     uint32_t tokens = 0; ///< tokens the caller has, or will get in one piece
--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -11,7 +11,7 @@
 
     constexpr qint64 readBufferBytes = 256 << 10;
     constexpr size_t unparsedBytes = 64 << 10;
-constexpr std::chrono::milliseconds discardTime { 2000 };
+    constexpr std::chrono::milliseconds discardTime { 2000 };
 
     ErrorKind kindOf(const boost::beast::error_code& failure)
     {
--- a/tests/BadInputTest.cpp
+++ b/tests/BadInputTest.cpp
@@ -26,7 +26,8 @@
 QByteArray request(const char* path, const QByteArray& body)
 {
     return QByteArray("POST ") + path + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + apiKey
-        + "\r\nContent-Type: application/json\r\nContent-Length: " + QByteArray::number(body.size()) + "\r\n\r\n" + body;
+        + "\r\nContent-Type: application/json\r\nContent-Length: " + QByteArray::number(body.size()) + "\r\n\r\n"
+        + body;
 }
 
 AnswerPointer postAs(const char* key, const dragonfly::Endpoint& entry, const std::string& body)
@@ -109,7 +110,8 @@
     site.startEntry();
     const QByteArray slow = "{\"model\":\"assistant\",\"prompt\":\"first\",\"max_tokens\":50}";
     const QByteArray fast = "{\"model\":\"no-such\",\"prompt\":\"second\"}";
-    const auto answer = exchangeRaw(site.entry(0), request("/v1/completions", slow) + request("/v1/completions", fast), 2s);
+    const auto answer
+        = exchangeRaw(site.entry(0), request("/v1/completions", slow) + request("/v1/completions", fast), 2s);
     const auto first = answer.find("HTTP/1.1 200");
     const auto second = answer.find("HTTP/1.1 404");
     cr_assert(first == 0 && second != std::string::npos && second > answer.find("\"usage\""), "%s", answer.c_str());
@@ -129,7 +131,8 @@
         socket->setReadBufferSize(1024);
         socket->connectToHost(QString::fromStdString(site.entry(0).host), site.entry(0).port);
         cr_assert(socket->waitForConnected(2000));
-        socket->write(request("/v1/completions", "{\"model\":\"assistant\",\"prompt\":\"x\",\"max_tokens\":100000,\"stream\":true}"));
+        socket->write(request(
+            "/v1/completions", "{\"model\":\"assistant\",\"prompt\":\"x\",\"max_tokens\":100000,\"stream\":true}"));
         socket->flush();
         sockets.push_back(std::move(socket));
     }
@@ -167,7 +170,7 @@
     file.close();
     const auto checked = runToEnd("dragonflyd", { "--check", "--settings", file.fileName() }, 10s);
     cr_assert_eq(checked.exitStatus, 2);
-    for (const auto* part : { "entry.yaml:5: colour: unknown field", "notice: expected a duration", "body: expected a size",
-             "threads: expected a whole number", "platform: '127.0.0.1'" })
+    for (const auto* part : { "entry.yaml:5: colour: unknown field", "notice: expected a duration",
+             "body: expected a size", "threads: expected a whole number", "platform: '127.0.0.1'" })
         cr_assert(checked.errors.find(part) != std::string::npos, "%s is missing in: %s", part, checked.errors.c_str());
 }
--- a/tests/DrainTest.cpp
+++ b/tests/DrainTest.cpp
@@ -23,7 +23,8 @@
         const size_t entry = number % 2 && get(site.admin(0), "/ready")->status == 200 ? 0 : 1;
         const auto name = std::to_string(number);
         streams.push_back(caller.complete(site.entry(entry), "assistant", "Question " + name, 200, "drain-" + name));
-        bookings.push_back(caller.post(site.entry(entry), "/book/visit", "{}", { { "Idempotency-Key", "drain-" + name } }));
+        bookings.push_back(
+            caller.post(site.entry(entry), "/book/visit", "{}", { { "Idempotency-Key", "drain-" + name } }));
     };
     for (int number = 0; number < 20; ++number) {
         sendOne(number);
@@ -46,7 +47,8 @@
     }
     // What the instance kept of its last bookings answers their repeats elsewhere.
     for (size_t i = 0; i < bookings.size(); ++i) {
-        const auto repeat = caller.post(site.entry(1), "/book/visit", "{}", { { "Idempotency-Key", "drain-" + std::to_string(i) } });
+        const auto repeat
+            = caller.post(site.entry(1), "/book/visit", "{}", { { "Idempotency-Key", "drain-" + std::to_string(i) } });
         cr_assert(waitFor(repeat));
         cr_assert(repeat->body == bookings[i]->body);
     }
--- /dev/null
+++ b/tests/RoutingTest.cpp
@@ -0,0 +1,131 @@
+// The parts of the choice of a target, each alone: prefixes, memory, policies.
+
+#include "routing/Routing.h"
+
+#include <criterion/criterion.h>
+#include <set>
+
+using namespace dragonfly;
+using namespace dragonfly::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+Candidate candidate(uint32_t target, uint32_t queued, uint32_t cached, Reach reach = Reach::SameDataCentre)
+{
+    Candidate result;
+    result.target = target;
+    result.queuedTokens = queued;
+    result.cachedTokens = cached;
+    result.reach = reach;
+    result.rank = fastHash(std::to_string(target));
+    return result;
+}
+
+Question question(uint32_t tokens, bool preferReuse = false)
+{
+    Question result;
+    result.promptTokens = tokens;
+    result.preferReuse = preferReuse;
+    return result;
+}
+
+uint32_t chosen(const Policy& policy, const std::vector<Candidate>& candidates, const Question& asked)
+{
+    return chooseTarget(policy, candidates, asked)->target;
+}
+
+}
+
+Test(prefixChain, sharedBeginningsShareHashes)
+{
+    const std::string shared(20000, 'a');
+    const auto first = buildPrefixChain(shared + "one", 7);
+    const auto second = buildPrefixChain(shared + std::string(9000, 'b'), 7);
+    uint32_t common = 0;
+    for (size_t i = 0; i < std::min(first.count, second.count) && first.points[i].hash == second.points[i].hash; ++i)
+        common = first.points[i].bytes;
+    cr_assert_geq(common, 20000 * 8 / 9 - 64);
+    cr_assert_leq(common, 20000);
+    cr_assert_neq(buildPrefixChain(shared, 8).points[0].hash, first.points[0].hash, "another scope must not match");
+    cr_assert_eq(buildPrefixChain("short", 7).count, 0);
+    cr_assert_geq(buildPrefixChain(std::string(256 << 10, 'x'), 7).points[50].bytes, 100000);
+}
+
+Test(prefixMemory, findsHoldersAndForgetsTheOldest)
+{
+    PrefixMemory memory(1024);
+    const auto now = Clock::now();
+    PrefixHolder holders[PrefixMemory::bucketSlots];
+    cr_assert_eq(memory.find(42, now, holders), 0);
+    memory.remember(42, 1, 10, now);
+    memory.remember(42, 2, 20, now + 1s);
+    memory.remember(42, 1, 11, now + 2s); // the same target, another incarnation
+    cr_assert_eq(memory.find(42, now + 3s, holders), 2);
+    for (uint32_t target = 100; target < 120; ++target)
+        memory.remember(42, target, 1, now + 10s);
+    cr_assert_eq(memory.find(42, now + 11s, holders), PrefixMemory::bucketSlots);
+}
+
+Test(policies, expectedFirstTokenWeighsQueueAgainstCache)
+{
+    const Policy policy = ExpectedFirstToken {};
+    // A miss of 10,000 tokens costs more than a queue of 3,000 at the holder, and less than one of 20,000.
+    cr_assert_eq(chosen(policy, { candidate(0, 3000, 10000), candidate(1, 0, 0) }, question(10000)), 0);
+    cr_assert_eq(chosen(policy, { candidate(0, 20000, 10000), candidate(1, 0, 0) }, question(10000)), 1);
+    // An operator who weighs reuse more queues longer for it.
+    cr_assert_eq(chosen(policy, { candidate(0, 20000, 10000), candidate(1, 0, 0) }, question(10000, true)), 0);
+}
+
+Test(policies, otherRegionsOnlyWhenWorthTheirPrice)
+{
+    const Policy policy = ExpectedFirstToken {};
+    cr_assert_eq(chosen(policy, { candidate(0, 2000, 0), candidate(1, 0, 0, Reach::OtherRegion) }, question(1000)), 0);
+    cr_assert_eq(chosen(policy, { candidate(0, 40000, 0), candidate(1, 0, 0, Reach::OtherRegion) }, question(1000)), 1);
+}
+
+Test(policies, targetsThatFailedAreALastResort)
+{
+    auto failed = candidate(0, 0, 5000);
+    failed.avoided = true;
+    for (const Policy& policy : { Policy(RoundRobin {}), Policy(LeastLoaded {}), Policy(TwoChoices {}),
+             Policy(BoundedHash {}), Policy(ExpectedFirstToken {}) }) {
+        cr_assert_eq(chosen(policy, { failed, candidate(1, 9000, 0) }, question(5000)), 1);
+        const auto only = chooseTarget(policy, std::vector { failed }, question(5000));
+        cr_assert_eq(only->target, 0);
+        cr_assert(only->reason == Reason::LastResort);
+        cr_assert(!chooseTarget(policy, {}, question(1)));
+    }
+}
+
+Test(policies, boundedHashLeavesAFullHome)
+{
+    const Policy policy = BoundedHash {};
+    auto home = candidate(0, 0, 0);
+    home.rank = ~uint64_t(0);
+    cr_assert_eq(chosen(policy, { home, candidate(1, 0, 0), candidate(2, 0, 0) }, question(100)), 0);
+    home.queuedTokens = 5000;
+    cr_assert_neq(chosen(policy, { home, candidate(1, 0, 0), candidate(2, 0, 0) }, question(100)), 0);
+}
+
+Test(targetState, loadReportsAreCorrectedByOwnWork)
+{
+    TargetState state;
+    state.pendingTokens = 1000;
+    noteLoad(state, 3000, Clock::now());
+    cr_assert_eq(queuedTokens(state), 3000);
+    state.pendingTokens = 1500;
+    cr_assert_eq(queuedTokens(state), 3500);
+    state.pendingTokens = 0;
+    cr_assert_eq(queuedTokens(state), 2000);
+}
+
+Test(targetState, newIncarnationIsNotLeaving)
+{
+    TargetState state;
+    cr_assert(!noteIncarnation(state, "first"), "the first one seen replaces nothing");
+    cr_assert(noteLeaving(state, Clock::now()));
+    cr_assert(!noteLeaving(state, Clock::now()), "told twice");
+    cr_assert(noteIncarnation(state, "second"));
+    cr_assert(!isLeaving(state));
+}
--- a/tests/TargetsTest.cpp
+++ b/tests/TargetsTest.cpp
@@ -45,7 +45,8 @@
     while (dragonfly::Clock::now() < end) {
         const auto number = answers.size();
         const auto entry = number % site.entries.size();
-        answers.push_back(caller.complete(site.entry(entry), "assistant", "Question " + std::to_string(number), 3, "load-" + std::to_string(number)));
+        answers.push_back(caller.complete(
+            site.entry(entry), "assistant", "Question " + std::to_string(number), 3, "load-" + std::to_string(number)));
         runFor(10ms);
     }
     return answers;
