--- /dev/null
+++ b/bench/StateBench.cpp
@@ -0,0 +1,113 @@
+// State that grows with the fleet: configuration by its objects, claim documents by their claims.
+
+#include "claims/Claims.h"
+#include "config/Publication.h"
+#include "routing/View.h"
+
+#include <benchmark/benchmark.h>
+
+using namespace dragonfly;
+
+namespace {
+
+pb::ConfigPart objectsWith(int organisations, int engines)
+{
+    pb::ConfigPart objects;
+    auto* priority = objects.add_priorities();
+    priority->set_name("normal");
+    auto* centre = objects.add_data_centres();
+    centre->set_name("centre");
+    centre->set_region("region");
+    for (int i = 0; i < 5; ++i) {
+        auto* model = objects.add_models();
+        model->set_name("model-" + std::to_string(i));
+        model->set_weights("v1");
+        auto* route = objects.add_routes();
+        route->set_name("route-" + std::to_string(i));
+        route->set_model(model->name());
+    }
+    for (int i = 0; i < organisations; ++i) {
+        auto* organisation = objects.add_organisations();
+        organisation->set_name("organisation-" + std::to_string(i));
+        organisation->add_key_hashes(toHex(sha256(organisation->name())));
+        organisation->set_priority("normal");
+        organisation->set_cache_scope("organisation:" + organisation->name());
+    }
+    for (int i = 0; i < engines; ++i) {
+        auto* target = objects.add_targets();
+        target->set_name("engine-" + std::to_string(i));
+        target->set_address("10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250) + ":8000");
+        target->set_data_centre("centre");
+        target->add_serves("model-" + std::to_string(i % 5));
+    }
+    return objects;
+}
+
+void buildPublication(benchmark::State& state)
+{
+    const auto objects = objectsWith(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)));
+    size_t bytes = 0;
+    size_t largest = 0;
+    size_t manifest = 0;
+    for (auto _ : state) {
+        const auto publication = config::buildPublication(objects, 1, "operator");
+        bytes = 0;
+        largest = 0;
+        manifest = publication.manifestBytes.size();
+        for (const auto& [digest, part] : publication.parts) {
+            bytes += part.size();
+            largest = std::max(largest, part.size());
+        }
+    }
+    state.counters["parts_bytes"] = static_cast<double>(bytes);
+    state.counters["largest_part_bytes"] = static_cast<double>(largest);
+    state.counters["manifest_bytes"] = static_cast<double>(manifest);
+}
+
+void applyPublication(benchmark::State& state)
+{
+    const auto publication = config::buildPublication(
+        objectsWith(static_cast<int>(state.range(0)), static_cast<int>(state.range(1))), 1, "operator");
+    routing::StateRegistry registry;
+    for (auto _ : state) {
+        const auto objects = config::joinParts(publication);
+        benchmark::DoNotOptimize(routing::buildView(*objects, 1, "digest", { "region", "centre" }, registry));
+    }
+}
+
+claims::ClaimRequest requestFor(int64_t number)
+{
+    return { claims::claimKey("organisation", "route", std::to_string(number)), claims::requestDigest("POST /", "body"),
+        sha256(std::to_string(number)).substr(0, 16) };
+}
+
+/// One more claim in a document that holds @p state.range(0) finished ones: copy, add, serialize.
+void writeClaim(benchmark::State& state)
+{
+    pb::ClaimDocument document;
+    const claims::LedgerLimits limits { std::chrono::hours(24), 64 << 20, 4096 };
+    pb::StoredAnswer answer;
+    answer.set_status(200);
+    answer.set_content_type("application/json");
+    answer.set_body(std::string(120, 'x'));
+    for (int64_t i = 0; i < state.range(0); ++i) {
+        const auto request = requestFor(i);
+        claims::addClaim(document, request, limits);
+        claims::finishClaim(document, request.key, request.attempt, answer, WallClock::now());
+    }
+    const auto next = requestFor(-1);
+    size_t bytes = 0;
+    for (auto _ : state) {
+        auto copy = document;
+        claims::addClaim(copy, next, limits);
+        bytes = copy.SerializeAsString().size();
+    }
+    state.counters["document_bytes"] = static_cast<double>(bytes);
+}
+
+}
+
+BENCHMARK(buildPublication)->Args({ 8, 12 })->Args({ 250, 130 })->Args({ 2500, 1300 })->Unit(benchmark::kMillisecond);
+BENCHMARK(applyPublication)->Args({ 8, 12 })->Args({ 250, 130 })->Args({ 2500, 1300 })->Unit(benchmark::kMillisecond);
+BENCHMARK(writeClaim)->Arg(0)->Arg(100)->Arg(1000)->Arg(4000)->Unit(benchmark::kMicrosecond);
+BENCHMARK_MAIN();
--- a/src/entry/InferenceCall.cpp
+++ b/src/entry/InferenceCall.cpp
@@ -245,6 +245,7 @@
     if (!isFirst)
         return;
     this->engineCachedTokens = cachedTokens;
+    this->scope.shared.metrics.believedTokens.Increment(this->attempt->choice.cachedTokens);
     auto& state = *this->target().state;
     routing::noteCacheOutcome(state, this->attempt->choice.cachedTokens, cachedTokens, this->attempt->choice.cachedAge);
     const auto work = promptTokens - std::min(promptTokens, cachedTokens) + this->attempt->queuedTokens;
--- a/src/routing/PrefixChain.cpp
+++ b/src/routing/PrefixChain.cpp
@@ -11,6 +11,7 @@
     constexpr uint32_t boundaryGrain = 64;
     constexpr uint32_t growthDivisor = 8;
     constexpr uint32_t bytesPerToken = 4;
+    constexpr size_t saltDigits = 32;
 
     uint32_t nextBoundary(uint32_t boundary)
     {
@@ -25,6 +26,13 @@
     return fastHash(weights, fastHash(model, fastHash(cacheScope)));
 }
 
+std::string cacheSalt(std::string_view cacheScope, std::string_view model, std::string_view weights)
+{
+    std::string text(cacheScope);
+    text.append("\n").append(model).append("\n").append(weights);
+    return toHex(sha256(text)).substr(0, saltDigits);
+}
+
 PrefixChain buildPrefixChain(std::string_view prompt, uint64_t seed)
 {
     PrefixChain chain;
--- a/src/routing/PrefixChain.h
+++ b/src/routing/PrefixChain.h
@@ -4,6 +4,7 @@
 #include "base/Base.h"
 
 #include <array>
+#include <string>
 #include <string_view>
 
 namespace dragonfly::routing {
@@ -37,6 +38,9 @@
 /// Seed for everything that may share cached prefixes: same scope, same model, same weights.
 uint64_t scopeSeed(std::string_view cacheScope, std::string_view model, std::string_view weights);
 
+/// The salt that engines receive: they share cached prefixes only among equal salts.
+std::string cacheSalt(std::string_view cacheScope, std::string_view model, std::string_view weights);
+
 PrefixChain buildPrefixChain(std::string_view prompt, uint64_t seed);
 
 /// Rough number of tokens in @p bytes of prompt; good enough to compare targets.
--- a/standins/PrefixCache.h
+++ b/standins/PrefixCache.h
@@ -33,6 +33,18 @@
         return blocks * blockTokens;
     }
 
+    /// The same, without making the blocks more recently used.
+    uint32_t peekTokens(std::string_view prompt, uint64_t salt) const
+    {
+        uint32_t blocks = 0;
+        for (const auto hash : blockHashes(prompt, salt)) {
+            if (!this->blocks.contains(hash))
+                break;
+            ++blocks;
+        }
+        return blocks * blockTokens;
+    }
+
     void insert(std::string_view prompt, uint64_t salt)
     {
         const auto hashes = blockHashes(prompt, salt);
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -68,6 +68,8 @@
         const auto& request = exchange->request();
         if (request.target == "/control")
             this->control(*exchange);
+        else if (request.target == "/peek")
+            this->peek(*exchange);
         else if (request.target == "/health")
             exchange->respond(200, this->headers("text/plain"), "ok\n");
         else if (request.target == "/v1/completions" || request.target == "/v1/chat/completions")
@@ -121,9 +123,42 @@
         job->end = static_cast<uint32_t>(body["max_tokens"].toInt(16));
         exchange->onCallerGone = [this, weak = std::weak_ptr(job)] { this->cancel(weak.lock()); };
         this->waiting.push_back(job);
+        if (this->isInstant()) {
+            while (!this->waiting.empty() || !this->running.empty())
+                this->tick();
+            return;
+        }
         this->startTimer();
     }
 
+    /// Without prefill and decode times an answer is written in one go, to measure what is around it.
+    bool isInstant() const
+    {
+        return !this->settings.prefillMicroseconds && !this->settings.decodeMicroseconds;
+    }
+
+    /// What an oracle may know: what of a prompt is cached now, and the true queue before it.
+    void peek(http::Exchange& exchange)
+    {
+        const auto body = parseJson(exchange.request().body);
+        const auto salt = dragonfly::fastHash(body["cache_salt"].toString().toStdString());
+        double queued = 0;
+        for (const auto& job : this->running)
+            queued += job->prefillLeft;
+        for (const auto& job : this->waiting)
+            queued += job->promptTokens - std::min(job->promptTokens, this->cache.peekTokens(job->prompt, job->salt));
+        uint32_t shortest = 0;
+        if (this->running.size() >= this->settings.slots) {
+            shortest = ~0u;
+            for (const auto& job : this->running)
+                shortest = std::min(shortest, job->end - job->next);
+        }
+        respondJson(exchange, 200,
+            { { "cached_tokens", static_cast<int>(this->cache.peekTokens(promptOf(body), salt)) },
+                { "queued_tokens", static_cast<int>(queued) },
+                { "slot_wait_us", static_cast<qint64>(shortest) * this->settings.decodeMicroseconds } });
+    }
+
     static std::string promptOf(const QJsonObject& body)
     {
         if (body.contains("prompt"))
@@ -188,7 +223,8 @@
         for (const auto& job : this->running) {
             if (job->prefillLeft <= 0)
                 continue;
-            const auto step = std::min(tokens, job->prefillLeft);
+            const auto step
+                = this->settings.prefillMicroseconds ? std::min(tokens, job->prefillLeft) : job->prefillLeft;
             job->prefillLeft -= step;
             tokens -= step;
             if (job->prefillLeft > 0)
--- a/tests/support/Caller.cpp
+++ b/tests/support/Caller.cpp
@@ -5,7 +5,6 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <algorithm>
-#include <criterion/criterion.h>
 
 namespace testing {
 
@@ -121,7 +120,7 @@
     Caller caller("");
     const auto answer
         = caller.post(standin, "/control", QJsonDocument(order).toJson(QJsonDocument::Compact).toStdString());
-    cr_assert(waitFor(answer) && answer->status == 200, "a stand-in does not take orders");
+    require(waitFor(answer) && answer->status == 200, "a stand-in does not take orders");
     return answer->json();
 }
 
--- a/tests/support/Process.cpp
+++ b/tests/support/Process.cpp
@@ -4,15 +4,24 @@
 #include <QEventLoop>
 #include <QThread>
 #include <QTimer>
-#include <criterion/criterion.h>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
+#include <iostream>
 #include <unistd.h>
 
 namespace testing {
 
 using namespace dragonfly;
 
+void require(bool condition, const std::string& why)
+{
+    if (condition)
+        return;
+    std::cerr << why << std::endl;
+    std::abort();
+}
+
 bool waitUntil(const std::function<bool()>& condition, std::chrono::milliseconds time)
 {
     const auto deadline = Clock::now() + time;
@@ -40,8 +49,7 @@
     QObject::connect(&this->process, &QProcess::readyReadStandardOutput, [this] { this->readLines(); });
     const bool ready
         = waitUntil([&] { return this->printed.contains(readyLabel) || !this->isRunning(); }, std::chrono::seconds(20));
-    cr_assert(
-        ready && this->printed.contains(readyLabel), "%s did not start: %s", program.c_str(), this->errors.c_str());
+    require(ready && this->printed.contains(readyLabel), program + " did not start: " + this->errors);
 }
 
 Process::~Process()
@@ -66,7 +74,7 @@
 Endpoint Process::address(const std::string& label)
 {
     const auto endpoint = parseEndpoint(this->printed[label]);
-    cr_assert(endpoint.has_value(), "no address was printed after %s", label.c_str());
+    require(endpoint.has_value(), "no address was printed after " + label);
     return *endpoint;
 }
 
--- a/tests/support/Process.h
+++ b/tests/support/Process.h
@@ -9,6 +9,9 @@
 
 namespace testing {
 
+/// Ends the test, or the tool, when @p condition does not hold: what follows would mean nothing.
+void require(bool condition, const std::string& why);
+
 /// Runs the event loop until @p condition holds; false when @p time passed first.
 bool waitUntil(const std::function<bool()>& condition, std::chrono::milliseconds time);
 void runFor(std::chrono::milliseconds time);
--- a/tests/support/Site.cpp
+++ b/tests/support/Site.cpp
@@ -1,7 +1,6 @@
 #include "tests/support/Site.h"
 
 #include <QDir>
-#include <criterion/criterion.h>
 #include <fstream>
 #include <sstream>
 
@@ -74,13 +73,14 @@
     const QStringList engineArguments = QStringList { "--weights", weights } + options.engineArguments;
     for (int centre = 0; centre < options.dataCentres; ++centre) {
         for (int i = 0; i < options.enginesPerCentre; ++i)
-            this->engines.push_back(std::make_unique<Backend>("standin-engine", engineArguments, true));
+            this->engines.push_back(
+                std::make_unique<Backend>("standin-engine", engineArguments, options.withEngineProxies));
         for (int i = 0; i < options.servicesPerCentre; ++i)
             this->services.push_back(std::make_unique<Backend>("standin-service", QStringList {}, true));
     }
     this->writeObjects(options.extraObjects);
     const auto published = this->publish();
-    cr_assert_eq(published.exitStatus, 0, "publish: %s", published.errors.c_str());
+    require(!published.exitStatus, "publish: " + published.errors);
 }
 
 void Site::writeObjects(const std::string& extra)
@@ -90,7 +90,7 @@
     file << "kind: priority\nname: normal\nlevel: 3\n---\nkind: model\nname: assistant\nweights: " << weights << "\n"
          << organisationYaml("first", apiKey, this->options.requestsPerSecond)
          << organisationYaml("second", otherApiKey, this->options.requestsPerSecond)
-         << "---\nkind: route\nname: assist\nmodel: assistant\ndeadline: 30s\n";
+         << "---\nkind: route\nname: assist\nmodel: assistant\ndeadline: 30s\nprefer: " << this->options.prefer << "\n";
     for (int centre = 0; centre < this->options.dataCentres; ++centre)
         file << "---\nkind: dataCentre\nname: " << centreName(centre) << "\nregion: region-" << centre
              << "\nlimitSharePercent: " << 100 / this->options.dataCentres << "\ninstances: 1\n";
@@ -118,7 +118,7 @@
     std::ostringstream text;
     text << "instance: entry-" << number << "\nregion: region-" << centre << "\ndataCentre: " << centreName(centre)
          << "\nplatform: [" << (viaPlatformProxy ? this->platform->address() : this->platform->direct()).toString()
-         << "]\nthreads: 2\ndrain: { notice: 300ms, time: 30s }\nseeds: [";
+         << "]\nthreads: " << this->options.threads << "\ndrain: { notice: 300ms, time: 30s }\nseeds: [";
     for (size_t i = 0; i < this->entries.size(); ++i)
         text << (i ? ", " : "") << this->entries[i]->address("peers").toString();
     text << "]\n" << this->options.extraSettings;
@@ -136,7 +136,7 @@
     if (waitUntilReady) {
         const bool ready
             = waitUntil([&] { return get(this->admin(number), "/ready")->status == 200; }, std::chrono::seconds(10));
-        cr_assert(ready, "entry-%zu is not configured: %s", number, this->entries[number]->log().c_str());
+        require(ready, "entry-" + std::to_string(number) + " is not configured: " + this->entries[number]->log());
     }
     return *this->entries.back();
 }
--- a/tests/support/Site.h
+++ b/tests/support/Site.h
@@ -41,6 +41,9 @@
     std::string extraObjects; ///< YAML documents
     std::string extraSettings; ///< YAML lines for every entry instance
     int requestsPerSecond = 0;
+    bool withEngineProxies = true;
+    int threads = 2; ///< of each entry instance
+    std::string prefer = "latency"; ///< of the route by model
 };
 
 class Site {
