Choose homes by family and whole prefix, and let reported queues be worked off

Change: (1) a reported queue is worked off as time passes, at the target's observed cost of a token, and what this instance itself has pending counts until it is answered; (2) the home of a prompt is found among the targets believed to hold its family, by rendezvous on its whole prefix; the next in the family's order is trusted half as much, so that instances spill alike; (3) how far a home is trusted is learnt from what homes turn out to hold; (4) prompts without prefixes are ranked at random.

--- a/bench/RoutingBench.cpp
+++ b/bench/RoutingBench.cpp
@@ -47,11 +47,14 @@
     const auto now = Clock::now();
     for (size_t holder = 0; holder < 3; ++holder)
         rememberPrompt(memory, chain, view->targets[holder * 3 % view->targets.size()], now);
-    const CandidateQuery query { *view, view->routes[0], place, &chain, &memory, {}, now };
-    const Question question { tokensOf(chain.promptBytes), homeTokens(chain), 12345, false };
+    const CandidateQuery query { *view, view->routes[0], place, &chain, &memory, 12345, {}, now };
+    Question question;
+    question.promptTokens = tokensOf(chain.promptBytes);
+    question.homeTokens = homeTokens(chain);
     for (auto _ : state) {
-        const auto candidates = gatherCandidates(query);
-        benchmark::DoNotOptimize(chooseTarget(ExpectedFirstToken {}, candidates, question));
+        const auto gathered = gatherCandidates(query);
+        question.knownTokens = gathered.knownTokens;
+        benchmark::DoNotOptimize(chooseTarget(ExpectedFirstToken {}, gathered.candidates, question));
     }
 }
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -68,7 +68,7 @@
     , transport(this->metrics)
     , prefixes(settings.prefixSlots)
     , shared { settings.instance, settings.place, settings.policy, settings.requests, settings.traceSample, this->views,
-        this->prefixes, this->retries, this->explanations, this->metrics, this->spans, this->ledger,
+        this->prefixes, this->homeTrust, this->retries, this->explanations, this->metrics, this->spans, this->ledger,
         [this](const std::string& target) {
             QMetaObject::invokeMethod(
                 this, [this, target] { this->noteLeaving(target); }, Qt::QueuedConnection);
@@ -271,7 +271,7 @@
         targets.append(QJsonObject { { "name", text(target.name) }, { "data_centre", text(target.place.dataCentre) },
             { "leaving", routing::isLeaving(state) }, { "avoided", routing::timeOf(state.avoidUntil) > now },
             { "in_flight", static_cast<int>(state.inFlight.load()) },
-            { "queued_tokens", static_cast<int>(routing::queuedTokens(state)) },
+            { "queued_tokens", static_cast<int>(routing::queuedTokens(state, now)) },
             { "nanoseconds_per_token", static_cast<int>(state.nanosecondsPerToken.load()) } });
     }
     status["targets"] = targets;
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -62,6 +62,7 @@
     routing::StateRegistry registry;
     routing::ViewPointer view; ///< the one in force, for the control thread
     routing::PrefixMemory prefixes;
+    routing::HomeTrust homeTrust;
     entry::RetryBudget retries;
     entry::ExplainLog explanations;
     entry::Context shared;
--- a/src/entry/Context.h
+++ b/src/entry/Context.h
@@ -31,6 +31,7 @@
 
     ViewHolder& views;
     routing::PrefixMemory& prefixes;
+    routing::HomeTrust& homeTrust;
     RetryBudget& retries;
     ExplainLog& explanations;
     observe::Metrics& metrics;
--- a/src/entry/InferenceCall.cpp
+++ b/src/entry/InferenceCall.cpp
@@ -14,8 +14,8 @@
     constexpr int statusWrongWeights = 409;
     constexpr int statusTooManyRequests = 429;
     constexpr int firstServerError = 500;
-    constexpr uint32_t costSmoothing = 8;
-    constexpr uint32_t leastTokensToLearnFrom = 64;
+    constexpr uint32_t costSmoothing = 32;
+    constexpr uint32_t leastTokensToLearnFrom = 512;
 
     std::string toCompactJson(const QJsonObject& object)
     {
@@ -101,7 +101,7 @@
     this->attempt->target = choice->target;
     this->attempt->choice = *choice;
     this->attempt->id = attemptId(this->request, this->attempts++);
-    this->attempt->queuedTokens = routing::queuedTokens(*this->target().state);
+    this->attempt->queuedTokens = routing::queuedTokens(*this->target().state, Clock::now());
     this->attempt->trace = observe::childOf(this->request.trace);
     this->attempt->started = WallClock::now();
     this->send(this->target());
@@ -247,6 +247,9 @@
     this->engineCachedTokens = cachedTokens;
     this->scope.shared.metrics.believedTokens.Increment(this->attempt->choice.cachedTokens);
     auto& state = *this->target().state;
+    if (this->attempt->choice.isHome)
+        this->scope.shared.homeTrust.learn(
+            this->attempt->choice.cachedTokens, routing::homeTokens(this->chain), cachedTokens);
     routing::noteCacheOutcome(state, this->attempt->choice.cachedTokens, cachedTokens, this->attempt->choice.cachedAge);
     const auto work = promptTokens - std::min(promptTokens, cachedTokens) + this->attempt->queuedTokens;
     if (work < leastTokensToLearnFrom)
--- a/src/entry/Request.cpp
+++ b/src/entry/Request.cpp
@@ -45,11 +45,13 @@
     uint32_t promptTokens, std::span<const uint32_t> excluded)
 {
     const auto begin = Clock::now();
-    const routing::CandidateQuery query { *request.view, *request.route, shared.place, chain, &shared.prefixes,
+    const uint64_t random = QRandomGenerator::global()->generate64();
+    const routing::CandidateQuery query { *request.view, *request.route, shared.place, chain, &shared.prefixes, random,
         excluded, begin };
-    const auto candidates = routing::gatherCandidates(query);
-    const routing::Question question { promptTokens, chain ? routing::homeTokens(*chain) : 0,
-        QRandomGenerator::global()->generate64(), request.route->prefer == pb::REUSE };
+    const auto gathered = routing::gatherCandidates(query);
+    const auto& candidates = gathered.candidates;
+    const routing::Question question { promptTokens, gathered.knownTokens, chain ? routing::homeTokens(*chain) : 0, shared.homeTrust.value(),
+        random, request.route->prefer == pb::REUSE };
     const auto choice = routing::chooseTarget(shared.policy, candidates, question);
     const std::chrono::duration<double> took = Clock::now() - begin;
     shared.metrics.decisionSeconds.Observe(took.count());
--- a/src/routing/Candidates.cpp
+++ b/src/routing/Candidates.cpp
@@ -6,7 +6,10 @@
 
 namespace {
 
-    constexpr uint32_t homeBytes = 4096;
+    constexpr uint32_t familyBytes = 4096;
+    /// The end of a prompt is its own; what comes before is shared with others.
+    constexpr uint32_t ownShareOfPrompt = 32;
+    constexpr uint32_t trustSmoothing = 16;
     constexpr uint32_t shortestCacheLifeMs = 500;
     constexpr uint32_t longestCacheLifeMs = 3600 * 1000;
 
@@ -17,16 +20,35 @@
         return from.region == to.region ? Reach::SameRegion : Reach::OtherRegion;
     }
 
-    /// The prefix that decides where a prompt is at home: the longest one up to homeBytes.
-    PrefixPoint homePoint(const PrefixChain& chain)
+    PrefixPoint longestUpTo(const PrefixChain& chain, uint32_t bytes)
     {
-        PrefixPoint home;
+        PrefixPoint longest;
         for (const auto& point : chain) {
-            if (point.bytes > homeBytes)
+            if (point.bytes > bytes)
                 break;
-            home = point;
+            longest = point;
         }
-        return home;
+        return longest;
+    }
+
+    /// The prefix that decides where a prompt is at home: the longest one that is not the prompt's own.
+    /// All instances find the same one, since it follows from the prompt alone.
+    PrefixPoint homePoint(const PrefixChain& chain)
+    {
+        return longestUpTo(chain, chain.promptBytes - chain.promptBytes / ownShareOfPrompt);
+    }
+
+    struct RankHashes {
+        uint64_t family;
+        uint64_t whole;
+    };
+
+    /// Prompts that are too short to have prefixes are ranked at random.
+    RankHashes rankHashesOf(const CandidateQuery& query)
+    {
+        if (!query.chain || !query.chain->count)
+            return { query.random, query.random };
+        return { longestUpTo(*query.chain, familyBytes).hash, homePoint(*query.chain).hash };
     }
 
     uint32_t shortName(const Target& target)
@@ -71,11 +93,12 @@
 
 }
 
-std::vector<Candidate> gatherCandidates(const CandidateQuery& query)
+GatheredCandidates gatherCandidates(const CandidateQuery& query)
 {
-    std::vector<Candidate> candidates;
+    GatheredCandidates gathered;
+    auto& candidates = gathered.candidates;
     std::vector<Named> names;
-    const auto home = query.chain ? homePoint(*query.chain).hash : 0;
+    const auto hashes = rankHashesOf(query);
     const bool isEngine = query.route.path.empty();
     for (const auto index : query.route.targets) {
         const auto& target = query.view.targets[index];
@@ -91,17 +114,20 @@
         candidate.reach = reachOf(query.place, target.place);
         candidate.avoided = timeOf(state.avoidUntil) > query.now;
         candidate.inFlight = state.inFlight.load(std::memory_order_relaxed);
-        candidate.queuedTokens = queuedTokens(state);
+        candidate.queuedTokens = queuedTokens(state, query.now);
         candidate.nanosecondsPerToken = state.nanosecondsPerToken.load(std::memory_order_relaxed);
         const auto name = shortName(target);
-        candidate.rank = rendezvousRank(home, name);
+        candidate.familyRank = rendezvousRank(hashes.family, name);
+        candidate.rank = rendezvousRank(hashes.whole, name);
         candidates.push_back(candidate);
         names.push_back({ name, shortHash(state.incarnation.load(std::memory_order_relaxed)),
             state.cacheLifeMs.load(std::memory_order_relaxed) });
     }
     if (query.chain && query.memory)
         creditCachedPrefixes(candidates, names, query);
-    return candidates;
+    for (const auto& candidate : candidates)
+        gathered.knownTokens = std::max(gathered.knownTokens, candidate.cachedTokens);
+    return gathered;
 }
 
 uint32_t homeTokens(const PrefixChain& chain)
@@ -109,6 +135,17 @@
     return tokensOf(homePoint(chain).bytes);
 }
 
+void HomeTrust::learn(uint32_t believedTokens, uint32_t homeTokens, uint32_t cachedTokens)
+{
+    if (believedTokens + believedTokens / trustSmoothing >= homeTokens)
+        return; // nothing was left to trust in
+    const auto more = cachedTokens > believedTokens ? std::min(cachedTokens, homeTokens) - believedTokens : 0;
+    const auto seen = 1000 * static_cast<uint64_t>(more) / (homeTokens - believedTokens);
+    const auto before = this->thousandths.load(std::memory_order_relaxed);
+    const auto after = before - before / trustSmoothing + static_cast<uint32_t>(seen) / trustSmoothing;
+    this->thousandths.store(after, std::memory_order_relaxed);
+}
+
 void rememberPrompt(PrefixMemory& memory, const PrefixChain& chain, const Target& target, Clock::time_point now)
 {
     const auto incarnation = shortHash(target.state->incarnation.load(std::memory_order_relaxed));
--- a/src/routing/Policy.cpp
+++ b/src/routing/Policy.cpp
@@ -1,6 +1,9 @@
 #include "routing/Policy.h"
 
+#include "routing/TargetState.h"
+
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <vector>
 
@@ -10,17 +13,11 @@
 
     using std::chrono::nanoseconds;
 
-    constexpr uint32_t assumedNanosecondsPerToken = 50000;
     constexpr nanoseconds networkTime[] = { nanoseconds(500000), nanoseconds(2000000), nanoseconds(60000000) };
     /// Added to other regions in the comparison, because traffic across is paid for.
     constexpr nanoseconds otherRegionSurcharge { 200000000 };
     constexpr uint32_t reuseWeight = 4;
 
-    uint32_t costPerToken(const Candidate& candidate)
-    {
-        return candidate.nanosecondsPerToken ? candidate.nanosecondsPerToken : assumedNanosecondsPerToken;
-    }
-
     uint32_t uncachedTokens(const Candidate& candidate, const Question& question)
     {
         return question.promptTokens - std::min(question.promptTokens, candidate.cachedTokens);
@@ -28,10 +25,32 @@
 
     using Candidates = std::span<const Candidate>;
 
-    const Candidate& bestByRank(Candidates candidates)
+    /// A target belongs to a prompt's family when it holds about all of the prompt that is known anywhere.
+    constexpr double familyShare = 0.85;
+    /// How likely the next target in the family's order holds what the one before it holds.
+    constexpr double spillShare = 0.5;
+
+    bool isFamily(const Candidate& candidate, const Question& question)
+    {
+        return question.knownTokens && candidate.cachedTokens >= familyShare * question.knownTokens;
+    }
+
+    const Candidate& bestByFamilyRank(Candidates candidates)
     {
         return *std::max_element(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) { return a.rank < b.rank; });
+            [](const Candidate& a, const Candidate& b) { return a.familyRank < b.familyRank; });
+    }
+
+    /// Where all instances expect the prompt: the family's member of highest rank for the whole prefix.
+    const Candidate& homeOf(Candidates candidates, const Question& question)
+    {
+        const auto* home = &bestByFamilyRank(candidates);
+        for (const auto& candidate : candidates) {
+            const bool isMember = isFamily(candidate, question);
+            if (isMember && (candidate.rank > home->rank || !isFamily(*home, question)))
+                home = &candidate;
+        }
+        return *home;
     }
 
     bool lessLoaded(const Candidate& a, const Candidate& b)
@@ -82,7 +101,7 @@
         const Candidate* best = nullptr;
         for (const auto& candidate : near) {
             const bool hasRoom = !candidate.queuedTokens || candidate.queuedTokens <= bound;
-            if (hasRoom && (!best || candidate.rank > best->rank))
+            if (hasRoom && (!best || candidate.familyRank > best->familyRank))
                 best = &candidate;
         }
         if (best)
@@ -90,16 +109,29 @@
         return pick(LeastLoaded {}, near, question);
     }
 
-    /// What @p candidate costs in the comparison; a home counts as holding half of its prefix.
-    nanoseconds score(const Candidate& candidate, const Question& question, bool isHome)
+    uint32_t withTrust(uint32_t cachedTokens, uint32_t tokens, double trust)
+    {
+        if (cachedTokens >= tokens)
+            return cachedTokens;
+        return cachedTokens + static_cast<uint32_t>(trust * (tokens - cachedTokens));
+    }
+
+    /// Tokens of the prompt that @p candidate may hold, seen here or not. Other instances send the same
+    /// prefixes to the same home, and when it is busy to the next in the family's order, and so on.
+    uint32_t assumedTokens(const Candidate& candidate, const Question& question, size_t place, bool isHome)
     {
-        auto assumed = candidate;
-        if (isHome)
-            assumed.cachedTokens = std::max(candidate.cachedTokens, question.homeTokens / 2);
-        auto result = expectedFirstToken(assumed, question);
+        const auto shared = question.knownTokens ? question.knownTokens : question.homeTokens;
+        const auto nearHome = question.homeTrust * std::pow(spillShare, place);
+        const auto assumed = withTrust(candidate.cachedTokens, shared, nearHome);
+        return isHome ? withTrust(assumed, question.homeTokens, question.homeTrust) : assumed;
+    }
+
+    nanoseconds score(const Candidate& candidate, const Question& question)
+    {
+        auto result = expectedFirstToken(candidate, question);
         if (question.preferReuse)
-            result
-                += nanoseconds(uint64_t(reuseWeight - 1) * uncachedTokens(assumed, question) * costPerToken(assumed));
+            result += costPerToken(candidate.nanosecondsPerToken)
+                * (uint64_t(reuseWeight - 1) * uncachedTokens(candidate, question));
         if (candidate.reach == Reach::OtherRegion)
             result += otherRegionSurcharge;
         return result;
@@ -107,19 +139,28 @@
 
     Pick pick(const ExpectedFirstToken&, Candidates candidates, const Question& question)
     {
-        const auto* home = &bestByRank(nearest(candidates));
+        const auto near = nearest(candidates);
+        const auto* home = &homeOf(near, question);
+        std::vector<const Candidate*> order;
+        for (const auto& candidate : candidates)
+            order.push_back(&candidate);
+        const auto local = order.begin() + static_cast<ptrdiff_t>(near.size());
+        std::sort(order.begin(), local, [](const Candidate* a, const Candidate* b) { return a->familyRank > b->familyRank; });
         const Candidate* best = nullptr;
         nanoseconds bestScore {};
-        for (const auto& candidate : candidates) {
-            const auto own = score(candidate, question, &candidate == home);
-            if (!best || own < bestScore || (own == bestScore && candidate.rank > best->rank)) {
-                best = &candidate;
-                bestScore = own;
-            }
+        for (size_t place = 0; place < order.size(); ++place) {
+            auto assumed = *order[place];
+            if (place < near.size())
+                assumed.cachedTokens = assumedTokens(assumed, question, place, order[place] == home);
+            const auto own = score(assumed, question);
+            if (best && own >= bestScore)
+                continue;
+            best = order[place];
+            bestScore = own;
         }
-        if (best->cachedTokens)
-            return { best, Reason::CachedPrefix };
-        return { best, best == home ? Reason::HomeOfPrefix : Reason::ShortestQueue };
+        if (best == home)
+            return { best, Reason::HomeOfPrefix };
+        return { best, best->cachedTokens ? Reason::CachedPrefix : Reason::ShortestQueue };
     }
 
     /// Candidates that did not just fail, nearest first; all of them when every one did.
@@ -176,7 +217,7 @@
 std::chrono::nanoseconds expectedFirstToken(const Candidate& candidate, const Question& question)
 {
     const uint64_t tokens = uint64_t(candidate.queuedTokens) + uncachedTokens(candidate, question);
-    return networkTime[static_cast<size_t>(candidate.reach)] + nanoseconds(tokens * costPerToken(candidate));
+    return networkTime[static_cast<size_t>(candidate.reach)] + costPerToken(candidate.nanosecondsPerToken) * tokens;
 }
 
 std::optional<Choice> chooseTarget(
@@ -191,7 +232,8 @@
     else if (pool.size() == 1)
         picked.reason = Reason::OnlyCandidate;
     const auto& winner = *picked.candidate;
-    return Choice { winner.target, winner.reach, picked.reason, winner.cachedTokens, winner.cachedAge,
+    const bool isHome = &winner == &homeOf(nearest(pool), question);
+    return Choice { winner.target, winner.reach, picked.reason, isHome, winner.cachedTokens, winner.cachedAge,
         expectedFirstToken(winner, question) };
 }
 
--- a/src/routing/Policy.h
+++ b/src/routing/Policy.h
@@ -27,12 +27,15 @@
     uint32_t cachedTokens = 0; ///< believed to be cached from this prompt
     std::chrono::milliseconds cachedAge { 0 }; ///< since that belief was formed
     uint32_t nanosecondsPerToken = 0; ///< 0 while unknown
-    uint64_t rank = 0; ///< rendezvous rank for the prompt's leading prefix; the highest is its home
+    uint64_t familyRank = 0; ///< rendezvous rank for the prompt's beginning, which many prompts share
+    uint64_t rank = 0; ///< rendezvous rank for the prompt's whole prefix
 };
 
 struct Question {
     uint32_t promptTokens = 0;
-    uint32_t homeTokens = 0; ///< length of the leading prefix that decides the home
+    uint32_t knownTokens = 0; ///< longest prefix that was seen before, on any target
+    uint32_t homeTokens = 0; ///< length of the prefix that decides the home
+    double homeTrust = 0; ///< how likely a home holds that prefix although nobody here has seen it there
     uint64_t random = 0; ///< fresh for each choice
     bool preferReuse = false;
 };
@@ -53,6 +56,7 @@
     uint32_t target = 0;
     Reach reach = Reach::SameDataCentre;
     Reason reason = Reason::OnlyCandidate;
+    bool isHome = false;
     uint32_t cachedTokens = 0;
     std::chrono::milliseconds cachedAge { 0 };
     std::chrono::nanoseconds expectedFirstToken { 0 };
--- a/src/routing/TargetState.cpp
+++ b/src/routing/TargetState.cpp
@@ -8,6 +8,7 @@
 
     constexpr std::chrono::milliseconds firstAvoidance { 250 };
     constexpr uint32_t mostDoublings = 5;
+    constexpr uint32_t assumedNanosecondsPerToken = 50000;
 
 }
 
@@ -42,23 +43,29 @@
         return false;
     // A new process is not the one that was leaving, and its queue is empty.
     state.leavingSince.store(0, std::memory_order_relaxed);
-    state.reportedTokens.store(0, std::memory_order_relaxed);
+    state.othersTokens.store(0, std::memory_order_relaxed);
     return before;
 }
 
 void noteLoad(TargetState& state, uint32_t queuedTokens, Clock::time_point now)
 {
-    state.reportedTokens.store(queuedTokens, std::memory_order_relaxed);
-    state.pendingAtReport.store(state.pendingTokens.load(std::memory_order_relaxed), std::memory_order_relaxed);
+    const auto own = state.pendingTokens.load(std::memory_order_relaxed);
+    state.othersTokens.store(queuedTokens - std::min(queuedTokens, own), std::memory_order_relaxed);
     state.reportedAt.store(now.time_since_epoch().count(), std::memory_order_relaxed);
 }
 
-uint32_t queuedTokens(const TargetState& state)
+uint32_t queuedTokens(const TargetState& state, Clock::time_point now)
 {
-    const int64_t reported = state.reportedTokens.load(std::memory_order_relaxed);
-    const int64_t pending = state.pendingTokens.load(std::memory_order_relaxed);
-    const int64_t atReport = state.pendingAtReport.load(std::memory_order_relaxed);
-    return static_cast<uint32_t>(std::max(pending, reported + pending - atReport));
+    const int64_t others = state.othersTokens.load(std::memory_order_relaxed);
+    const auto cost = costPerToken(state.nanosecondsPerToken.load(std::memory_order_relaxed));
+    const auto done = others ? (now - timeOf(state.reportedAt)) / cost : 0;
+    const auto left = std::max<int64_t>(0, others - done);
+    return state.pendingTokens.load(std::memory_order_relaxed) + static_cast<uint32_t>(left);
+}
+
+std::chrono::nanoseconds costPerToken(uint32_t observedNanoseconds)
+{
+    return std::chrono::nanoseconds(observedNanoseconds ? observedNanoseconds : assumedNanosecondsPerToken);
 }
 
 }
--- a/src/routing/TargetState.h
+++ b/src/routing/TargetState.h
@@ -11,8 +11,7 @@
 struct TargetState {
     std::atomic<uint32_t> inFlight { 0 }; ///< calls of this instance under way
     std::atomic<uint32_t> pendingTokens { 0 }; ///< prompt tokens of this instance not yet answered with a first token
-    std::atomic<uint32_t> reportedTokens { 0 }; ///< the target's own word on its queue, in prompt tokens
-    std::atomic<uint32_t> pendingAtReport { 0 }; ///< pendingTokens when that word arrived
+    std::atomic<uint32_t> othersTokens { 0 }; ///< queued by others at the last report, in prompt tokens
     std::atomic<Clock::rep> reportedAt { 0 };
     std::atomic<Clock::rep> avoidUntil { 0 }; ///< after failures; targets avoided are used only as a last resort
     std::atomic<Clock::rep> leavingSince { 0 }; ///< 0 while it stays
@@ -42,8 +41,11 @@
 bool noteIncarnation(TargetState& state, std::string_view incarnation);
 void noteLoad(TargetState& state, uint32_t queuedTokens, Clock::time_point now);
 
-/// Prompt tokens that stand before a new request: the reported queue, corrected by what this
-/// instance has sent and seen answered since the report.
-uint32_t queuedTokens(const TargetState& state);
+/// Prompt tokens that stand before a new request: what this instance has sent and not seen answered, and
+/// what others had queued at the last report, less what the target has worked off since.
+uint32_t queuedTokens(const TargetState& state, Clock::time_point now);
+
+/// Observed prefill cost of a token, or an assumed one while none was observed.
+std::chrono::nanoseconds costPerToken(uint32_t observedNanoseconds);
 
 }
--- a/tests/RoutingTest.cpp
+++ b/tests/RoutingTest.cpp
@@ -18,7 +18,8 @@
     result.queuedTokens = queued;
     result.cachedTokens = cached;
     result.reach = reach;
-    result.rank = fastHash(std::to_string(target));
+    result.familyRank = fastHash(std::to_string(target));
+        result.rank = fastHash(std::to_string(target), 1);
     return result;
 }
 
@@ -102,22 +103,26 @@
 {
     const Policy policy = BoundedHash {};
     auto home = candidate(0, 0, 0);
-    home.rank = ~uint64_t(0);
+    home.familyRank = ~uint64_t(0);
     cr_assert_eq(chosen(policy, { home, candidate(1, 0, 0), candidate(2, 0, 0) }, question(100)), 0);
     home.queuedTokens = 5000;
     cr_assert_neq(chosen(policy, { home, candidate(1, 0, 0), candidate(2, 0, 0) }, question(100)), 0);
 }
 
-Test(targetState, loadReportsAreCorrectedByOwnWork)
+Test(targetState, reportedQueuesAreWorkedOff)
 {
     TargetState state;
+    state.nanosecondsPerToken = 100000;
     state.pendingTokens = 1000;
-    noteLoad(state, 3000, Clock::now());
-    cr_assert_eq(queuedTokens(state), 3000);
+    const auto now = Clock::now();
+    noteLoad(state, 3000, now);
+    cr_assert_eq(queuedTokens(state, now), 3000);
     state.pendingTokens = 1500;
-    cr_assert_eq(queuedTokens(state), 3500);
+    cr_assert_eq(queuedTokens(state, now), 3500);
+    cr_assert_eq(queuedTokens(state, now + 100ms), 2500);
+    cr_assert_eq(queuedTokens(state, now + 10s), 1500, "what this instance sent is not worked off before it is answered");
     state.pendingTokens = 0;
-    cr_assert_eq(queuedTokens(state), 2000);
+    cr_assert_eq(queuedTokens(state, now + 10s), 0);
 }
 
 Test(targetState, newIncarnationIsNotLeaving)
--- a/tools/measure.cpp
+++ b/tools/measure.cpp
@@ -36,6 +36,7 @@
     uint32_t answerTokens = 12;
     bool shift = true; ///< other houses and organisations become popular half-way
     bool loseEngine = false; ///< an engine is killed half-way
+    size_t entries = 3; ///< instances that share the requests
 };
 
 struct Shot {
@@ -120,7 +121,6 @@
 constexpr int engineCount = 9;
 constexpr uint32_t prefillMicroseconds = 50;
 constexpr uint32_t decodeMicroseconds = 5000;
-constexpr size_t entryCount = 3;
 
 std::string keyOf(int organisation)
 {
@@ -143,7 +143,7 @@
     {
         for (int i = 0; i < workload.organisations; ++i)
             this->callers.push_back(std::make_unique<Caller>(keyOf(i)));
-        for (size_t i = 0; !policy.isOracle && i < entryCount; ++i)
+        for (size_t i = 0; !policy.isOracle && i < workload.entries; ++i)
             this->site.startEntry();
         for (const auto& engine : this->site.engines)
             this->live.push_back(engine.get());
@@ -253,7 +253,7 @@
 
     AnswerPointer sendToEntry(const Flight& flight)
     {
-        const auto entry = this->launched % entryCount;
+        const auto entry = this->launched % this->workload.entries;
         return this->callers[static_cast<size_t>(flight.shot->organisation)]->post(this->site.entry(entry),
             "/v1/completions", QJsonDocument(this->bodyOf(flight)).toJson(QJsonDocument::Compact).toStdString());
     }
@@ -289,6 +289,8 @@
             const auto usage = flight->answer ? usageOf(*flight->answer) : QJsonObject();
             if (usage.isEmpty()) {
                 ++failed;
+                if (flight->answer)
+                    std::cerr << "failed: status " << flight->answer->status << ": " << flight->answer->body.substr(0, 300) << "\n";
                 continue;
             }
             const auto hit = usage["prompt_tokens_details"].toObject()["cached_tokens"].toInt();
@@ -340,7 +342,8 @@
         "the first of them")("seconds", options::value(&workload.seconds)->default_value(20), "length of the workload")(
         "surveys", options::value(&workload.surveysPerSecond)->default_value(50), "long prompts a second")(
         "questions", options::value(&workload.questionsPerSecond)->default_value(25), "short prompts a second")(
-        "prefer", options::value(&prefer)->default_value("latency"), "the route's preference")("lose-engine",
+        "prefer", options::value(&prefer)->default_value("latency"), "the route's preference")("entries",
+        options::value(&workload.entries)->default_value(3), "entry instances")("lose-engine",
         options::bool_switch(&workload.loseEngine), "kill an engine half-way")("help", "print this help");
     options::variables_map given;
     try {
