Tell the data centre's instances where prefixes and work were sent

Cause: with three instances each saw a third of the placements, and learnt of the others' load from reports that lag by half a second.

Change: an instance tells the others of its data centre, at most every 100 ms and within a budget of bytes a second, which target it sends which prefix to and how much work comes with it, when it sends it and not when it is answered. What peers tell is worked off like a reported queue; the larger of the two counts. Prefill weighs twice in the comparison (four times where the route prefers reuse), since it delays those who come after.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -68,7 +68,8 @@
     , transport(this->metrics)
     , prefixes(settings.prefixSlots)
     , shared { settings.instance, settings.place, settings.policy, settings.requests, settings.traceSample, this->views,
-        this->prefixes, this->homeTrust, this->retries, this->explanations, this->metrics, this->spans, this->ledger,
+        this->prefixes, this->homeTrust, this->placements, this->retries, this->explanations, this->metrics,
+        this->spans, this->ledger,
         [this](const std::string& target) {
             QMetaObject::invokeMethod(
                 this, [this, target] { this->noteLeaving(target); }, Qt::QueuedConnection);
@@ -105,6 +106,8 @@
     this->sync = std::make_unique<membership::PlatformSync>(this->store, *this->keeper, *this->fleet, this->metrics);
     this->prober = std::make_unique<membership::Prober>(*this->fleet, this->pool, this->metrics,
         [this](const routing::Target& target, const http::Headers& headers) { this->reportProbe(target, headers); });
+    this->placementExchange = std::make_unique<membership::PlacementExchange>(
+        *this->fleet, this->placements, this->prefixes, this->settings.placementBytesPerSecond);
     this->keeper->onApplied = [this] { this->fleet->spreadNow(); };
     this->sync->onLeaving = [this](const std::string& target) { this->noteLeaving(target); };
     this->fleet->onTargetNews
@@ -119,6 +122,7 @@
     this->fleet->start();
     this->sync->start();
     this->prober->start();
+    this->placementExchange->start();
     observe::logChange(observe::LogLevel::Info, "serving", { { "listen", this->listening.toString() } });
     std::cout << "ready" << std::endl;
     return Success {};
@@ -178,6 +182,7 @@
         objects, publication.manifest.revision(), publication.digest(), this->settings.place, this->registry);
     this->views.replace(this->view);
     this->prober->setView(this->view);
+    this->placementExchange->setView(this->view);
     this->registry.collect();
 }
 
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -56,6 +56,7 @@
     std::unique_ptr<membership::Fleet> fleet;
     std::unique_ptr<membership::PlatformSync> sync;
     std::unique_ptr<membership::Prober> prober;
+    std::unique_ptr<membership::PlacementExchange> placementExchange;
 
     entry::ReaderThread reader;
     entry::ViewHolder views;
@@ -63,6 +64,7 @@
     routing::ViewPointer view; ///< the one in force, for the control thread
     routing::PrefixMemory prefixes;
     routing::HomeTrust homeTrust;
+    routing::PlacementQueue placements;
     entry::RetryBudget retries;
     entry::ExplainLog explanations;
     entry::Context shared;
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -42,6 +42,7 @@
             reader.complain(
                 "policy", "expected expected-first-token, bounded-hash, two-choices, least-loaded or round-robin");
         settings.prefixSlots = reader.number("prefixSlots", 1 << 18, 1 << 10, 1 << 26);
+        settings.placementBytesPerSecond = reader.bytes("placementBytesPerSecond", 1024);
         reader.finish();
     }
 
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -22,6 +22,7 @@
     entry::RequestLimits requests;
     routing::Policy policy;
     size_t prefixSlots = 0;
+    uint64_t placementBytesPerSecond = 0; ///< for telling peers of placements
     claims::LedgerLimits claims;
     uint32_t claimWritesPerSecond = 0;
     std::optional<Endpoint> traceCollector;
--- a/src/entry/Context.h
+++ b/src/entry/Context.h
@@ -32,6 +32,7 @@
     ViewHolder& views;
     routing::PrefixMemory& prefixes;
     routing::HomeTrust& homeTrust;
+    routing::PlacementQueue& placements;
     RetryBudget& retries;
     ExplainLog& explanations;
     observe::Metrics& metrics;
--- a/src/entry/InferenceCall.cpp
+++ b/src/entry/InferenceCall.cpp
@@ -135,6 +135,9 @@
     this->attempt->load = TargetLoad(target.state, uncached);
     const auto now = Clock::now();
     this->attempt->sentAt = now;
+    // Remembered and told before it is true, so that requests for the same prefix follow it there at once.
+    routing::rememberPrompt(shared.prefixes, this->chain, target, now);
+    routing::tellPlacement(shared.placements, this->chain, this->attempt->choice, target);
     const auto request = this->engineRequest();
     if (this->attempt->choice.reach == routing::Reach::OtherRegion)
         shared.metrics.crossRegionBytes.Increment(static_cast<double>(request.body.size()));
@@ -271,7 +274,6 @@
     const auto now = Clock::now();
     auto& shared = this->scope.shared;
     routing::noteSuccess(*this->target().state);
-    routing::rememberPrompt(shared.prefixes, this->chain, this->target(), now);
     this->request.explanation.attempts.back().firstToken
         = std::chrono::duration_cast<std::chrono::microseconds>(now - this->attempt->sentAt);
     if (!this->tokens) {
--- a/src/entry/Request.cpp
+++ b/src/entry/Request.cpp
@@ -50,8 +50,8 @@
         excluded, begin };
     const auto gathered = routing::gatherCandidates(query);
     const auto& candidates = gathered.candidates;
-    const routing::Question question { promptTokens, gathered.knownTokens, chain ? routing::homeTokens(*chain) : 0, shared.homeTrust.value(),
-        random, request.route->prefer == pb::REUSE };
+    const routing::Question question { promptTokens, gathered.knownTokens, chain ? routing::homeTokens(*chain) : 0,
+        shared.homeTrust.value(), random, request.route->prefer == pb::REUSE };
     const auto choice = routing::chooseTarget(shared.policy, candidates, question);
     const std::chrono::duration<double> took = Clock::now() - begin;
     shared.metrics.decisionSeconds.Observe(took.count());
--- a/src/membership/Fleet.cpp
+++ b/src/membership/Fleet.cpp
@@ -58,6 +58,25 @@
         this->sendGossip(address);
 }
 
+size_t Fleet::liveInDataCentre() const
+{
+    const auto live = this->liveMembers();
+    return static_cast<size_t>(std::count_if(live.begin(), live.end(),
+        [this](const Member& member) { return member.place.dataCentre == this->own.place.dataCentre; }));
+}
+
+size_t Fleet::sendToDataCentre(const pb::PeerMessage& message)
+{
+    size_t sent = 0;
+    for (const auto& member : this->liveMembers()) {
+        if (member.place.dataCentre != this->own.place.dataCentre)
+            continue;
+        this->transport.send(member.address, message);
+        ++sent;
+    }
+    return sent;
+}
+
 std::vector<Member> Fleet::liveMembers() const
 {
     std::vector<Member> live;
@@ -194,6 +213,10 @@
     case pb::PeerMessage::kPartReply:
         this->keeper.take(message.part_reply());
         break;
+    case pb::PeerMessage::kPlacementNews:
+        if (this->onPlacements)
+            this->onPlacements(message.placement_news());
+        break;
     case pb::PeerMessage::BODY_NOT_SET:
         break; // from a later version of the protocol
     }
--- a/src/membership/Fleet.h
+++ b/src/membership/Fleet.h
@@ -51,6 +51,11 @@
         return this->own;
     }
 
+    /// How many live members the own data centre has beside this one.
+    size_t liveInDataCentre() const;
+    /// Sends @p message to each of them and returns how many there are.
+    size_t sendToDataCentre(const pb::PeerMessage& message);
+    std::function<void(const pb::PlacementNews&)> onPlacements;
     /// A peer's news about a target that was not known here.
     std::function<void(const std::string& target, const TargetNews&)> onTargetNews;
 
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -3,6 +3,7 @@
 
 #include "membership/ConfigKeeper.h"
 #include "membership/Fleet.h"
+#include "membership/PlacementExchange.h"
 #include "membership/PlatformSync.h"
 #include "membership/Prober.h"
 #include "membership/ZmqTransport.h"
--- a/src/routing/Candidates.cpp
+++ b/src/routing/Candidates.cpp
@@ -51,11 +51,6 @@
         return { longestUpTo(*query.chain, familyBytes).hash, homePoint(*query.chain).hash };
     }
 
-    uint32_t shortName(const Target& target)
-    {
-        return shortHash(fastHash(target.name));
-    }
-
     uint64_t rendezvousRank(uint64_t prefix, uint32_t target)
     {
         const uint64_t pair[] = { prefix, target };
@@ -116,7 +111,7 @@
         candidate.inFlight = state.inFlight.load(std::memory_order_relaxed);
         candidate.queuedTokens = queuedTokens(state, query.now);
         candidate.nanosecondsPerToken = state.nanosecondsPerToken.load(std::memory_order_relaxed);
-        const auto name = shortName(target);
+        const auto name = shortHash(fastHash(target.name));
         candidate.familyRank = rendezvousRank(hashes.family, name);
         candidate.rank = rendezvousRank(hashes.whole, name);
         candidates.push_back(candidate);
@@ -149,11 +144,26 @@
 void rememberPrompt(PrefixMemory& memory, const PrefixChain& chain, const Target& target, Clock::time_point now)
 {
     const auto incarnation = shortHash(target.state->incarnation.load(std::memory_order_relaxed));
-    const auto name = shortName(target);
+    const auto name = shortHash(fastHash(target.name));
     for (const auto& point : chain)
         memory.remember(point.hash, name, incarnation, now);
 }
 
+void tellPlacement(PlacementQueue& queue, const PrefixChain& chain, const Choice& choice, const Target& target)
+{
+    if (!chain.count)
+        return;
+    const auto incarnation = shortHash(target.state->incarnation.load(std::memory_order_relaxed));
+    const auto name = shortHash(fastHash(target.name));
+    const auto whole = homePoint(chain);
+    const auto promptTokens = tokensOf(chain.promptBytes);
+    queue.push({ whole.hash, name, incarnation, promptTokens - std::min(promptTokens, choice.cachedTokens) });
+    for (const auto& point : chain) {
+        if (tokensOf(point.bytes) == choice.knownTokens && point.hash != whole.hash)
+            queue.push({ point.hash, name, incarnation, 0 });
+    }
+}
+
 void noteCacheOutcome(TargetState& state, uint32_t believedTokens, uint32_t cachedTokens, std::chrono::milliseconds age)
 {
     if (!believedTokens)
--- a/src/routing/Candidates.h
+++ b/src/routing/Candidates.h
@@ -1,6 +1,7 @@
 #pragma once
 // Gathers what is known about a route's targets into candidates for the policy.
 
+#include "routing/Placement.h"
 #include "routing/Policy.h"
 #include "routing/PrefixMemory.h"
 #include "routing/View.h"
@@ -33,7 +34,10 @@
 /// answers. Instances that see a share of the traffic each meet at homes without a word to each other.
 class HomeTrust {
 public:
-    double value() const { return this->thousandths.load(std::memory_order_relaxed) / 1000.0; }
+    double value() const
+    {
+        return this->thousandths.load(std::memory_order_relaxed) / 1000.0;
+    }
     /// A home was asked that was believed to hold @p believedTokens of @p homeTokens, and held @p cachedTokens.
     void learn(uint32_t believedTokens, uint32_t homeTokens, uint32_t cachedTokens);
 
@@ -44,6 +48,10 @@
 /// Remembers that @p target holds every prefix of @p chain.
 void rememberPrompt(PrefixMemory& memory, const PrefixChain& chain, const Target& target, Clock::time_point now);
 
+/// Queues what others need to know of it: the whole prefix, and the part that was known before, from
+/// which other prompts branch off.
+void tellPlacement(PlacementQueue& queue, const PrefixChain& chain, const Choice& choice, const Target& target);
+
 /// Learns from the target's word on how much it had cached, against what was believed.
 void noteCacheOutcome(
     TargetState& state, uint32_t believedTokens, uint32_t cachedTokens, std::chrono::milliseconds age);
--- a/src/routing/Policy.cpp
+++ b/src/routing/Policy.cpp
@@ -16,7 +16,9 @@
     constexpr nanoseconds networkTime[] = { nanoseconds(500000), nanoseconds(2000000), nanoseconds(60000000) };
     /// Added to other regions in the comparison, because traffic across is paid for.
     constexpr nanoseconds otherRegionSurcharge { 200000000 };
-    constexpr uint32_t reuseWeight = 4;
+    /// Prefill delays those who come after as well, so it weighs more than waiting does.
+    constexpr uint32_t latencyComputeWeight = 2;
+    constexpr uint32_t reuseComputeWeight = 4;
 
     uint32_t uncachedTokens(const Candidate& candidate, const Question& question)
     {
@@ -129,9 +131,9 @@
     nanoseconds score(const Candidate& candidate, const Question& question)
     {
         auto result = expectedFirstToken(candidate, question);
-        if (question.preferReuse)
-            result += costPerToken(candidate.nanosecondsPerToken)
-                * (uint64_t(reuseWeight - 1) * uncachedTokens(candidate, question));
+        const auto weight = question.preferReuse ? reuseComputeWeight : latencyComputeWeight;
+        result += costPerToken(candidate.nanosecondsPerToken)
+            * (uint64_t(weight - 1) * uncachedTokens(candidate, question));
         if (candidate.reach == Reach::OtherRegion)
             result += otherRegionSurcharge;
         return result;
@@ -145,7 +147,8 @@
         for (const auto& candidate : candidates)
             order.push_back(&candidate);
         const auto local = order.begin() + static_cast<ptrdiff_t>(near.size());
-        std::sort(order.begin(), local, [](const Candidate* a, const Candidate* b) { return a->familyRank > b->familyRank; });
+        std::sort(
+            order.begin(), local, [](const Candidate* a, const Candidate* b) { return a->familyRank > b->familyRank; });
         const Candidate* best = nullptr;
         nanoseconds bestScore {};
         for (size_t place = 0; place < order.size(); ++place) {
@@ -233,8 +236,8 @@
         picked.reason = Reason::OnlyCandidate;
     const auto& winner = *picked.candidate;
     const bool isHome = &winner == &homeOf(nearest(pool), question);
-    return Choice { winner.target, winner.reach, picked.reason, isHome, winner.cachedTokens, winner.cachedAge,
-        expectedFirstToken(winner, question) };
+    return Choice { winner.target, winner.reach, picked.reason, isHome, winner.cachedTokens, question.knownTokens,
+        winner.cachedAge, expectedFirstToken(winner, question) };
 }
 
 }
--- a/src/routing/Policy.h
+++ b/src/routing/Policy.h
@@ -58,6 +58,7 @@
     Reason reason = Reason::OnlyCandidate;
     bool isHome = false;
     uint32_t cachedTokens = 0;
+    uint32_t knownTokens = 0; ///< as in the question
     std::chrono::milliseconds cachedAge { 0 };
     std::chrono::nanoseconds expectedFirstToken { 0 };
 };
--- a/src/routing/TargetState.cpp
+++ b/src/routing/TargetState.cpp
@@ -10,6 +10,18 @@
     constexpr uint32_t mostDoublings = 5;
     constexpr uint32_t assumedNanosecondsPerToken = 50000;
 
+    /// What is left at @p now of a queue of @p tokens at time @p since.
+    uint32_t leftOf(const TargetState& state, const std::atomic<uint32_t>& tokens, const std::atomic<Clock::rep>& since,
+        Clock::time_point now)
+    {
+        const int64_t queued = tokens.load(std::memory_order_relaxed);
+        if (!queued)
+            return 0;
+        const auto cost = costPerToken(state.nanosecondsPerToken.load(std::memory_order_relaxed));
+        const int64_t done = (now - timeOf(since)) / cost;
+        return static_cast<uint32_t>(std::max<int64_t>(0, queued - done));
+    }
+
 }
 
 void noteFailure(TargetState& state, Clock::time_point now)
@@ -44,6 +56,7 @@
     // A new process is not the one that was leaving, and its queue is empty.
     state.leavingSince.store(0, std::memory_order_relaxed);
     state.othersTokens.store(0, std::memory_order_relaxed);
+    state.toldTokens.store(0, std::memory_order_relaxed);
     return before;
 }
 
@@ -56,11 +69,16 @@
 
 uint32_t queuedTokens(const TargetState& state, Clock::time_point now)
 {
-    const int64_t others = state.othersTokens.load(std::memory_order_relaxed);
-    const auto cost = costPerToken(state.nanosecondsPerToken.load(std::memory_order_relaxed));
-    const auto done = others ? (now - timeOf(state.reportedAt)) / cost : 0;
-    const auto left = std::max<int64_t>(0, others - done);
-    return state.pendingTokens.load(std::memory_order_relaxed) + static_cast<uint32_t>(left);
+    const auto reported = leftOf(state, state.othersTokens, state.reportedAt, now);
+    const auto told = leftOf(state, state.toldTokens, state.toldAt, now);
+    return state.pendingTokens.load(std::memory_order_relaxed) + std::max(reported, told);
+}
+
+void noteOthersWork(TargetState& state, uint32_t tokens, Clock::time_point now)
+{
+    const auto left = leftOf(state, state.toldTokens, state.toldAt, now);
+    state.toldAt.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+    state.toldTokens.store(left + tokens, std::memory_order_relaxed);
 }
 
 std::chrono::nanoseconds costPerToken(uint32_t observedNanoseconds)
--- a/src/routing/TargetState.h
+++ b/src/routing/TargetState.h
@@ -13,6 +13,8 @@
     std::atomic<uint32_t> pendingTokens { 0 }; ///< prompt tokens of this instance not yet answered with a first token
     std::atomic<uint32_t> othersTokens { 0 }; ///< queued by others at the last report, in prompt tokens
     std::atomic<Clock::rep> reportedAt { 0 };
+    std::atomic<uint32_t> toldTokens { 0 }; ///< queued by others at toldAt, added up from what they told
+    std::atomic<Clock::rep> toldAt { 0 };
     std::atomic<Clock::rep> avoidUntil { 0 }; ///< after failures; targets avoided are used only as a last resort
     std::atomic<Clock::rep> leavingSince { 0 }; ///< 0 while it stays
     std::atomic<uint32_t> failures { 0 }; ///< in a row
@@ -41,8 +43,12 @@
 bool noteIncarnation(TargetState& state, std::string_view incarnation);
 void noteLoad(TargetState& state, uint32_t queuedTokens, Clock::time_point now);
 
+/// Another instance says that it sent work of @p tokens. Only from the control thread.
+void noteOthersWork(TargetState& state, uint32_t tokens, Clock::time_point now);
+
 /// Prompt tokens that stand before a new request: what this instance has sent and not seen answered, and
-/// what others had queued at the last report, less what the target has worked off since.
+/// what others have queued, less what the target has worked off since. Reports lag and peers' word may
+/// be lost, so the larger of the two counts.
 uint32_t queuedTokens(const TargetState& state, Clock::time_point now);
 
 /// Observed prefill cost of a token, or an assumed one while none was observed.
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -39,6 +39,7 @@
     uint32_t priority = 0;
     uint32_t promptTokens = 0;
     uint32_t cachedTokens = 0;
+    bool prefillBegun = false;
     double prefillLeft = 0; ///< tokens
     uint32_t next = 0; ///< index of the next token
     uint32_t end = 0;
@@ -137,6 +138,11 @@
         return !this->settings.prefillMicroseconds && !this->settings.decodeMicroseconds;
     }
 
+    uint32_t uncachedTokens(const Job& job) const
+    {
+        return job.promptTokens - std::min(job.promptTokens, this->cache.peekTokens(job.prompt, job.salt));
+    }
+
     /// What an oracle may know: what of a prompt is cached now, and the true queue before it.
     void peek(http::Exchange& exchange)
     {
@@ -144,9 +150,9 @@
         const auto salt = dragonfly::fastHash(body["cache_salt"].toString().toStdString());
         double queued = 0;
         for (const auto& job : this->running)
-            queued += job->prefillLeft;
+            queued += job->prefillBegun ? job->prefillLeft : this->uncachedTokens(*job);
         for (const auto& job : this->waiting)
-            queued += job->promptTokens - std::min(job->promptTokens, this->cache.peekTokens(job->prompt, job->salt));
+            queued += this->uncachedTokens(*job);
         uint32_t shortest = 0;
         if (this->running.size() >= this->settings.slots) {
             shortest = ~0u;
@@ -210,18 +216,26 @@
                 [](const JobPointer& a, const JobPointer& b) { return a->priority < b->priority; });
             const auto job = *first;
             this->waiting.erase(first);
-            job->cachedTokens = this->cache.cachedTokens(job->prompt, job->salt);
-            job->prefillLeft = job->promptTokens - std::min(job->promptTokens, job->cachedTokens);
-            this->promptTokens += job->promptTokens;
-            this->cachedTokens += job->cachedTokens;
             this->running.push_back(job);
         }
     }
 
+    /// Looks up what is cached of a prompt when its prefill begins: those before it are cached by then.
+    void beginPrefill(Job& job)
+    {
+        job.prefillBegun = true;
+        job.cachedTokens = this->cache.cachedTokens(job.prompt, job.salt);
+        job.prefillLeft = this->uncachedTokens(job);
+        this->promptTokens += job.promptTokens;
+        this->cachedTokens += job.cachedTokens;
+    }
+
     void prefill(double tokens)
     {
         for (const auto& job : this->running) {
-            if (job->prefillLeft <= 0)
+            if (!job->prefillBegun)
+                this->beginPrefill(*job);
+            else if (job->prefillLeft <= 0)
                 continue;
             const auto step
                 = this->settings.prefillMicroseconds ? std::min(tokens, job->prefillLeft) : job->prefillLeft;
@@ -237,7 +251,7 @@
     {
         const auto jobs = this->running;
         for (const auto& job : jobs) {
-            if (job->prefillLeft > 0 || (job->started && now < job->nextTokenAt))
+            if (!job->prefillBegun || job->prefillLeft > 0 || (job->started && now < job->nextTokenAt))
                 continue;
             if (this->silentAfter && job->next >= this->silentAfter)
                 continue;
@@ -289,9 +303,9 @@
     {
         double tokens = 0;
         for (const auto& job : this->running)
-            tokens += job->prefillLeft;
+            tokens += job->prefillBegun ? job->prefillLeft : this->uncachedTokens(*job);
         for (const auto& job : this->waiting)
-            tokens += job->promptTokens;
+            tokens += this->uncachedTokens(*job);
         return static_cast<uint32_t>(tokens);
     }
 
--- a/tests/RoutingTest.cpp
+++ b/tests/RoutingTest.cpp
@@ -19,7 +19,7 @@
     result.cachedTokens = cached;
     result.reach = reach;
     result.familyRank = fastHash(std::to_string(target));
-        result.rank = fastHash(std::to_string(target), 1);
+    result.rank = fastHash(std::to_string(target), 1);
     return result;
 }
 
@@ -120,11 +120,27 @@
     state.pendingTokens = 1500;
     cr_assert_eq(queuedTokens(state, now), 3500);
     cr_assert_eq(queuedTokens(state, now + 100ms), 2500);
-    cr_assert_eq(queuedTokens(state, now + 10s), 1500, "what this instance sent is not worked off before it is answered");
+    cr_assert_eq(
+        queuedTokens(state, now + 10s), 1500, "what this instance sent is not worked off before it is answered");
     state.pendingTokens = 0;
     cr_assert_eq(queuedTokens(state, now + 10s), 0);
 }
 
+Test(targetState, peersWordAndReportsDoNotAddUp)
+{
+    TargetState state;
+    state.nanosecondsPerToken = 100000;
+    const auto now = Clock::now();
+    noteOthersWork(state, 1000, now);
+    noteOthersWork(state, 1000, now + 50ms);
+    cr_assert_eq(queuedTokens(state, now + 50ms), 1500);
+    noteLoad(state, 800, now + 50ms);
+    cr_assert_eq(queuedTokens(state, now + 50ms), 1500, "the report knows of the same work");
+    noteLoad(state, 4000, now + 50ms);
+    cr_assert_eq(queuedTokens(state, now + 50ms), 4000);
+    cr_assert_eq(queuedTokens(state, now + 10s), 0);
+}
+
 Test(targetState, newIncarnationIsNotLeaving)
 {
     TargetState state;
--- a/tests/support/Process.cpp
+++ b/tests/support/Process.cpp
@@ -119,6 +119,20 @@
     return pages * static_cast<uint64_t>(sysconf(_SC_PAGESIZE));
 }
 
+double Process::processorSeconds() const
+{
+    std::ifstream file("/proc/" + std::to_string(this->process.processId()) + "/stat");
+    std::string field;
+    double ticks = 0;
+    constexpr int userField = 14;
+    constexpr int systemField = 15;
+    for (int number = 1; number <= systemField && file >> field; ++number) {
+        if (number >= userField)
+            ticks += std::stod(field);
+    }
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
 Finished runToEnd(const std::string& program, const QStringList& arguments, std::chrono::milliseconds time)
 {
     QProcess process;
--- a/tests/support/Process.h
+++ b/tests/support/Process.h
@@ -36,6 +36,8 @@
     int waitForExit(std::chrono::milliseconds time);
     /// Resident memory in bytes.
     uint64_t residentBytes() const;
+    /// Processor time used so far.
+    double processorSeconds() const;
     std::string log() const
     {
         return this->errors;
--- a/tools/measure.cpp
+++ b/tools/measure.cpp
@@ -290,7 +290,8 @@
             if (usage.isEmpty()) {
                 ++failed;
                 if (flight->answer)
-                    std::cerr << "failed: status " << flight->answer->status << ": " << flight->answer->body.substr(0, 300) << "\n";
+                    std::cerr << "failed: status " << flight->answer->status << ": "
+                              << flight->answer->body.substr(0, 300) << "\n";
                 continue;
             }
             const auto hit = usage["prompt_tokens_details"].toObject()["cached_tokens"].toInt();
@@ -342,8 +343,8 @@
         "the first of them")("seconds", options::value(&workload.seconds)->default_value(20), "length of the workload")(
         "surveys", options::value(&workload.surveysPerSecond)->default_value(50), "long prompts a second")(
         "questions", options::value(&workload.questionsPerSecond)->default_value(25), "short prompts a second")(
-        "prefer", options::value(&prefer)->default_value("latency"), "the route's preference")("entries",
-        options::value(&workload.entries)->default_value(3), "entry instances")("lose-engine",
+        "prefer", options::value(&prefer)->default_value("latency"), "the route's preference")(
+        "entries", options::value(&workload.entries)->default_value(3), "entry instances")("lose-engine",
         options::bool_switch(&workload.loseEngine), "kill an engine half-way")("help", "print this help");
     options::variables_map given;
     try {
