Assume a prefix elsewhere only where nobody is known to hold it; end tests' processes with them

A target next in the family's order was assumed to hold most of a prefix even while another was known to hold all of it, and won by a queue shorter by a few tokens.

Change: the trust in homes counts only for what is not known to be held. Processes of a test end when the test does, also when it crashes.

--- a/src/routing/Policy.cpp
+++ b/src/routing/Policy.cpp
@@ -119,13 +119,17 @@
     }
 
     /// Tokens of the prompt that @p candidate may hold, seen here or not. Other instances send the same
-    /// prefixes to the same home, and when it is busy to the next in the family's order, and so on.
+    /// prefixes to the same home, and when it is busy to the next in the family's order, and so on. Where
+    /// the prefix is known to be held, no other target is assumed to hold it as well.
     uint32_t assumedTokens(const Candidate& candidate, const Question& question, size_t place, bool isHome)
     {
-        const auto shared = question.knownTokens ? question.knownTokens : question.homeTokens;
-        const auto nearHome = question.homeTrust * std::pow(spillShare, place);
-        const auto assumed = withTrust(candidate.cachedTokens, shared, nearHome);
-        return isHome ? withTrust(assumed, question.homeTokens, question.homeTrust) : assumed;
+        if (question.knownTokens >= familyShare * question.homeTokens)
+            return candidate.cachedTokens;
+        if (isHome)
+            return withTrust(candidate.cachedTokens, question.homeTokens, question.homeTrust);
+        if (question.knownTokens)
+            return candidate.cachedTokens;
+        return withTrust(0, question.homeTokens, question.homeTrust * std::pow(spillShare, place));
     }
 
     nanoseconds score(const Candidate& candidate, const Question& question)
--- a/tests/support/Process.cpp
+++ b/tests/support/Process.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <sys/prctl.h>
 #include <unistd.h>
 
 namespace testing {
@@ -43,6 +44,8 @@
 
 Process::Process(const std::string& program, const QStringList& arguments, const std::string& readyLabel)
 {
+    // A test that crashes or runs out of time runs no destructors; its processes must end with it.
+    this->process.setChildProcessModifier([] { prctl(PR_SET_PDEATHSIG, SIGKILL); });
     this->process.start(QString::fromStdString(std::string(BUILD_FOLDER) + "/" + program), arguments);
     QObject::connect(&this->process, &QProcess::readyReadStandardError,
         [this] { this->errors += this->process.readAllStandardError().toStdString(); });
