Take an answer of the platform only for the very write it answers

With the platform's answers crossed between connections, an instance took the success of another write for its own and sent calls without a claim.

Change: a compare-and-swap reads its key back in the same transaction, and counts as done only when key and value are the ones written; a conflict and a read count only when their keys were asked for. Everything else is an answer of unknown fate, after which the ledger reads again.

--- a/src/platform/HttpStore.cpp
+++ b/src/platform/HttpStore.cpp
@@ -2,6 +2,7 @@
 
 #include <QJsonArray>
 #include <QJsonDocument>
+#include <algorithm>
 
 namespace dragonfly::platform {
 
@@ -45,6 +46,24 @@
         return range;
     }
 
+    /// The pairs in one response of a transaction; none when it is no read.
+    std::vector<KeyValue> keyValuesOf(const QJsonObject& response)
+    {
+        std::vector<KeyValue> pairs;
+        const auto range = response["response_range"].toObject();
+        const auto list = range["kvs"].toArray();
+        for (const auto& pair : list)
+            pairs.push_back(keyValueOf(pair.toObject()));
+        return pairs;
+    }
+
+    bool wasAskedFor(const std::vector<ReadRequest>& ranges, const std::string& key)
+    {
+        return std::any_of(ranges.begin(), ranges.end(), [&key](const ReadRequest& range) {
+            return range.isPrefix ? key.starts_with(range.key) : key == range.key;
+        });
+    }
+
     template <typename Outcome, typename Read> auto translate(std::function<void(Outcome)> done, Read read)
     {
         return [done = std::move(done), read](const std::variant<QJsonObject, StoreFailure>& reply) {
@@ -97,14 +116,19 @@
     for (const auto& range : ranges)
         operations.append(QJsonObject { { "request_range", rangeOf(range) } });
     const QJsonObject body { { "compare", QJsonArray() }, { "success", operations } };
-    this->post("/v3/kv/txn", body, deadline, translate(std::move(done), [](const QJsonObject& reply) -> ReadResult {
-        std::vector<KeyValue> found;
-        for (const auto& response : reply["responses"].toArray()) {
-            for (const auto& pair : response.toObject()["response_range"].toObject()["kvs"].toArray())
-                found.push_back(keyValueOf(pair.toObject()));
-        }
-        return found;
-    }));
+    this->post(
+        "/v3/kv/txn", body, deadline, translate(std::move(done), [ranges](const QJsonObject& reply) -> ReadResult {
+            std::vector<KeyValue> found;
+            const auto responses = reply["responses"].toArray();
+            for (const auto& response : responses) {
+                for (const auto& pair : keyValuesOf(response.toObject())) {
+                    if (!wasAskedFor(ranges, pair.key))
+                        return StoreFailure::Unknown; // the answer to another call
+                    found.push_back(pair);
+                }
+            }
+            return found;
+        }));
 }
 
 void HttpStore::compareAndSwap(const std::string& key, int64_t expected, const std::string& value, Deadline deadline,
@@ -114,15 +138,22 @@
         { "mod_revision", QString::number(expected) } };
     const QJsonObject write { { "request_put", QJsonObject { { "key", encode(key) }, { "value", encode(value) } } } };
     const QJsonObject readBack { { "request_range", rangeOf({ key }) } };
-    const QJsonObject body { { "compare", QJsonArray { compare } }, { "success", QJsonArray { write } },
+    const QJsonObject body { { "compare", QJsonArray { compare } }, { "success", QJsonArray { write, readBack } },
         { "failure", QJsonArray { readBack } } };
-    this->post("/v3/kv/txn", body, deadline, translate(std::move(done), [key](const QJsonObject& reply) -> SwapResult {
-        if (reply["succeeded"].toBool())
-            return Swapped { numberOf(reply["header"].toObject()["revision"]) };
-        const auto range = reply["responses"].toArray().first().toObject()["response_range"].toObject();
-        const auto pairs = range["kvs"].toArray();
-        return Conflict { pairs.isEmpty() ? KeyValue { key, {}, 0 } : keyValueOf(pairs.first().toObject()) };
-    }));
+    this->post(
+        "/v3/kv/txn", body, deadline, translate(std::move(done), [key, value](const QJsonObject& reply) -> SwapResult {
+            const auto responses = reply["responses"].toArray();
+            const auto pairs = keyValuesOf(responses.last().toObject());
+            if (!pairs.empty() && pairs.front().key != key)
+                return StoreFailure::Unknown; // the answer to another call
+            const bool succeeded = reply["succeeded"].toBool();
+            if (!succeeded)
+                return Conflict { pairs.empty() ? KeyValue { key, {}, 0 } : pairs.front() };
+            // Only the value itself shows that the answer is to this write, and not to another one of this key.
+            if (pairs.empty() || pairs.front().value != value)
+                return StoreFailure::Unknown;
+            return Swapped { pairs.front().modRevision };
+        }));
 }
 
 void HttpStore::put(const std::string& key, const std::string& value, int64_t lease, Deadline deadline,
--- a/tests/AtMostOnceTest.cpp
+++ b/tests/AtMostOnceTest.cpp
@@ -269,3 +269,30 @@
     cr_assert(answer->execution() == "not-run");
     cr_assert(executions(site).empty());
 }
+
+Test(atMostOnce, crossedAnswersOfThePlatform, .timeout = 90)
+{
+    const Application application;
+    SiteOptions options;
+    options.dataCentres = 2;
+    Site site(options);
+    site.startEntry(0);
+    site.startEntry(1);
+    Caller caller(apiKey);
+    AnswersByKey byKey;
+    std::vector<AnswerPointer> all;
+    for (int round = 0; round < 6; ++round) {
+        site.platform->fault("cross");
+        for (int key = 0; key < 12; ++key) {
+            const auto name = "crossed-" + std::to_string(round) + "-" + std::to_string(key);
+            for (size_t entry = 0; entry < 2; ++entry) {
+                byKey[name].push_back(book(caller, site.entry(entry), name));
+                all.push_back(byKey[name].back());
+            }
+        }
+        runFor(700ms);
+        site.platform->fault("pass");
+        cr_assert(waitForAll(all, 20s));
+    }
+    checkTruth(site, byKey);
+}
