--- a/src/base/Base.h
+++ b/src/base/Base.h
@@ -1,6 +1,7 @@
 #pragma once
 // What every module uses: time, errors, endpoints and hashes.
 
+#include "base/BootClock.h"
 #include "base/Digest.h"
 #include "base/Endpoint.h"
 #include "base/Error.h"
--- a/src/base/Error.h
+++ b/src/base/Error.h
@@ -54,7 +54,7 @@
     ErrorKind kind;
     std::string detail; ///< for people; never holds a key or a prompt
     Execution execution = Execution::NotRun;
-    std::chrono::seconds retryAfter = std::chrono::seconds(0); ///< zero: no advice
+    std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0); ///< zero: no advice
 };
 
 template <typename Value> using Result = std::variant<Value, Error>;
--- a/src/claims/ClaimLedger.cpp
+++ b/src/claims/ClaimLedger.cpp
@@ -32,7 +32,7 @@
 }
 
 ClaimLedger::ClaimLedger(
-    platform::KeyValueStore& store, const LedgerLimits& limits, uint32_t writesPerSecond, QObject* parent)
+    store::KeyValueStore& store, const LedgerLimits& limits, uint32_t writesPerSecond, QObject* parent)
     : QObject(parent)
     , store(store)
     , limits(limits)
@@ -185,10 +185,10 @@
     auto& document = this->documents[number];
     document.busy = true;
     ++this->count.reads;
-    this->store.read({ { documentKey(number) } }, Clock::now() + callTime, [this, number](platform::ReadResult result) {
+    this->store.read({ { documentKey(number) } }, Clock::now() + callTime, [this, number](store::ReadResult result) {
         auto& document = this->documents[number];
         document.busy = false;
-        const auto* found = std::get_if<std::vector<platform::KeyValue>>(&result);
+        const auto* found = std::get_if<std::vector<store::KeyValue>>(&result);
         if (!found) {
             this->backOff(number);
             return;
@@ -210,24 +210,24 @@
     ++this->count.writes;
     auto bytes = content.SerializeAsString();
     this->store.compareAndSwap(documentKey(number), document.modRevision, bytes, Clock::now() + callTime,
-        [this, number, content = std::move(content)](platform::SwapResult result) mutable {
+        [this, number, content = std::move(content)](store::SwapResult result) mutable {
             auto& document = this->documents[number];
             document.busy = false;
-            if (const auto* swapped = std::get_if<platform::Swapped>(&result)) {
+            if (const auto* swapped = std::get_if<store::Swapped>(&result)) {
                 document.modRevision = swapped->modRevision;
                 document.content = std::move(content);
                 document.failures = 0;
                 document.polls = 0;
                 document.fenceNeeded = false;
                 this->settle(document, true);
-            } else if (const auto* conflict = std::get_if<platform::Conflict>(&result)) {
+            } else if (const auto* conflict = std::get_if<store::Conflict>(&result)) {
                 ++this->count.conflicts;
                 // Whatever was sent on an older revision can no longer take effect.
                 document.fenceNeeded = false;
                 document.modRevision = conflict->current.modRevision;
                 document.known = document.content.ParseFromString(conflict->current.value);
             } else {
-                const bool unknown = std::get<platform::StoreFailure>(result) == platform::StoreFailure::Unknown;
+                const bool unknown = std::get<store::StoreFailure>(result) == store::StoreFailure::Unknown;
                 this->count.unknownWrites += unknown;
                 document.fenceNeeded |= unknown;
                 this->backOff(number);
--- a/src/claims/ClaimLedger.h
+++ b/src/claims/ClaimLedger.h
@@ -7,7 +7,7 @@
 // older write can then no longer take effect.
 
 #include "claims/ClaimRules.h"
-#include "platform/KeyValueStore.h"
+#include "store/KeyValueStore.h"
 
 #include <QObject>
 #include <deque>
@@ -32,7 +32,7 @@
 public:
     static constexpr uint32_t documentCount = 64;
 
-    ClaimLedger(platform::KeyValueStore& store, const LedgerLimits& limits, uint32_t writesPerSecond,
+    ClaimLedger(store::KeyValueStore& store, const LedgerLimits& limits, uint32_t writesPerSecond,
         QObject* parent = nullptr);
 
     /// Claims a call, or waits for the attempt that holds it, until @p deadline.
@@ -84,7 +84,7 @@
     void wakeLater(uint32_t number, std::chrono::milliseconds delay);
     bool takeWrite();
 
-    platform::KeyValueStore& store;
+    store::KeyValueStore& store;
     LedgerLimits limits;
     double writesPerSecond;
     double writeTokens;
--- a/src/ctl/BlockingStore.cpp
+++ b/src/ctl/BlockingStore.cpp
@@ -25,25 +25,25 @@
 
 }
 
-BlockingStore::BlockingStore(platform::KeyValueStore& store)
+BlockingStore::BlockingStore(store::KeyValueStore& store)
     : store(store)
 {
 }
 
-platform::ReadResult BlockingStore::read(const std::vector<platform::ReadRequest>& ranges)
+store::ReadResult BlockingStore::read(const std::vector<store::ReadRequest>& ranges)
 {
-    return await<platform::ReadResult>([&](auto done) { this->store.read(ranges, Clock::now() + callTime, done); });
+    return await<store::ReadResult>([&](auto done) { this->store.read(ranges, Clock::now() + callTime, done); });
 }
 
-platform::SwapResult BlockingStore::compareAndSwap(const std::string& key, int64_t expected, const std::string& value)
+store::SwapResult BlockingStore::compareAndSwap(const std::string& key, int64_t expected, const std::string& value)
 {
-    return await<platform::SwapResult>(
+    return await<store::SwapResult>(
         [&](auto done) { this->store.compareAndSwap(key, expected, value, Clock::now() + callTime, done); });
 }
 
-platform::WriteResult BlockingStore::put(const std::string& key, const std::string& value)
+store::WriteResult BlockingStore::put(const std::string& key, const std::string& value)
 {
-    return await<platform::WriteResult>(
+    return await<store::WriteResult>(
         [&](auto done) { this->store.put(key, value, 0, Clock::now() + callTime, done); });
 }
 
--- a/src/ctl/Publisher.cpp
+++ b/src/ctl/Publisher.cpp
@@ -20,11 +20,11 @@
     {
         const auto& references = publication.manifest.parts();
         for (int first = 0; first < references.size(); first += partsPerRead) {
-            std::vector<platform::ReadRequest> ranges;
+            std::vector<store::ReadRequest> ranges;
             for (int i = first; i < std::min<int>(first + partsPerRead, references.size()); ++i)
                 ranges.push_back({ config::partKey(references[i].sha256()) });
             const auto result = store.read(ranges);
-            const auto* pairs = std::get_if<std::vector<platform::KeyValue>>(&result);
+            const auto* pairs = std::get_if<std::vector<store::KeyValue>>(&result);
             if (!pairs)
                 return outOfReach();
             for (const auto& pair : *pairs)
@@ -42,7 +42,7 @@
                 continue;
             if (bytes.size() > mostValueBytes)
                 return "a part is larger than the platform's service takes: " + std::to_string(bytes.size()) + " bytes";
-            if (std::holds_alternative<platform::StoreFailure>(store.put(config::partKey(digest), bytes)))
+            if (std::holds_alternative<store::StoreFailure>(store.put(config::partKey(digest), bytes)))
                 return "the platform's service does not answer; nothing was published";
         }
         return {};
@@ -67,7 +67,7 @@
 Result<Stored> readStored(BlockingStore& store)
 {
     const auto result = store.read({ { std::string(config::manifestKey) } });
-    const auto* pairs = std::get_if<std::vector<platform::KeyValue>>(&result);
+    const auto* pairs = std::get_if<std::vector<store::KeyValue>>(&result);
     if (!pairs)
         return outOfReach();
     Stored stored;
@@ -103,10 +103,10 @@
     for (int attempt = 0; attempt < swapAttempts; ++attempt) {
         const auto result
             = store.compareAndSwap(std::string(config::manifestKey), current.modRevision, next.manifestBytes);
-        if (std::holds_alternative<platform::Swapped>(result))
+        if (std::holds_alternative<store::Swapped>(result))
             return Published { next.manifest.revision() };
-        const auto* failure = std::get_if<platform::StoreFailure>(&result);
-        wasUnknown |= failure && *failure == platform::StoreFailure::Unknown;
+        const auto* failure = std::get_if<store::StoreFailure>(&result);
+        wasUnknown |= failure && *failure == store::StoreFailure::Unknown;
         // Also after a conflict: it may be our own earlier swap, whose answer was lost.
         if (const auto outcome = findOut(store, next, current.modRevision))
             return *outcome;
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -298,8 +298,8 @@
     if (arguments.platform.empty())
         return complain(Usage, "--platform ADDRESS is required");
     http::ClientPool pool;
-    platform::HttpStore httpStore(arguments.platform, &pool);
-    ctl::BlockingStore store(httpStore);
+    store::GatewayStore gatewayStore(arguments.platform, &pool);
+    ctl::BlockingStore store(gatewayStore);
     if (command == "show")
         return show(arguments, store);
     return command == "diff" ? diff(arguments, store, words[1]) : publish(arguments, store, words[1]);
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -4,7 +4,7 @@
 #include "daemon/Settings.h"
 #include "entry/Worker.h"
 #include "membership/Membership.h"
-#include "platform/Platform.h"
+#include "store/Store.h"
 
 #include <QHttpServer>
 #include <QObject>
@@ -51,7 +51,7 @@
     std::unique_ptr<prometheus::Exposer> exposer;
     observe::SpanExporter spans;
     http::ClientPool pool;
-    platform::HttpStore store;
+    store::GatewayStore store;
     claims::ClaimLedger ledger;
     membership::ZmqTransport transport;
     std::unique_ptr<membership::ConfigKeeper> keeper;
--- /dev/null
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -0,0 +1,198 @@
+#include "daemon/ForwardingDaemon.h"
+
+#include <QCoreApplication>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QTcpServer>
+#include <iostream>
+
+namespace dragonfly::daemon {
+
+using observe::logChange;
+using observe::LogLevel;
+
+namespace {
+
+    /// How often the end of the last request is looked for.
+    constexpr std::chrono::milliseconds drainPoll { 50 };
+
+    QString text(const std::string& value)
+    {
+        return QString::fromStdString(value);
+    }
+
+    weights::RolloutSettings rolloutSettings(const Settings& settings)
+    {
+        return { settings.instance, settings.forwarding.orderRole, settings.forwarding.parallelLoads };
+    }
+
+}
+
+ForwardingDaemon::ForwardingDaemon(const Settings& given)
+    : settings(given)
+    , store(settings.platform.front(), &this->storeConnections)
+    , directory(settings.forwarding.proofValidity)
+    , sync(this->store, this->records, this->directory, this->metrics)
+    , rollout(rolloutSettings(this->settings), this->store, this->engines, this->directory, this->metrics)
+    , forwarding(this->settings.forwarding.requests, this->directory, this->headers, this->metrics)
+    , forwarder(this->forwarding)
+    , server(settings.server, [this](const http::ExchangePointer& exchange) { this->forwarder.handle(exchange); })
+{
+}
+
+Status ForwardingDaemon::start()
+{
+    logChange(LogLevel::Info, "starting",
+        { { "data_centre", this->settings.place.dataCentre }, { "platform", this->settings.platform.front().toString() },
+            { "proof_validity_ms", std::to_string(this->settings.forwarding.proofValidity.count()) } });
+    this->directory.onRoutesChanged = [this] { this->applyRoutes(); };
+    this->directory.onWeightsChanged = [this] { this->rollout.noteChange(); };
+    this->sync.followedKey = weights::WeightsRollout::roleKey;
+    this->sync.onFollowedKey = [this](bool exists) { this->rollout.noteRole(exists); };
+    this->server.onRefusal = [this](ErrorKind kind) {
+        this->metrics.failed(kind).Increment();
+        observe::logDecision(observe::Decision::Refused,
+            { { "outcome", std::string(answerFor(kind).name) },
+                { "status", std::to_string(answerFor(kind).status) }, { "execution", "not-run" } });
+    };
+    const auto listened = this->server.listenShared(this->settings.listen);
+    if (const auto* error = errorOf(listened))
+        return *error;
+    for (const auto& step : { &ForwardingDaemon::startAdmin, &ForwardingDaemon::startMetrics }) {
+        if (auto status = (this->*step)(); errorOf(status))
+            return status;
+    }
+    this->sync.start();
+    const auto listening = std::get<Endpoint>(listened).toString();
+    logChange(LogLevel::Info, "serving", { { "listen", listening } });
+    std::cout << "listen " << listening << "\nready" << std::endl;
+    return Success {};
+}
+
+Status ForwardingDaemon::startAdmin()
+{
+    this->admin.route("/ready", [this] {
+        this->noteReadiness();
+        return QHttpServerResponse(this->wasReady ? "ready\n" : "not ready\n",
+            this->wasReady ? QHttpServerResponse::StatusCode::Ok
+                           : QHttpServerResponse::StatusCode::ServiceUnavailable);
+    });
+    this->admin.route("/status", [this] { return QHttpServerResponse("application/json", this->statusJson()); });
+    const auto& at = this->settings.admin;
+    const auto port = this->admin.listen(QHostAddress(text(at.host)), at.port);
+    if (!port)
+        return Error { ErrorKind::Internal, "cannot listen on " + at.toString(), Execution::NotRun, {} };
+    std::cout << "admin " << Endpoint { at.host, port }.toString() << std::endl;
+    return Success {};
+}
+
+Status ForwardingDaemon::startMetrics()
+{
+    const auto& at = this->settings.metrics;
+    try {
+        this->exposer = std::make_unique<prometheus::Exposer>(at.toString(), 1);
+    } catch (const std::exception& failure) {
+        return Error { ErrorKind::Internal, "cannot listen on " + at.toString() + ": " + failure.what(),
+            Execution::NotRun, {} };
+    }
+    this->exposer->RegisterCollectable(this->metrics.registry());
+    std::cout << "metrics " << at.host << ":" << this->exposer->GetListeningPorts().front() << std::endl;
+    return Success {};
+}
+
+void ForwardingDaemon::applyRoutes()
+{
+    const auto& limits = this->directory.routes()->limits();
+    auto serverLimits = this->settings.server;
+    serverLimits.headerBytes = limits.headerBytes;
+    serverLimits.bodyBytes = limits.bodyBytes;
+    serverLimits.headerTime = limits.headerTime;
+    serverLimits.idleTime = limits.idleTime;
+    this->server.setLimits(serverLimits);
+}
+
+/// Callers are served better elsewhere while this instance cannot vouch for their keys.
+bool ForwardingDaemon::isReady() const
+{
+    const auto& routes = this->directory.routes();
+    if (this->phase != Phase::Serving || !routes)
+        return false;
+    return !routes->needsKeys() || this->directory.freshness.isProved(BootClock::now());
+}
+
+void ForwardingDaemon::noteReadiness()
+{
+    const bool ready = this->isReady();
+    if (ready == this->wasReady)
+        return;
+    this->wasReady = ready;
+    const auto age = this->directory.freshness.age(BootClock::now());
+    logChange(LogLevel::Info, ready ? "ready" : "not ready",
+        { { "configured", this->directory.routes() ? "yes" : "no" },
+            { "config_age_ms", age ? std::to_string(age->count()) : "unproved" },
+            { "draining", this->phase == Phase::Serving ? "no" : "yes" } });
+}
+
+QByteArray ForwardingDaemon::statusJson() const
+{
+    const auto now = Clock::now();
+    const auto age = this->directory.freshness.age(BootClock::now());
+    QJsonObject status;
+    status["instance"] = text(this->settings.instance);
+    status["data_centre"] = text(this->settings.place.dataCentre);
+    status["phase"] = this->phase == Phase::Serving ? "serving" : "draining";
+    status["platform_reachable"] = this->sync.isReachable();
+    const auto& routes = this->directory.routes();
+    status["config_version"] = routes ? static_cast<qint64>(routes->version()) : 0;
+    status["config_age_ms"] = age ? static_cast<qint64>(age->count()) : -1;
+    status["active_requests"] = this->forwarding.activeRequests;
+    QJsonArray targets;
+    for (const auto& [id, target] : this->directory.targets())
+        targets.append(QJsonObject { { "id", text(id) }, { "service", text(target->registration.service) },
+            { "data_centre", text(target->registration.dataCentre) },
+            { "draining", target->registration.isDraining }, { "usable", target->isUsable(now) },
+            { "in_flight", static_cast<int>(target->state->inFlight.load()) } });
+    status["targets"] = targets;
+    return QJsonDocument(status).toJson(QJsonDocument::Compact);
+}
+
+void ForwardingDaemon::drain()
+{
+    if (this->phase != Phase::Serving)
+        return;
+    this->phase = Phase::Noticed;
+    logChange(LogLevel::Info, "draining", { { "active_requests", std::to_string(this->forwarding.activeRequests) } });
+    this->server.announceClosing();
+    this->rollout.stop([] { });
+    // New work is still taken until the balancer has had time to see that /ready says no.
+    QTimer::singleShot(this->settings.drainNotice, this, &ForwardingDaemon::finishRequests);
+}
+
+void ForwardingDaemon::finishRequests()
+{
+    this->phase = Phase::Finishing;
+    this->server.close();
+    this->server.stopKeepingConnections();
+    this->waitForRequests(Clock::now() + this->settings.drainTime);
+}
+
+void ForwardingDaemon::waitForRequests(Deadline deadline)
+{
+    const bool isIdle = !this->forwarding.activeRequests && !this->server.connectionCount();
+    if (!isIdle && Clock::now() < deadline) {
+        QTimer::singleShot(drainPoll, this, [this, deadline] { this->waitForRequests(deadline); });
+        return;
+    }
+    this->leave();
+}
+
+void ForwardingDaemon::leave()
+{
+    logChange(LogLevel::Info, "stopping",
+        { { "active_requests", std::to_string(this->forwarding.activeRequests) },
+            { "log_lines_dropped", std::to_string(observe::droppedLogLines()) } });
+    QCoreApplication::quit();
+}
+
+}
--- /dev/null
+++ b/src/daemon/ForwardingDaemon.h
@@ -0,0 +1,62 @@
+#pragma once
+// One entry instance that forwards requests as they came, on a platform that registers its targets.
+//
+// Everything runs in one event loop: these instances have a fraction of one core, and a second thread would
+// only add switches between the two.
+
+#include "daemon/Settings.h"
+#include "directory/DirectorySync.h"
+#include "forward/Forward.h"
+#include "platform/Platform.h"
+#include "weights/Weights.h"
+
+#include <QHttpServer>
+#include <QObject>
+#include <memory>
+#include <prometheus/exposer.h>
+
+namespace dragonfly::daemon {
+
+class ForwardingDaemon : public QObject {
+    Q_OBJECT
+public:
+    explicit ForwardingDaemon(const Settings& settings);
+
+    /// Opens every socket and prints the addresses on standard output.
+    Status start();
+    /// Ends without cutting a request, then quits the application.
+    void drain();
+
+private:
+    enum class Phase { Serving, Noticed, Finishing };
+
+    Status startAdmin();
+    Status startMetrics();
+    void applyRoutes();
+    bool isReady() const;
+    void noteReadiness();
+    QByteArray statusJson() const;
+    void finishRequests();
+    void waitForRequests(Deadline deadline);
+    void leave();
+
+    Settings settings;
+    observe::Metrics metrics;
+    std::unique_ptr<prometheus::Exposer> exposer;
+    http::ClientPool storeConnections;
+    platform::StoreClient store;
+    platform::RecordCodec records;
+    platform::HeaderCodec headers;
+    platform::EngineCodec engines;
+    directory::Directory directory;
+    directory::DirectorySync sync;
+    weights::WeightsRollout rollout;
+    forward::ForwardContext forwarding;
+    forward::Forwarder forwarder;
+    http::Server server;
+    QHttpServer admin;
+    Phase phase = Phase::Serving;
+    bool wasReady = false;
+};
+
+}
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -9,6 +9,8 @@
     using std::chrono::minutes;
     using std::chrono::seconds;
 
+    /// Kept off the time within which a revoked key must be refused, for requests on their way to a target.
+    constexpr milliseconds revocationMargin { 600 };
     constexpr const char* anyPort = "127.0.0.1:0";
 
     void readServer(MapReader reader, http::ServerLimits& limits)
@@ -69,11 +71,43 @@
         reader.finish();
     }
 
+    std::map<std::string, std::string> readRegions(MapReader reader, const YAML::Node& node)
+    {
+        std::map<std::string, std::string> regions;
+        for (const auto& entry : node) {
+            const auto dataCentre = entry.first.as<std::string>();
+            regions[dataCentre] = reader.requiredText(dataCentre);
+        }
+        reader.finish();
+        return regions;
+    }
+
+    void readForwarding(MapReader reader, Settings& settings, const std::map<std::string, std::string>& regions)
+    {
+        auto& forwarding = settings.forwarding;
+        const auto revocation = reader.duration("revocationTime", seconds(5));
+        if (revocation <= revocationMargin)
+            reader.complain("revocationTime", "expected more than 600ms");
+        forwarding.proofValidity = revocation - revocationMargin;
+        forwarding.orderRole.leaseTime = reader.duration("orderLease", forwarding.orderRole.leaseTime);
+        forwarding.parallelLoads = reader.fraction("parallelLoads", 0.2);
+        forwarding.requests.retryBudget.ratio = reader.fraction("retryRatio", 0.2);
+        forwarding.requests.retryBudget.window = reader.duration("retryWindow", seconds(10));
+        reader.finish();
+        forwarding.requests.instance = settings.instance;
+        forwarding.requests.place = settings.place;
+        forwarding.requests.policy = settings.policy;
+        forwarding.requests.regions = regions;
+        forwarding.requests.prefixSlots = settings.prefixSlots;
+    }
+
     void readAll(const std::string& file, const YAML::Node& node, LoadedSettings& loaded)
     {
         auto& settings = loaded.settings;
         MapReader reader(file, node, loaded.problems);
         const auto part = [&](const char* name) { return MapReader(file, reader.child(name), loaded.problems); };
+        settings.interface
+            = reader.choice("interface", { "completions", "forwarding" }, 0) ? Interface::Forwarding : Interface::Completions;
         settings.instance = reader.requiredText("instance");
         settings.place.region = reader.requiredText("region");
         settings.place.dataCentre = reader.requiredText("dataCentre");
@@ -94,6 +128,8 @@
         readClaims(part("claims"), settings);
         readTrace(part("trace"), settings);
         readDrain(part("drain"), settings);
+        const auto regions = readRegions(part("regions"), node["regions"]);
+        readForwarding(part("forwarding"), settings, regions);
         reader.finish();
     }
 
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -4,10 +4,27 @@
 #include "claims/Claims.h"
 #include "config/YamlReader.h"
 #include "entry/Context.h"
+#include "forward/ForwardContext.h"
+#include "weights/OrderRole.h"
 
 namespace dragonfly::daemon {
 
+/// What callers speak with an instance.
+enum class Interface {
+    Completions, ///< the product's own: models and services by path, objects published with dragonflyctl
+    Forwarding, ///< requests that describe themselves and are passed on as they came
+};
+
+/// Settings of an instance that forwards.
+struct ForwardingSettings {
+    forward::ForwardSettings requests;
+    std::chrono::milliseconds proofValidity { 0 }; ///< how long a proof that the configuration is the newest holds
+    weights::RoleTimes orderRole;
+    double parallelLoads = 0; ///< share of a model's engines that load weights at the same time
+};
+
 struct Settings {
+    Interface interface = Interface::Completions;
     std::string instance;
     routing::Place place;
     Endpoint listen; ///< for callers
@@ -29,6 +46,7 @@
     double traceSample = 0;
     std::chrono::milliseconds drainNotice { 0 }; ///< still taking new work, while the balancer takes notice
     std::chrono::milliseconds drainTime { 0 }; ///< then at most this long for requests under way
+    ForwardingSettings forwarding;
 };
 
 struct LoadedSettings {
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,7 @@
 // dragonflyd: the daemon, one process for each entry instance.
 
 #include "daemon/Daemon.h"
+#include "daemon/ForwardingDaemon.h"
 
 #include <QCoreApplication>
 #include <QSocketNotifier>
@@ -30,12 +31,11 @@
     return signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
 }
 
-int runDaemon(int argc, char** argv, const dragonfly::daemon::Settings& settings)
+/// Runs a daemon until it has drained. Signals have been blocked before the first thread was made.
+template <typename SomeDaemon> int runDaemon(const dragonfly::daemon::Settings& settings, int signals)
 {
-    const int signals = openSignalDescriptor();
-    QCoreApplication application(argc, argv);
     dragonfly::observe::startLog(settings.instance);
-    dragonfly::daemon::Daemon daemon(settings);
+    SomeDaemon daemon(settings);
     const auto started = daemon.start();
     if (const auto* error = dragonfly::errorOf(started)) {
         std::cerr << "dragonflyd: " << error->detail << "\n";
@@ -88,5 +88,9 @@
         std::cout << file << ": ok\n";
         return 0;
     }
-    return runDaemon(argc, argv, loaded.settings);
+    const int signals = openSignalDescriptor();
+    const QCoreApplication application(argc, argv);
+    if (loaded.settings.interface == dragonfly::daemon::Interface::Forwarding)
+        return runDaemon<dragonfly::daemon::ForwardingDaemon>(loaded.settings, signals);
+    return runDaemon<dragonfly::daemon::Daemon>(loaded.settings, signals);
 }
--- /dev/null
+++ b/src/directory/Directory.cpp
@@ -0,0 +1,116 @@
+#include "directory/Directory.h"
+
+#include "observe/Log.h"
+
+namespace dragonfly::directory {
+
+using observe::logChange;
+using observe::LogLevel;
+
+namespace {
+
+    std::string describe(const Registration& registration)
+    {
+        std::string weights;
+        for (const auto& [model, version] : registration.weights)
+            weights += (weights.empty() ? "" : ",") + model + ":" + std::to_string(version);
+        return weights;
+    }
+
+    void logTarget(const char* what, const Registration& registration)
+    {
+        logChange(LogLevel::Info, what,
+            { { "target", registration.id }, { "service", registration.service },
+                { "address", registration.endpoint.toString() }, { "data_centre", registration.dataCentre },
+                { "draining", registration.isDraining ? "yes" : "no" }, { "weights", describe(registration) } });
+    }
+
+    bool isSameLife(const Registration& a, const Registration& b)
+    {
+        return a.endpoint == b.endpoint && a.service == b.service && a.startedUnixMs == b.startedUnixMs;
+    }
+
+}
+
+bool Directory::apply(Deployment deployment)
+{
+    if (this->table && deployment.version <= this->table->version())
+        return false;
+    logChange(LogLevel::Info, "configuration in force",
+        { { "version", std::to_string(deployment.version) },
+            { "previous", std::to_string(this->table ? this->table->version() : 0) },
+            { "routes", std::to_string(deployment.routes.size()) },
+            { "organisations", std::to_string(deployment.organisations.size()) } });
+    this->table = std::make_shared<const RouteTable>(std::move(deployment));
+    if (this->onRoutesChanged)
+        this->onRoutesChanged();
+    return true;
+}
+
+std::vector<TargetPointer> Directory::targetsOf(std::string_view service) const
+{
+    std::vector<TargetPointer> found;
+    for (const auto& [id, target] : this->byId) {
+        if (target->registration.service == service)
+            found.push_back(target);
+    }
+    return found;
+}
+
+void Directory::registerTarget(Registration registration)
+{
+    auto& target = this->byId[registration.id];
+    const bool isNew = !target || !isSameLife(target->registration, registration);
+    if (isNew)
+        target = std::make_shared<Target>();
+    const bool changesWeights = isNew || target->registration.weights != registration.weights;
+    if (isNew || changesWeights || target->registration.isDraining != registration.isDraining)
+        logTarget(isNew ? "target registered" : "target changed", registration);
+    target->registration = std::move(registration);
+    if (changesWeights && this->onWeightsChanged)
+        this->onWeightsChanged();
+}
+
+void Directory::removeTarget(const std::string& id)
+{
+    const auto found = this->byId.find(id);
+    if (found == this->byId.end())
+        return;
+    logTarget("target removed", found->second->registration);
+    // Requests under way still hold the target and must not choose it again.
+    found->second->registration.isDraining = true;
+    this->byId.erase(found);
+    if (this->onWeightsChanged)
+        this->onWeightsChanged();
+}
+
+void Directory::keepOnly(const std::set<std::string>& ids)
+{
+    std::vector<std::string> gone;
+    for (const auto& [id, target] : this->byId) {
+        if (!ids.contains(id))
+            gone.push_back(id);
+    }
+    for (const auto& id : gone)
+        this->removeTarget(id);
+}
+
+uint64_t Directory::wantedWeights(const std::string& model) const
+{
+    const auto found = this->wanted.find(model);
+    return found == this->wanted.end() ? 0 : found->second;
+}
+
+void Directory::nameWeights(const NamedWeights& named)
+{
+    auto& version = this->wanted[named.model];
+    if (named.version <= version)
+        return;
+    version = named.version;
+    logChange(
+        LogLevel::Info, "weights named", { { "model", named.model }, { "version", std::to_string(named.version) } });
+    if (this->onWeightsChanged)
+        this->onWeightsChanged();
+}
+
+}
--- /dev/null
+++ b/src/directory/Directory.h
@@ -0,0 +1,61 @@
+#pragma once
+// What an instance knows of the deployment: routes, targets and the weights that are wanted.
+//
+// Lives in the thread of the event loop. A configuration never gives way to an older one.
+
+#include "directory/Freshness.h"
+#include "directory/RouteTable.h"
+#include "directory/Target.h"
+
+#include <functional>
+#include <map>
+#include <set>
+
+namespace dragonfly::directory {
+
+class Directory {
+public:
+    explicit Directory(std::chrono::milliseconds proofValidity)
+        : freshness(proofValidity)
+    {
+    }
+
+    Freshness freshness;
+
+    /// The routes in force; null before the first configuration.
+    const RouteTablePointer& routes() const
+    {
+        return this->table;
+    }
+    /// Puts @p deployment in force unless it is older than what is. True when it did.
+    bool apply(Deployment deployment);
+
+    /// Targets of @p service, in the order of their ids.
+    std::vector<TargetPointer> targetsOf(std::string_view service) const;
+    const std::map<std::string, TargetPointer>& targets() const
+    {
+        return this->byId;
+    }
+    void registerTarget(Registration registration);
+    void removeTarget(const std::string& id);
+    /// Removes every target that is not in @p ids: a whole list was read.
+    void keepOnly(const std::set<std::string>& ids);
+
+    /// The version of @p model that operators want; 0 while none was named.
+    uint64_t wantedWeights(const std::string& model) const;
+    void nameWeights(const NamedWeights& named);
+    const std::map<std::string, uint64_t>& allWantedWeights() const
+    {
+        return this->wanted;
+    }
+
+    std::function<void()> onRoutesChanged;
+    std::function<void()> onWeightsChanged; ///< wanted ones or a target's
+
+private:
+    RouteTablePointer table;
+    std::map<std::string, TargetPointer> byId;
+    std::map<std::string, uint64_t> wanted;
+};
+
+}
--- /dev/null
+++ b/src/directory/DirectorySync.cpp
@@ -0,0 +1,306 @@
+#include "directory/DirectorySync.h"
+
+#include "observe/Log.h"
+
+#include <QRandomGenerator>
+#include <algorithm>
+#include <utility>
+
+namespace dragonfly::directory {
+
+using observe::logChange;
+using observe::LogLevel;
+
+namespace {
+
+    /// Longest answer time of a read or check.
+    constexpr std::chrono::milliseconds callTime { 1000 };
+    /// How long one watch waits. A watch that has gone silent unnoticed hides changes for about this time.
+    constexpr std::chrono::milliseconds watchTime { 4000 };
+    /// Added to the former before a watch counts as lost.
+    constexpr std::chrono::milliseconds watchSlack { 700 };
+    /// Between two checks that the configuration is still the newest: several fit into a proof's validity.
+    constexpr std::chrono::milliseconds proofPeriod { 1500 };
+    /// The next check after one that failed.
+    constexpr std::chrono::milliseconds proofRetry { 400 };
+    /// Pauses after failed calls grow from the first to the last of these, with full jitter.
+    constexpr std::chrono::milliseconds firstPause { 100 };
+    constexpr std::chrono::milliseconds longestPause { 800 };
+    constexpr int mostDoublings = 3;
+    /// Targets whose records lapsed in an outage register again within this time; the platform promises two seconds.
+    constexpr std::chrono::milliseconds lapseGrace { 2200 };
+
+    std::chrono::milliseconds jitter(std::chrono::milliseconds bound)
+    {
+        return std::chrono::milliseconds(QRandomGenerator::global()->bounded(static_cast<int>(bound.count()) + 1));
+    }
+
+}
+
+DirectorySync::DirectorySync(
+    store::WatchableStore& store, const RecordDecoder& decoder, Directory& directory, observe::Metrics& metrics)
+    : store(store)
+    , decoder(decoder)
+    , directory(directory)
+    , metrics(metrics)
+{
+    this->retryTimer.setSingleShot(true);
+    this->proofTimer.setSingleShot(true);
+    connect(&this->retryTimer, &QTimer::timeout, this, &DirectorySync::readAll);
+    this->absenceTimer.setSingleShot(true);
+    connect(&this->absenceTimer, &QTimer::timeout, this, &DirectorySync::removeAbsent);
+    connect(&this->proofTimer, &QTimer::timeout, this, &DirectorySync::checkProof);
+}
+
+void DirectorySync::start()
+{
+    this->readAll();
+}
+
+std::string DirectorySync::prefixOf(ReadStep readStep) const
+{
+    switch (readStep) {
+    case ReadStep::Deployment:
+        return this->decoder.deploymentKey();
+    case ReadStep::Targets:
+        return this->decoder.registrationPrefix();
+    case ReadStep::Weights:
+        return this->decoder.weightsPrefix();
+    case ReadStep::Followed:
+        return this->followedKey;
+    case ReadStep::Done:
+        break;
+    }
+    return {};
+}
+
+void DirectorySync::readAll()
+{
+    this->step = ReadStep::Deployment;
+    this->lastKey.clear();
+    this->readRevision = 0;
+    this->readStarted = BootClock::now();
+    this->listed.clear();
+    this->followedListed = false;
+    this->readNext();
+}
+
+void DirectorySync::readNext()
+{
+    this->metrics.platformCalls.Increment();
+    this->store.readPage(this->prefixOf(this->step), this->lastKey, Clock::now() + callTime,
+        [this](const store::PageResult& result) { this->onPage(result); });
+}
+
+void DirectorySync::onPage(const store::PageResult& result)
+{
+    const auto* page = std::get_if<store::Page>(&result);
+    this->noteCall(page);
+    if (!page) {
+        this->restart("the platform's records could not be read");
+        return;
+    }
+    if (!this->readRevision)
+        this->readRevision = page->revision;
+    for (const auto& pair : page->pairs) {
+        if (this->step == ReadStep::Targets)
+            this->listed.insert(pair.key);
+        this->followedListed |= pair.key == this->followedKey;
+        if (this->step == ReadStep::Deployment)
+            this->takeDeployment(pair, this->readStarted);
+        else
+            this->take({ pair, false });
+    }
+    this->lastKey = page->hasMore && !page->pairs.empty() ? page->pairs.back().key : std::string();
+    if (this->lastKey.empty())
+        this->step = static_cast<ReadStep>(static_cast<int>(this->step) + 1);
+    if (this->step == ReadStep::Done)
+        this->finishReading();
+    else
+        this->readNext();
+}
+
+void DirectorySync::finishReading()
+{
+    std::vector<std::string> gone;
+    for (const auto& [key, revision] : this->targetRevisions) {
+        // What was written after the read began may be missing from its pages.
+        if (!this->listed.contains(key) && revision <= this->readRevision)
+            gone.push_back(key);
+    }
+    for (const auto& key : gone)
+        this->takeTarget({ { key, {}, this->readRevision }, true });
+    if (!this->followedListed && this->onFollowedKey)
+        this->onFollowedKey(false);
+    this->watchedRevision = this->readRevision;
+    this->watch();
+    this->scheduleProof();
+}
+
+void DirectorySync::watch()
+{
+    const auto until = Clock::now() + watchTime;
+    this->metrics.platformCalls.Increment();
+    this->store.watch("", this->watchedRevision, until, until + watchSlack,
+        [this](const store::WatchResult& result) { this->onWatch(result); });
+}
+
+void DirectorySync::onWatch(const store::WatchResult& result)
+{
+    if (std::holds_alternative<store::HistoryGone>(result)) {
+        this->noteCall(true);
+        this->readAll();
+        return;
+    }
+    const auto* changes = std::get_if<store::Changes>(&result);
+    this->noteCall(changes);
+    if (!changes) {
+        this->restart("the watch was cut");
+        return;
+    }
+    for (const auto& change : changes->changes)
+        this->take(change);
+    this->watchedRevision = std::max(this->watchedRevision, changes->revision);
+    this->watch();
+}
+
+void DirectorySync::restart(const char* reason)
+{
+    const auto bound = std::min(longestPause, firstPause * (1 << std::min(this->failures, mostDoublings)));
+    logChange(LogLevel::Info, "reading the platform's records anew",
+        { { "reason", reason }, { "failures", std::to_string(this->failures) } });
+    this->retryTimer.start(this->failures > 1 ? bound / 2 + jitter(bound / 2) : jitter(bound));
+}
+
+void DirectorySync::scheduleProof()
+{
+    if (!this->proofTimer.isActive())
+        this->proofTimer.start(proofPeriod);
+}
+
+void DirectorySync::checkProof()
+{
+    if (!this->deploymentRevision) {
+        this->scheduleProof();
+        return;
+    }
+    const auto askedAt = BootClock::now();
+    this->metrics.platformCalls.Increment();
+    this->store.checkRevision(this->decoder.deploymentKey(), this->deploymentRevision, Clock::now() + callTime,
+        [this, askedAt](const store::CheckResult& result) { this->onChecked(result, askedAt); });
+}
+
+void DirectorySync::onChecked(const store::CheckResult& result, BootClock::time_point askedAt)
+{
+    const bool answered = !std::holds_alternative<store::StoreFailure>(result);
+    this->noteCall(answered);
+    if (const auto* conflict = std::get_if<store::Conflict>(&result))
+        this->takeDeployment(conflict->current, askedAt);
+    else if (answered)
+        this->directory.freshness.prove(askedAt);
+    this->proofTimer.start(answered ? proofPeriod : proofRetry + jitter(proofRetry));
+}
+
+void DirectorySync::take(const store::Change& change)
+{
+    const auto& key = change.pair.key;
+    if (key == this->decoder.deploymentKey()) {
+        if (!change.isRemoval)
+            this->takeDeployment(change.pair, {});
+    } else if (key.starts_with(this->decoder.registrationPrefix())) {
+        this->takeTarget(change);
+    } else if (key.starts_with(this->decoder.weightsPrefix())) {
+        if (!change.isRemoval)
+            this->takeWeights(change.pair);
+    } else if (key == this->followedKey && this->onFollowedKey) {
+        this->onFollowedKey(!change.isRemoval);
+    }
+}
+
+/// @param readAt before the linearizable read that gave the record; the epoch when a watch told of it
+void DirectorySync::takeDeployment(const store::KeyValue& pair, BootClock::time_point readAt)
+{
+    if (pair.key != this->decoder.deploymentKey())
+        return;
+    const bool isRead = readAt != BootClock::time_point {};
+    if (pair.modRevision > this->deploymentRevision) {
+        auto decoded = this->decoder.decodeDeployment(pair.value);
+        if (const auto* error = errorOf(decoded)) {
+            logChange(LogLevel::Error, "configuration refused",
+                { { "revision", std::to_string(pair.modRevision) }, { "reason", error->detail } });
+            this->directory.freshness.disprove();
+            return;
+        }
+        this->deploymentRevision = pair.modRevision;
+        this->directory.apply(std::move(std::get<Deployment>(decoded)));
+        this->metrics.configApplied.Increment();
+        this->metrics.configRevision.Set(static_cast<double>(this->directory.routes()->version()));
+    }
+    if (isRead && pair.modRevision == this->deploymentRevision)
+        this->directory.freshness.prove(readAt);
+}
+
+void DirectorySync::takeTarget(const store::Change& change)
+{
+    const auto& key = change.pair.key;
+    const auto known = this->targetRevisions.find(key);
+    if (known != this->targetRevisions.end() && change.pair.modRevision < known->second)
+        return;
+    const auto id = key.substr(this->decoder.registrationPrefix().size());
+    if (change.isRemoval) {
+        const auto now = Clock::now();
+        if (now < this->absenceDeadline) {
+            this->absent.insert(key);
+            this->absenceTimer.start(remaining(this->absenceDeadline, now));
+            return;
+        }
+        this->targetRevisions.erase(key);
+        this->directory.removeTarget(id);
+        return;
+    }
+    this->absent.erase(key);
+    const bool isNew = known == this->targetRevisions.end() || change.pair.modRevision > known->second;
+    this->targetRevisions[key] = change.pair.modRevision;
+    auto decoded = this->decoder.decodeRegistration(key, change.pair.value);
+    if (const auto* error = errorOf(decoded)) {
+        // The record names no target to use; one that it named before is not known to be there any more.
+        if (isNew)
+            logChange(LogLevel::Warning, "target record refused", { { "key", key }, { "reason", error->detail } });
+        this->directory.removeTarget(id);
+        return;
+    }
+    this->directory.registerTarget(std::move(std::get<Registration>(decoded)));
+}
+
+void DirectorySync::takeWeights(const store::KeyValue& pair)
+{
+    const auto decoded = this->decoder.decodeWeights(pair.key, pair.value);
+    if (const auto* error = errorOf(decoded))
+        logChange(LogLevel::Error, "named weights refused", { { "key", pair.key }, { "reason", error->detail } });
+    else
+        this->directory.nameWeights(std::get<NamedWeights>(decoded));
+}
+
+void DirectorySync::removeAbsent()
+{
+    for (const auto& key : std::exchange(this->absent, {})) {
+        this->targetRevisions.erase(key);
+        this->directory.removeTarget(key.substr(this->decoder.registrationPrefix().size()));
+    }
+}
+
+void DirectorySync::noteCall(bool succeeded)
+{
+    this->failures = succeeded ? 0 : this->failures + 1;
+    if (!succeeded)
+        this->metrics.platformFailures.Increment();
+    if (succeeded == this->reachable)
+        return;
+    this->reachable = succeeded;
+    if (succeeded)
+        this->absenceDeadline = Clock::now() + lapseGrace;
+    logChange(succeeded ? LogLevel::Info : LogLevel::Warning,
+        succeeded ? "the platform's service answers" : "the platform's service does not answer");
+}
+
+}
--- /dev/null
+++ b/src/directory/DirectorySync.h
@@ -0,0 +1,85 @@
+#pragma once
+// Keeps the directory up to date from the platform's service.
+//
+// A whole read of the deployment, the list of targets and the named weights is followed by watches. A
+// watch can miss changes without saying so, and a list can lose them in a gap; therefore the deployment's
+// revision is checked in short intervals, and everything is read anew whenever a watch is cut.
+
+#include "directory/Directory.h"
+#include "directory/RecordDecoder.h"
+#include "observe/Metrics.h"
+#include "store/KeyValueStore.h"
+
+#include <QObject>
+#include <QTimer>
+
+namespace dragonfly::directory {
+
+class DirectorySync : public QObject {
+    Q_OBJECT
+public:
+    DirectorySync(store::WatchableStore& store, const RecordDecoder& decoder, Directory& directory,
+        observe::Metrics& metrics);
+
+    void start();
+
+    /// Whether the last call to the platform's service succeeded.
+    bool isReachable() const
+    {
+        return this->reachable;
+    }
+    /// A key that others of the product's parts want to know about: called whenever it was seen to exist or not.
+    std::string followedKey;
+    std::function<void(bool exists)> onFollowedKey;
+
+private:
+    /// The prefixes that a whole read goes through, one after the other.
+    enum class ReadStep { Deployment, Targets, Weights, Followed, Done };
+
+    void readAll();
+    void readNext();
+    void onPage(const store::PageResult& result);
+    void finishReading();
+    std::string prefixOf(ReadStep step) const;
+
+    void watch();
+    void onWatch(const store::WatchResult& result);
+    void restart(const char* reason);
+
+    void scheduleProof();
+    void checkProof();
+    void onChecked(const store::CheckResult& result, BootClock::time_point askedAt);
+
+    void take(const store::Change& change);
+    void takeDeployment(const store::KeyValue& pair, BootClock::time_point readAt);
+    void takeTarget(const store::Change& change);
+    void takeWeights(const store::KeyValue& pair);
+    void removeAbsent();
+    void noteCall(bool succeeded);
+
+    store::WatchableStore& store;
+    const RecordDecoder& decoder;
+    Directory& directory;
+    observe::Metrics& metrics;
+    QTimer retryTimer;
+    QTimer proofTimer;
+    QTimer absenceTimer;
+
+    ReadStep step = ReadStep::Done;
+    std::string lastKey; ///< of the page before
+    int64_t readRevision = 0; ///< before the first page of the whole read
+    BootClock::time_point readStarted;
+    std::set<std::string> listed; ///< targets seen by the whole read
+    bool followedListed = false; ///< the followed key was seen by it
+    int64_t watchedRevision = 0; ///< changes up to here are known
+    int64_t deploymentRevision = 0; ///< of the record that is in force; 0: none was read
+    std::map<std::string, int64_t> targetRevisions; ///< of each target's record, so that no older one is taken
+    /// Records that were missing right after an outage. They may have lapsed during it although their targets
+    /// live, and those register again until absenceDeadline.
+    std::set<std::string> absent;
+    Deadline absenceDeadline;
+    bool reachable = false;
+    int failures = 0; ///< in a row
+};
+
+}
--- /dev/null
+++ b/src/directory/RouteTable.cpp
@@ -0,0 +1,49 @@
+#include "directory/RouteTable.h"
+
+#include <algorithm>
+
+namespace dragonfly::directory {
+
+RouteTable::RouteTable(Deployment source)
+    : deployment(std::move(source))
+{
+    for (const auto& route : this->deployment.routes)
+        this->routesByHost[route.host].push_back(&route);
+    for (auto& [host, routes] : this->routesByHost) {
+        std::stable_sort(routes.begin(), routes.end(),
+            [](const Route* a, const Route* b) { return a->pathPrefix.size() > b->pathPrefix.size(); });
+    }
+    for (const auto& organisation : this->deployment.organisations) {
+        // Keyed by digest, so that the time of a look-up tells nothing about the keys.
+        for (const auto& key : organisation.apiKeys)
+            this->organisationsByKeyHash[sha256(key)] = &organisation;
+    }
+    for (const auto& service : this->deployment.services)
+        this->servicesByName[service.name] = &service;
+}
+
+const Route* RouteTable::findRoute(std::string_view host, std::string_view path) const
+{
+    const auto found = this->routesByHost.find(std::string(host));
+    if (found == this->routesByHost.end())
+        return nullptr;
+    for (const auto* route : found->second) {
+        if (path.starts_with(route->pathPrefix))
+            return route;
+    }
+    return nullptr;
+}
+
+const Organisation* RouteTable::findOrganisation(std::string_view apiKey) const
+{
+    const auto found = this->organisationsByKeyHash.find(sha256(apiKey));
+    return found == this->organisationsByKeyHash.end() ? nullptr : found->second;
+}
+
+const Service* RouteTable::findService(std::string_view name) const
+{
+    const auto found = this->servicesByName.find(std::string(name));
+    return found == this->servicesByName.end() ? nullptr : found->second;
+}
+
+}
--- /dev/null
+++ b/src/directory/RouteTable.h
@@ -0,0 +1,49 @@
+#pragma once
+// One deployment, prepared for looking up routes and organisations. It never changes.
+
+#include "directory/Deployment.h"
+
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+namespace dragonfly::directory {
+
+class RouteTable {
+public:
+    explicit RouteTable(Deployment deployment);
+
+    uint64_t version() const
+    {
+        return this->deployment.version;
+    }
+    const CallerLimits& limits() const
+    {
+        return this->deployment.limits;
+    }
+    const std::vector<Service>& services() const
+    {
+        return this->deployment.services;
+    }
+
+    /// The route of @p host with the longest prefix that begins @p path, or null.
+    const Route* findRoute(std::string_view host, std::string_view path) const;
+    /// The organisation that holds @p apiKey, or null.
+    const Organisation* findOrganisation(std::string_view apiKey) const;
+    const Service* findService(std::string_view name) const;
+    /// Whether requests need an API key at all.
+    bool needsKeys() const
+    {
+        return !this->deployment.organisations.empty();
+    }
+
+private:
+    Deployment deployment;
+    std::unordered_map<std::string, std::vector<const Route*>> routesByHost; ///< longest prefix first
+    std::unordered_map<std::string, const Organisation*> organisationsByKeyHash;
+    std::unordered_map<std::string, const Service*> servicesByName;
+};
+
+using RouteTablePointer = std::shared_ptr<const RouteTable>;
+
+}
--- /dev/null
+++ b/src/forward/TargetChooser.cpp
@@ -0,0 +1,275 @@
+#include "forward/TargetChooser.h"
+
+#include <algorithm>
+
+namespace dragonfly::forward {
+
+using directory::TargetPointer;
+using routing::Candidate;
+using routing::Reach;
+
+namespace {
+
+    /// Organisations that are not isolated share their prefixes under this scope.
+    constexpr std::string_view commonScope = "shared";
+
+    uint32_t shortName(const directory::Target& target)
+    {
+        return routing::shortHash(fastHash(target.registration.id));
+    }
+
+    uint32_t shortLife(const directory::Target& target)
+    {
+        const auto& registration = target.registration;
+        return routing::shortHash(
+            fastHash(registration.endpoint.toString(), static_cast<uint64_t>(registration.startedUnixMs)));
+    }
+
+    std::string scopeOf(const ChoiceQuery& query)
+    {
+        const bool isIsolated = query.organisation && query.organisation->isIsolated;
+        return isIsolated ? "organisation:" + query.organisation->name : std::string(commonScope);
+    }
+
+    Reach reachOf(const ChoiceQuery& query, const std::string& dataCentre)
+    {
+        if (dataCentre == query.place.dataCentre)
+            return Reach::SameDataCentre;
+        const auto region = query.regions.find(dataCentre);
+        const bool sameRegion = region != query.regions.end() && region->second == query.place.region;
+        return sameRegion ? Reach::SameRegion : Reach::OtherRegion;
+    }
+
+    /// The prompt's prefixes under one version of the weights.
+    struct PromptPrefixes {
+        uint64_t version = 0;
+        std::string salt;
+        std::vector<uint64_t> hashes; ///< shortest first
+        std::vector<uint32_t> tokens; ///< length of each
+        /// The longest prefix that is not the request's own.
+        size_t sharedCount() const
+        {
+            return this->hashes.empty() ? 0 : this->hashes.size() - 1;
+        }
+        uint32_t sharedTokens() const
+        {
+            return this->sharedCount() ? this->tokens[this->sharedCount() - 1] : 0;
+        }
+    };
+
+    PromptPrefixes prefixesOf(const ChoiceQuery& query, uint64_t version)
+    {
+        PromptPrefixes prefixes;
+        prefixes.version = version;
+        const auto scope = scopeOf(query);
+        const auto weights = std::to_string(version);
+        prefixes.salt = routing::cacheSalt(scope, query.description.model, weights);
+        uint64_t hash = routing::scopeSeed(scope, query.description.model, weights);
+        uint32_t tokens = 0;
+        for (const auto& part : query.description.prompt) {
+            hash = fastHash(part.id, hash);
+            tokens += part.tokens;
+            prefixes.hashes.push_back(hash);
+            prefixes.tokens.push_back(tokens);
+        }
+        return prefixes;
+    }
+
+    struct Gathered {
+        std::vector<TargetPointer> targets; ///< in the order of the candidates
+        std::vector<Candidate> candidates;
+        std::vector<size_t> prefixes; ///< of each candidate, into the list below
+        std::vector<PromptPrefixes> versions;
+    };
+
+    size_t indexOfVersion(Gathered& gathered, const ChoiceQuery& query, uint64_t version)
+    {
+        for (size_t i = 0; i < gathered.versions.size(); ++i) {
+            if (gathered.versions[i].version == version)
+                return i;
+        }
+        gathered.versions.push_back(prefixesOf(query, version));
+        return gathered.versions.size() - 1;
+    }
+
+    /// Prompts without a shared prefix are ranked at random.
+    uint64_t rankOf(const PromptPrefixes& prefixes, const ChoiceQuery& query, uint32_t name)
+    {
+        const auto shared = prefixes.sharedCount();
+        const uint64_t pair[] = { shared ? prefixes.hashes[shared - 1] : query.random, name };
+        return fastHash({ reinterpret_cast<const char*>(pair), sizeof(pair) });
+    }
+
+    Candidate candidateOf(const ChoiceQuery& query, const directory::Target& target, const PromptPrefixes& prefixes)
+    {
+        const auto& state = *target.state;
+        Candidate candidate;
+        candidate.reach = reachOf(query, target.registration.dataCentre);
+        candidate.avoided = routing::timeOf(state.avoidUntil) > query.now;
+        candidate.inFlight = state.inFlight.load(std::memory_order_relaxed);
+        candidate.queuedTokens = routing::queuedTokens(state, query.now);
+        candidate.nanosecondsPerToken = state.nanosecondsPerToken.load(std::memory_order_relaxed);
+        candidate.rank = rankOf(prefixes, query, shortName(target));
+        candidate.familyRank = candidate.rank;
+        return candidate;
+    }
+
+    bool isExcluded(const ChoiceQuery& query, const directory::Target& target)
+    {
+        const auto& tried = query.excluded;
+        return std::find(tried.begin(), tried.end(), target.registration.id) != tried.end();
+    }
+
+    void gatherFrom(Gathered& gathered, const ChoiceQuery& query, const std::string& service)
+    {
+        const auto& model = query.description.model;
+        for (auto& target : query.directory.targetsOf(service)) {
+            if (!target->isUsable(query.now) || isExcluded(query, *target))
+                continue;
+            const auto version = model.empty() ? 0 : target->weightsOf(model);
+            if (!model.empty() && !version)
+                continue;
+            const auto index = indexOfVersion(gathered, query, version);
+            auto candidate = candidateOf(query, *target, gathered.versions[index]);
+            candidate.target = static_cast<uint32_t>(gathered.targets.size());
+            gathered.candidates.push_back(candidate);
+            gathered.prefixes.push_back(index);
+            gathered.targets.push_back(std::move(target));
+        }
+    }
+
+    /// Credits each candidate with the longest prefix that it is believed to hold.
+    void creditPrefixes(Gathered& gathered, const ChoiceQuery& query)
+    {
+        routing::PrefixHolder holders[routing::PrefixMemory::bucketSlots];
+        for (size_t version = 0; version < gathered.versions.size(); ++version) {
+            const auto& prefixes = gathered.versions[version];
+            for (size_t i = prefixes.hashes.size(); i > 0; --i) {
+                const auto count = query.memory.find(prefixes.hashes[i - 1], query.now, holders);
+                for (size_t c = 0; c < gathered.candidates.size(); ++c) {
+                    auto& candidate = gathered.candidates[c];
+                    if (gathered.prefixes[c] != version || candidate.cachedTokens)
+                        continue;
+                    const auto& target = *gathered.targets[c];
+                    const auto holder = std::find_if(holders, holders + count, [&](const auto& each) {
+                        return each.target == shortName(target) && each.incarnation == shortLife(target);
+                    });
+                    if (holder == holders + count)
+                        continue;
+                    candidate.cachedTokens = prefixes.tokens[i - 1];
+                    candidate.cachedAge = holder->age;
+                }
+            }
+        }
+    }
+
+    /// Services of the route in the order in which they are asked: one by weight, then the others.
+    std::vector<std::string> serviceOrder(const directory::Route& route, uint64_t random)
+    {
+        uint64_t total = 0;
+        for (const auto& share : route.shares)
+            total += share.weight;
+        std::vector<std::string> order;
+        uint64_t point = total ? random % total : 0;
+        size_t first = 0;
+        for (size_t i = 0; i < route.shares.size(); ++i) {
+            if (point < route.shares[i].weight) {
+                first = i;
+                break;
+            }
+            point -= route.shares[i].weight;
+        }
+        for (size_t i = 0; i < route.shares.size(); ++i) {
+            const auto& share = route.shares[(first + i) % route.shares.size()];
+            if (share.weight)
+                order.push_back(share.service);
+        }
+        return order;
+    }
+
+    const directory::CacheStore* findCacheStore(const directory::RouteTable& routes)
+    {
+        for (const auto& service : routes.services()) {
+            if (service.cacheStore)
+                return &*service.cacheStore;
+        }
+        return nullptr;
+    }
+
+    /// The nearest other engine that is believed to hold the shared prefix.
+    const directory::Target* findHolder(const Gathered& gathered, size_t chosen, uint32_t sharedTokens)
+    {
+        const directory::Target* holder = nullptr;
+        const Candidate* best = nullptr;
+        for (size_t c = 0; c < gathered.candidates.size(); ++c) {
+            const auto& candidate = gathered.candidates[c];
+            const bool isSame = c == chosen || gathered.prefixes[c] != gathered.prefixes[chosen];
+            if (isSame || candidate.avoided || candidate.cachedTokens < sharedTokens)
+                continue;
+            if (!best || candidate.reach < best->reach) {
+                best = &candidate;
+                holder = gathered.targets[c].get();
+            }
+        }
+        return holder;
+    }
+
+    void planCacheTransfers(TargetChoice& result, const Gathered& gathered, size_t chosen, const ChoiceQuery& query)
+    {
+        if (!result.sharedTokens || gathered.candidates[chosen].cachedTokens >= result.sharedTokens)
+            return;
+        if (const auto* holder = findHolder(gathered, chosen, result.sharedTokens)) {
+            result.fetchCacheFrom = holder->registration.endpoint;
+            return;
+        }
+        if (const auto* store = findCacheStore(query.routes)) {
+            result.fetchCacheFrom = store->endpoint;
+            result.saveCacheTo = store->endpoint;
+        }
+    }
+
+}
+
+std::optional<TargetChoice> chooseTarget(const routing::Policy& policy, const ChoiceQuery& query)
+{
+    Gathered gathered;
+    for (const auto& service : serviceOrder(query.route, query.random)) {
+        gatherFrom(gathered, query, service);
+        if (!gathered.candidates.empty())
+            break;
+    }
+    creditPrefixes(gathered, query);
+    routing::Question question;
+    question.promptTokens = query.description.promptTokens;
+    question.random = query.random;
+    for (const auto& candidate : gathered.candidates)
+        question.knownTokens = std::max(question.knownTokens, candidate.cachedTokens);
+    for (const auto& prefixes : gathered.versions)
+        question.homeTokens = std::max(question.homeTokens, prefixes.sharedTokens());
+    question.homeTrust = question.homeTokens ? 0.5 : 0;
+    const auto choice = routing::chooseTarget(policy, gathered.candidates, question);
+    if (!choice)
+        return std::nullopt;
+    const auto& prefixes = gathered.versions[gathered.prefixes[choice->target]];
+    TargetChoice result;
+    result.target = gathered.targets[choice->target];
+    result.choice = *choice;
+    result.candidates = gathered.candidates.size();
+    result.weightsVersion = prefixes.version;
+    if (!query.description.model.empty())
+        result.cacheSalt = prefixes.salt;
+    result.prefixes = prefixes.hashes;
+    result.sharedTokens = prefixes.sharedTokens();
+    planCacheTransfers(result, gathered, choice->target, query);
+    return result;
+}
+
+void rememberPrompt(routing::PrefixMemory& memory, const TargetChoice& choice, Clock::time_point now)
+{
+    const auto name = shortName(*choice.target);
+    const auto life = shortLife(*choice.target);
+    for (const auto hash : choice.prefixes)
+        memory.remember(hash, name, life, now);
+}
+
+}
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -62,7 +62,7 @@
 
 Call ClientPool::send(const Endpoint& endpoint, const Request& request, const CallOptions& options, CallEvents events)
 {
-    auto* connection = options.reuseConnection ? this->takeIdle(endpoint) : nullptr;
+    auto* connection = options.reuseConnection ? this->takeIdle(endpoint, options.oldestIdle) : nullptr;
     if (!connection)
         connection = new ClientConnection(this, endpoint);
     const auto number = ++this->lastCall;
@@ -70,7 +70,7 @@
     return Call(connection, number);
 }
 
-ClientConnection* ClientPool::takeIdle(const Endpoint& endpoint)
+ClientConnection* ClientPool::takeIdle(const Endpoint& endpoint, Clock::time_point oldestIdle)
 {
     auto found = this->idle.find(endpoint.toString());
     if (found == this->idle.end())
@@ -79,7 +79,7 @@
     while (!connections.empty()) {
         auto connection = connections.back();
         connections.pop_back();
-        if (connection && connection->usable())
+        if (connection && connection->usable(Clock::now()) && connection->idleSince() >= oldestIdle)
             return connection;
         if (connection)
             connection->cancel();
--- a/src/http/Client.h
+++ b/src/http/Client.h
@@ -42,6 +42,8 @@
     Deadline connectDeadline;
     Deadline deadline; ///< for the first byte of the answer; move it with Call::setDeadline()
     bool reuseConnection = true; ///< false opens a connection of its own, which cannot be stale
+    /// Kept connections that went idle before this are not used: the target may have dropped them.
+    Clock::time_point oldestIdle = Clock::time_point::min();
 };
 
 class ClientConnection;
@@ -77,7 +79,7 @@
 
 private:
     friend class ClientConnection;
-    ClientConnection* takeIdle(const Endpoint& endpoint);
+    ClientConnection* takeIdle(const Endpoint& endpoint, Clock::time_point oldestIdle);
     void keepIdle(ClientConnection* connection);
     void forget(ClientConnection* connection);
 
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -1,6 +1,7 @@
 #include "http/ClientConnection.h"
 
 #include <boost/asio/buffer.hpp>
+#include <charconv>
 #include <boost/beast/http/error.hpp>
 #include <limits>
 
@@ -13,13 +14,38 @@
     constexpr qint64 readBufferBytes = 128 << 10;
     constexpr uint32_t responseHeaderBytes = 32 << 10;
 
+    /// Interim answers (1xx) that a target may send before the final one.
+    constexpr int mostInterimAnswers = 8;
+    /// Kept off the end of a target's limit on idle time, for what is on its way when it closes.
+    constexpr std::chrono::milliseconds idleMargin { 700 };
+
+    /// When a target with "Keep-Alive: timeout=SECONDS" may close a connection that is idle since @p now.
+    Deadline idleDeadlineOf(const ResponseHead& head, Clock::time_point now)
+    {
+        constexpr std::string_view field = "timeout=";
+        const auto value = head.headers.valueOr("Keep-Alive", "");
+        const auto at = value.find(field);
+        unsigned seconds = 0;
+        if (at == std::string_view::npos)
+            return Deadline::max();
+        const auto digits = value.substr(at + field.size());
+        if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc())
+            return Deadline::max();
+        return now + std::chrono::seconds(seconds) - idleMargin;
+    }
+
     std::string serialize(const Endpoint& endpoint, const Request& request)
     {
-        std::string text = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + endpoint.toString() + "\r\n";
+        std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+        if (!request.headers.find("Host"))
+            text.append("Host: ").append(endpoint.toString()).append("\r\n");
         for (const auto& field : request.headers)
             text.append(field.name).append(": ").append(field.value).append("\r\n");
-        text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n\r\n");
-        text.append(request.body);
+        // Without a body only the methods that usually have one announce it.
+        const bool announcesBody = !request.body.empty() || request.method == "POST" || request.method == "PUT";
+        if (announcesBody)
+            text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+        text.append("\r\n").append(request.body);
         return text;
     }
 
@@ -36,7 +62,8 @@
     connect(&this->socket, &QTcpSocket::connected, this, &ClientConnection::writeRequest);
     connect(&this->socket, &QTcpSocket::readyRead, this, &ClientConnection::readMore);
     connect(&this->socket, &QTcpSocket::disconnected, this, &ClientConnection::onDisconnected);
-    connect(&this->socket, &QTcpSocket::errorOccurred, this, [this](QAbstractSocket::SocketError) {
+    connect(&this->socket, &QTcpSocket::errorOccurred, this, [this](QAbstractSocket::SocketError error) {
+        this->lastError = error;
         // With an open connection the disconnected signal follows, after the last bytes were read.
         if (this->socket.state() == QAbstractSocket::UnconnectedState)
             this->onDisconnected();
@@ -49,9 +76,9 @@
     this->pool->forget(this);
 }
 
-bool ClientConnection::usable() const
+bool ClientConnection::usable(Clock::time_point now) const
 {
-    return !this->number && this->socket.state() == QAbstractSocket::ConnectedState && !this->socket.bytesAvailable();
+    return now < this->idleDeadline && !this->number && this->socket.state() == QAbstractSocket::ConnectedState && !this->socket.bytesAvailable();
 }
 
 void ClientConnection::start(uint64_t number, const Request& request, const CallOptions& options, CallEvents events)
@@ -61,9 +88,8 @@
     this->deadline = options.deadline;
     this->connectDeadline = std::min(options.connectDeadline, options.deadline);
     this->outgoing = serialize(this->endpoint, request);
-    this->parser = std::make_unique<internal::ResponseParser>();
-    this->parser->header_limit(responseHeaderBytes);
-    this->parser->body_limit(std::numeric_limits<uint64_t>::max()); // boost::none refuses every body in Boost 1.74
+    this->prepareParser();
+    this->interimAnswers = 0;
     this->headReported = false;
     this->sent = false;
     this->paused = false;
@@ -76,6 +102,26 @@
     this->armTimer();
 }
 
+void ClientConnection::prepareParser()
+{
+    this->parser = std::make_unique<internal::ResponseParser>();
+    this->parser->header_limit(responseHeaderBytes);
+    this->parser->body_limit(std::numeric_limits<uint64_t>::max()); // boost::none refuses every body in Boost 1.74
+}
+
+/// True when what was parsed is an interim answer, after which the final one follows.
+bool ClientConnection::skipInterimAnswer()
+{
+    constexpr int firstFinalStatus = 200;
+    constexpr int switchingProtocols = 101;
+    const auto status = this->parser->head.status;
+    if (!this->parser->headDone || status >= firstFinalStatus || status == switchingProtocols)
+        return false;
+    ++this->interimAnswers;
+    this->prepareParser();
+    return true;
+}
+
 void ClientConnection::writeRequest()
 {
     if (!this->number || this->sent)
@@ -115,6 +161,12 @@
             this->fail(CallFailureKind::Malformed, failure.message());
             return;
         }
+        if (this->skipInterimAnswer()) {
+            if (this->interimAnswers <= mostInterimAnswers)
+                continue;
+            this->fail(CallFailureKind::Malformed, "too many interim answers");
+            return;
+        }
         if (!this->takeParsed() || failure == beast::error::need_more || !used)
             return;
     }
@@ -149,6 +201,8 @@
 {
     const bool keep = this->parser->keep_alive() && this->unparsed.empty() && !this->socket.bytesAvailable();
     const auto finished = std::exchange(this->events, nullptr);
+    this->becameIdle = Clock::now();
+    this->idleDeadline = idleDeadlineOf(this->parser->head, this->becameIdle);
     this->number = 0;
     this->timer.stop();
     if (keep)
@@ -170,7 +224,9 @@
     if (!this->number)
         return;
     boost::beast::error_code failure;
-    if (this->headReported && this->parser->need_eof()) {
+    // An answer without a length is whole only when the target closed the connection in order.
+    const bool closedInOrder = this->lastError == QAbstractSocket::RemoteHostClosedError;
+    if (closedInOrder && this->headReported && this->parser->need_eof()) {
         this->parser->put_eof(failure);
         if (!failure) {
             this->complete();
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -71,7 +71,12 @@
     void setDeadline(Deadline deadline);
     void setPaused(bool paused);
 
-    bool usable() const;
+    /// Whether the connection can carry another call at @p now, before the target's own limit on idle time.
+    bool usable(Clock::time_point now) const;
+    Clock::time_point idleSince() const
+    {
+        return this->becameIdle;
+    }
     bool requestSent() const
     {
         return this->sent;
@@ -87,6 +92,8 @@
 
 private:
     void writeRequest();
+    void prepareParser();
+    bool skipInterimAnswer();
     void readMore();
     bool takeParsed();
     void onDisconnected();
@@ -107,6 +114,10 @@
     std::string unparsed;
     std::unique_ptr<internal::ResponseParser> parser;
     std::shared_ptr<CallEvents> events; ///< shared, so that a handler may end its own call
+    Clock::time_point becameIdle;
+    Deadline idleDeadline = Deadline::max(); ///< when the target may close the idle connection
+    QAbstractSocket::SocketError lastError = QAbstractSocket::UnknownSocketError;
+    int interimAnswers = 0; ///< of this call
     bool headReported = false;
     bool sent = false;
     bool paused = false;
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -2,6 +2,7 @@
 
 #include "http/ServerConnection.h"
 
+#include <QByteArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <netinet/in.h>
@@ -23,6 +24,12 @@
         return QHostAddress(reinterpret_cast<const sockaddr*>(&storage)).toString();
     }
 
+    /// "2", or "0.25" when @p time is no whole number of seconds.
+    std::string secondsText(std::chrono::milliseconds time)
+    {
+        return QByteArray::number(std::chrono::duration<double>(time).count()).toStdString();
+    }
+
     /// A listening IPv4 socket that other threads may share, or -1.
     int openShared(const Endpoint& endpoint)
     {
@@ -163,7 +170,7 @@
     if (!requestId.empty())
         headers.add("X-Request-Id", requestId);
     if (error.retryAfter.count() > 0)
-        headers.add("Retry-After", std::to_string(error.retryAfter.count()));
+        headers.add("Retry-After", secondsText(error.retryAfter));
     exchange.respond(answerFor(error.kind).status, headers, errorBody(error, requestId));
 }
 
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -84,6 +84,11 @@
     Result<Endpoint> listenShared(const Endpoint& endpoint);
 
     RefusalObserver onRefusal;
+    /// Limits for requests that have not begun.
+    void setLimits(const ServerLimits& limits)
+    {
+        this->limits = limits;
+    }
     /// Answers requests from now on with "Connection: close", so that callers go elsewhere for their next.
     void announceClosing()
     {
--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -1,5 +1,7 @@
 #include "http/ServerConnection.h"
 
+#include "http/RequestChecks.h"
+
 #include <boost/asio/buffer.hpp>
 #include <sys/socket.h>
 
@@ -126,6 +128,10 @@
 /// Feeds what has arrived to the parser; false when it needs more bytes or has failed.
 bool ServerConnection::feedParser()
 {
+    if (this->state == State::Headers && hasFoldedLine(this->unparsed)) {
+        this->refuse(ErrorKind::BadRequest, "folded header lines are not supported");
+        return false;
+    }
     boost::beast::error_code failure;
     const auto used = this->parser->put(boost::asio::buffer(this->unparsed), failure);
     this->unparsed.erase(0, used);
@@ -139,6 +145,10 @@
         return false;
     }
     if (this->state == State::Headers && this->parser->is_header_done()) {
+        if (const auto problem = findAmbiguity(this->parser->get().base())) {
+            this->refuse(ErrorKind::BadRequest, *problem);
+            return false;
+        }
         this->state = State::Body;
         this->setDeadline(this->server->limits.bodyTime);
         if (this->parser->get()[beast::field::expect] == "100-continue")
--- a/src/membership/ConfigKeeper.cpp
+++ b/src/membership/ConfigKeeper.cpp
@@ -27,7 +27,7 @@
     return message;
 }
 
-ConfigKeeper::ConfigKeeper(std::string ownAddress, platform::KeyValueStore& store, PeerTransport& peers,
+ConfigKeeper::ConfigKeeper(std::string ownAddress, store::KeyValueStore& store, PeerTransport& peers,
     observe::Metrics& metrics, ApplyConfig apply)
     : ownAddress(std::move(ownAddress))
     , store(store)
@@ -46,7 +46,7 @@
     return revision > this->pending->publication.manifest.revision();
 }
 
-void ConfigKeeper::offerFromPlatform(const platform::KeyValue& stored)
+void ConfigKeeper::offerFromPlatform(const store::KeyValue& stored)
 {
     const auto manifest = config::parseManifest(stored.value);
     if (!manifest)
@@ -154,12 +154,12 @@
 {
     const auto& missing = this->pending->missing;
     for (size_t first = 0; first < missing.size(); first += partsPerRead) {
-        std::vector<platform::ReadRequest> ranges;
+        std::vector<store::ReadRequest> ranges;
         for (size_t i = first; i < std::min(first + partsPerRead, missing.size()); ++i)
             ranges.push_back({ config::partKey(missing[i]) });
         this->metrics.platformCalls.Increment();
-        this->store.read(ranges, Clock::now() + fetchTime, [this](platform::ReadResult result) {
-            const auto* pairs = std::get_if<std::vector<platform::KeyValue>>(&result);
+        this->store.read(ranges, Clock::now() + fetchTime, [this](store::ReadResult result) {
+            const auto* pairs = std::get_if<std::vector<store::KeyValue>>(&result);
             if (!pairs) {
                 this->metrics.platformFailures.Increment();
                 return;
@@ -233,13 +233,13 @@
     if (part == publication->parts.size()) {
         // A newer manifest that was published meanwhile makes this swap fail, as it should.
         this->store.compareAndSwap(std::string(config::manifestKey), storedModRevision, publication->manifestBytes,
-            deadline, [this](const platform::SwapResult&) { this->restoring = false; });
+            deadline, [this](const store::SwapResult&) { this->restoring = false; });
         return;
     }
     const auto& [digest, bytes] = *std::next(publication->parts.begin(), static_cast<ptrdiff_t>(part));
     this->store.put(config::partKey(digest), bytes, 0, deadline,
-        [this, publication, part, storedModRevision](const platform::WriteResult& result) {
-            if (std::holds_alternative<platform::StoreFailure>(result)) {
+        [this, publication, part, storedModRevision](const store::WriteResult& result) {
+            if (std::holds_alternative<store::StoreFailure>(result)) {
                 this->restoring = false;
                 return;
             }
--- a/src/membership/ConfigKeeper.h
+++ b/src/membership/ConfigKeeper.h
@@ -8,7 +8,7 @@
 #include "config/Publication.h"
 #include "membership/PeerTransport.h"
 #include "observe/Metrics.h"
-#include "platform/KeyValueStore.h"
+#include "store/KeyValueStore.h"
 
 #include <QObject>
 #include <QTimer>
@@ -22,7 +22,7 @@
 class ConfigKeeper : public QObject {
     Q_OBJECT
 public:
-    ConfigKeeper(std::string ownAddress, platform::KeyValueStore& store, PeerTransport& peers,
+    ConfigKeeper(std::string ownAddress, store::KeyValueStore& store, PeerTransport& peers,
         observe::Metrics& metrics, ApplyConfig apply);
 
     uint64_t revision() const
@@ -39,7 +39,7 @@
     }
 
     /// What the platform holds under the manifest's key; an older one than ours is written over again.
-    void offerFromPlatform(const platform::KeyValue& stored);
+    void offerFromPlatform(const store::KeyValue& stored);
     /// A peer says that it has @p revision in force.
     void hearOfRevision(const std::string& peerAddress, uint64_t revision);
 
@@ -72,7 +72,7 @@
         std::shared_ptr<const config::Publication> publication, size_t part, int64_t storedModRevision);
 
     std::string ownAddress; ///< where peers send their replies to
-    platform::KeyValueStore& store;
+    store::KeyValueStore& store;
     PeerTransport& peers;
     observe::Metrics& metrics;
     ApplyConfig apply;
--- a/src/membership/PlatformSync.cpp
+++ b/src/membership/PlatformSync.cpp
@@ -30,7 +30,7 @@
 }
 
 PlatformSync::PlatformSync(
-    platform::KeyValueStore& store, ConfigKeeper& keeper, Fleet& fleet, observe::Metrics& metrics)
+    store::KeyValueStore& store, ConfigKeeper& keeper, Fleet& fleet, observe::Metrics& metrics)
     : store(store)
     , keeper(keeper)
     , fleet(fleet)
@@ -64,8 +64,8 @@
     this->metrics.platformCalls.Increment();
     this->store.read({ { std::string(config::manifestKey), false, least },
                          { std::string(instancesPrefix), true, least }, { std::string(targetsPrefix), true, least } },
-        Clock::now() + callTime, [this, isFull](const platform::ReadResult& result) {
-            const auto* pairs = std::get_if<std::vector<platform::KeyValue>>(&result);
+        Clock::now() + callTime, [this, isFull](const store::ReadResult& result) {
+            const auto* pairs = std::get_if<std::vector<store::KeyValue>>(&result);
             this->setReachable(pairs);
             if (pairs) {
                 this->failures = 0;
@@ -87,7 +87,7 @@
     observe::logChange(level, reachable ? "platform reached" : "platform out of reach");
 }
 
-void PlatformSync::take(const std::vector<platform::KeyValue>& pairs, bool isFull)
+void PlatformSync::take(const std::vector<store::KeyValue>& pairs, bool isFull)
 {
     bool sawManifest = false;
     int64_t highest = 0;
@@ -107,7 +107,7 @@
     this->lastModRevision = isFull ? highest : std::max(this->lastModRevision, highest);
 }
 
-void PlatformSync::takeInstance(const platform::KeyValue& pair)
+void PlatformSync::takeInstance(const store::KeyValue& pair)
 {
     pb::PeerAddress peer;
     if (peer.ParseFromString(pair.value) && !peer.address().empty())
@@ -116,7 +116,7 @@
 
 /// Acts on an entry once for each time that it was written: an older word must not undo what the target
 /// itself, or its next process, has said since.
-void PlatformSync::takeTarget(const platform::KeyValue& pair)
+void PlatformSync::takeTarget(const store::KeyValue& pair)
 {
     const auto target = pair.key.substr(targetsPrefix.size());
     auto& actedOn = this->listed[target];
@@ -133,7 +133,7 @@
     if (this->stopping)
         return;
     this->metrics.platformCalls.Increment();
-    this->store.grantLease(leaseLife, Clock::now() + callTime, [this](const platform::LeaseResult& result) {
+    this->store.grantLease(leaseLife, Clock::now() + callTime, [this](const store::LeaseResult& result) {
         const auto* granted = std::get_if<int64_t>(&result);
         this->lease = granted ? *granted : 0;
         if (granted)
@@ -153,8 +153,8 @@
     own.set_data_centre(self.place.dataCentre);
     this->metrics.platformCalls.Increment();
     this->store.put(std::string(instancesPrefix) + self.instance, own.SerializeAsString(), this->lease,
-        Clock::now() + callTime, [this](const platform::WriteResult& result) {
-            if (std::holds_alternative<platform::StoreFailure>(result))
+        Clock::now() + callTime, [this](const store::WriteResult& result) {
+            if (std::holds_alternative<store::StoreFailure>(result))
                 this->lease = 0;
             this->leaseTimer.start(jittered(this->lease ? leasePeriod : registerRetry));
         });
@@ -167,8 +167,8 @@
         return;
     }
     this->metrics.platformCalls.Increment();
-    this->store.keepLease(this->lease, Clock::now() + callTime, [this](const platform::LeaseResult& result) {
-        if (std::holds_alternative<platform::StoreFailure>(result))
+    this->store.keepLease(this->lease, Clock::now() + callTime, [this](const store::LeaseResult& result) {
+        if (std::holds_alternative<store::StoreFailure>(result))
             this->lease = 0;
         this->leaseTimer.start(jittered(this->lease ? leasePeriod : registerRetry));
     });
@@ -180,7 +180,7 @@
     this->leaseTimer.stop();
     this->metrics.platformCalls.Increment();
     this->store.remove(std::string(instancesPrefix) + this->fleet.self().instance, Clock::now() + callTime,
-        [done = std::move(done)](const platform::WriteResult&) { done(); });
+        [done = std::move(done)](const store::WriteResult&) { done(); });
 }
 
 }
--- a/src/membership/PlatformSync.h
+++ b/src/membership/PlatformSync.h
@@ -6,7 +6,7 @@
 // that the platform's calls stay bounded; between polls, peers carry the news.
 
 #include "membership/Fleet.h"
-#include "platform/KeyValueStore.h"
+#include "store/KeyValueStore.h"
 
 #include <QObject>
 #include <QTimer>
@@ -19,7 +19,7 @@
 class PlatformSync : public QObject {
     Q_OBJECT
 public:
-    PlatformSync(platform::KeyValueStore& store, ConfigKeeper& keeper, Fleet& fleet, observe::Metrics& metrics);
+    PlatformSync(store::KeyValueStore& store, ConfigKeeper& keeper, Fleet& fleet, observe::Metrics& metrics);
 
     void start();
     /// Gives the instance's lease back.
@@ -34,16 +34,16 @@
 
 private:
     void poll();
-    void take(const std::vector<platform::KeyValue>& pairs, bool isFull);
-    void takeInstance(const platform::KeyValue& pair);
-    void takeTarget(const platform::KeyValue& pair);
+    void take(const std::vector<store::KeyValue>& pairs, bool isFull);
+    void takeInstance(const store::KeyValue& pair);
+    void takeTarget(const store::KeyValue& pair);
     void schedulePoll();
     void setReachable(bool reachable);
     void registerSelf();
     void keepRegistered();
     void putSelf();
 
-    platform::KeyValueStore& store;
+    store::KeyValueStore& store;
     ConfigKeeper& keeper;
     Fleet& fleet;
     observe::Metrics& metrics;
--- a/src/observe/Log.cpp
+++ b/src/observe/Log.cpp
@@ -1,32 +1,119 @@
 #include "observe/Log.h"
 
+#include "observe/LineBudget.h"
+
+#include <atomic>
 #include <boost/date_time/posix_time/posix_time_io.hpp>
+#include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <iostream>
+#include <boost/make_shared.hpp>
+#include <mutex>
+#include <poll.h>
+#include <unistd.h>
 
 namespace dragonfly::observe {
 
 namespace logging = boost::log;
 
+namespace {
+
+    /// Lines about single requests: enough for every request of a small instance, and bounded on a busy one.
+    constexpr double decisionsPerSecond = 60;
+    constexpr double decisionBurst = 240;
+    /// Kept for requests that failed.
+    constexpr double failureReserve = 120;
+
+    std::atomic<uint64_t> dropped { 0 };
+    std::atomic<uint64_t> droppedByBudget { 0 };
+    std::mutex budgetMutex;
+    LineBudget budget(decisionsPerSecond, decisionBurst, failureReserve); // guarded by budgetMutex
+
+    /// Writes lines to standard output while it has room.
+    class PipeBackend : public logging::sinks::basic_formatted_sink_backend<char, logging::sinks::synchronized_feeding> {
+    public:
+        void consume(const logging::record_view&, const std::string& line)
+        {
+            pollfd state { STDOUT_FILENO, POLLOUT, 0 };
+            const auto text = line + "\n";
+            const bool hasRoom = poll(&state, 1, 0) == 1 && (state.revents & POLLOUT);
+            // A pipe that can be written to takes PIPE_BUF bytes at once; longer lines are cut.
+            const auto size = std::min<size_t>(text.size(), PIPE_BUF);
+            if (!hasRoom || write(STDOUT_FILENO, text.data(), size) != static_cast<ssize_t>(size))
+                dropped.fetch_add(1, std::memory_order_relaxed);
+        }
+    };
+
+    bool needsQuotes(std::string_view value)
+    {
+        return value.empty() || value.find_first_of(" \"=\n\r") != std::string_view::npos;
+    }
+
+    void appendValue(std::string& line, std::string_view value)
+    {
+        if (!needsQuotes(value)) {
+            line.append(value);
+            return;
+        }
+        line.push_back('"');
+        for (const char c : value) {
+            if (c == '"' || c == '\\')
+                line.push_back('\\');
+            line.push_back(c == '\n' || c == '\r' ? ' ' : c);
+        }
+        line.push_back('"');
+    }
+
+    std::string toLine(std::string_view what, std::initializer_list<LogField> fields)
+    {
+        std::string line = "event=";
+        appendValue(line, what);
+        for (const auto& field : fields) {
+            line.append(" ").append(field.name).append("=");
+            appendValue(line, field.value);
+        }
+        return line;
+    }
+
+    std::string_view nameOf(Decision decision)
+    {
+        switch (decision) {
+        case Decision::Answered:
+            return "request answered";
+        case Decision::Failed:
+            return "request failed";
+        case Decision::Refused:
+            break;
+        }
+        return "request refused";
+    }
+
+    bool takeFromBudget(Decision decision)
+    {
+        const std::lock_guard guard(budgetMutex);
+        return budget.take(decision != Decision::Answered, Clock::now());
+    }
+
+}
+
 void startLog(const std::string& instance)
 {
+    using Sink = logging::sinks::synchronous_sink<PipeBackend>;
     logging::add_common_attributes();
-    logging::add_console_log(std::cerr,
-        logging::keywords::format = (logging::expressions::stream
-            << logging::expressions::attr<boost::posix_time::ptime>("TimeStamp") << " " << logging::trivial::severity
-            << " instance=" << instance << " " << logging::expressions::smessage),
-        logging::keywords::auto_flush = true);
+    auto sink = boost::make_shared<Sink>();
+    sink->set_formatter(logging::expressions::stream
+        << "time=" << logging::expressions::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+        << " level=" << logging::trivial::severity << " instance=" << instance << " " << logging::expressions::smessage);
+    logging::core::get()->add_sink(sink);
 }
 
 void logChange(LogLevel level, std::string_view what, std::initializer_list<LogField> fields)
 {
-    std::string line(what);
-    for (const auto& field : fields)
-        line.append(" ").append(field.name).append("=").append(field.value);
+    const auto line = toLine(what, fields);
     switch (level) {
     case LogLevel::Info:
         BOOST_LOG_TRIVIAL(info) << line;
@@ -40,4 +127,21 @@
     }
 }
 
+void logDecision(Decision decision, std::initializer_list<LogField> fields)
+{
+    if (!takeFromBudget(decision)) {
+        dropped.fetch_add(1, std::memory_order_relaxed);
+        droppedByBudget.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
+    if (const auto count = droppedByBudget.exchange(0, std::memory_order_relaxed))
+        logChange(LogLevel::Info, "lines about requests left out", { { "count", std::to_string(count) } });
+    BOOST_LOG_TRIVIAL(info) << toLine(nameOf(decision), fields);
+}
+
+uint64_t droppedLogLines()
+{
+    return dropped.load(std::memory_order_relaxed);
+}
+
 }
--- a/src/platform/HttpStore.cpp
+++ b/src/store/GatewayStore.cpp
@@ -1,15 +1,15 @@
-#include "platform/HttpStore.h"
+#include "store/GatewayStore.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <algorithm>
 
-namespace dragonfly::platform {
+namespace dragonfly::store {
 
 namespace {
 
-    constexpr std::chrono::milliseconds connectTime { 500 };
-    constexpr int tooManyRequests = 429;
+    constexpr int statusOk = 200;
+    constexpr int statusTooManyRequests = 429;
 
     QString encode(std::string_view bytes)
     {
@@ -76,41 +76,30 @@
 
 }
 
-HttpStore::HttpStore(std::vector<Endpoint> endpoints, http::ClientPool* pool)
-    : endpoints(std::move(endpoints))
-    , pool(pool)
+GatewayStore::GatewayStore(std::vector<Endpoint> endpoints, http::ClientPool* pool)
+    : transport(std::move(endpoints), pool)
 {
 }
 
-void HttpStore::post(const char* path, const QJsonObject& body, Deadline deadline, std::function<void(Reply)> done)
+void GatewayStore::post(
+    const char* path, const QJsonObject& body, Deadline deadline, std::function<void(Reply)> done)
 {
-    struct Answer {
-        int status = 0;
-        std::string body;
-    };
-    http::Request request { "POST", path, { { "Content-Type", "application/json" } },
-        QJsonDocument(body).toJson(QJsonDocument::Compact).toStdString() };
-    auto answer = std::make_shared<Answer>();
-    http::CallEvents events;
-    events.onHead = [answer](const http::ResponseHead& head) { answer->status = head.status; };
-    events.onBody = [answer](std::string_view bytes) { answer->body.append(bytes); };
-    events.onComplete = [answer, done] {
-        const auto document = QJsonDocument::fromJson(QByteArray::fromStdString(answer->body));
-        if (answer->status == 200 && document.isObject())
+    const auto text = QJsonDocument(body).toJson(QJsonDocument::Compact).toStdString();
+    this->transport.call("POST", path, text, deadline, [done = std::move(done)](const HttpOutcome& outcome) {
+        if (const auto* failure = std::get_if<StoreFailure>(&outcome)) {
+            done(*failure);
+            return;
+        }
+        const auto& reply = std::get<HttpReply>(outcome);
+        const auto document = QJsonDocument::fromJson(QByteArray::fromStdString(reply.body));
+        if (reply.status == statusOk && document.isObject())
             done(document.object());
         else
-            done(answer->status == tooManyRequests ? StoreFailure::NotDone : StoreFailure::Unknown);
-    };
-    events.onFailure = [this, done](const http::CallFailure& failure) {
-        ++this->next;
-        done(failure.requestSent ? StoreFailure::Unknown : StoreFailure::NotDone);
-    };
-    const auto connectDeadline = std::min(deadline, Clock::now() + connectTime);
-    this->pool->send(this->endpoints[this->next % this->endpoints.size()], request, { connectDeadline, deadline, true },
-        std::move(events));
+            done(reply.status == statusTooManyRequests ? StoreFailure::NotDone : StoreFailure::Unknown);
+    });
 }
 
-void HttpStore::read(const std::vector<ReadRequest>& ranges, Deadline deadline, std::function<void(ReadResult)> done)
+void GatewayStore::read(const std::vector<ReadRequest>& ranges, Deadline deadline, std::function<void(ReadResult)> done)
 {
     QJsonArray operations;
     for (const auto& range : ranges)
@@ -131,7 +120,7 @@
         }));
 }
 
-void HttpStore::compareAndSwap(const std::string& key, int64_t expected, const std::string& value, Deadline deadline,
+void GatewayStore::compareAndSwap(const std::string& key, int64_t expected, const std::string& value, Deadline deadline,
     std::function<void(SwapResult)> done)
 {
     const QJsonObject compare { { "key", encode(key) }, { "target", "MOD" }, { "result", "EQUAL" },
@@ -156,7 +145,7 @@
         }));
 }
 
-void HttpStore::put(const std::string& key, const std::string& value, int64_t lease, Deadline deadline,
+void GatewayStore::put(const std::string& key, const std::string& value, int64_t lease, Deadline deadline,
     std::function<void(WriteResult)> done)
 {
     const QJsonObject body { { "key", encode(key) }, { "value", encode(value) }, { "lease", QString::number(lease) } };
@@ -164,19 +153,19 @@
         translate(std::move(done), [](const QJsonObject&) -> WriteResult { return Success {}; }));
 }
 
-void HttpStore::remove(const std::string& key, Deadline deadline, std::function<void(WriteResult)> done)
+void GatewayStore::remove(const std::string& key, Deadline deadline, std::function<void(WriteResult)> done)
 {
     this->post("/v3/kv/deleterange", { { "key", encode(key) } }, deadline,
         translate(std::move(done), [](const QJsonObject&) -> WriteResult { return Success {}; }));
 }
 
-void HttpStore::grantLease(std::chrono::seconds life, Deadline deadline, std::function<void(LeaseResult)> done)
+void GatewayStore::grantLease(std::chrono::seconds life, Deadline deadline, std::function<void(LeaseResult)> done)
 {
     this->post("/v3/lease/grant", { { "TTL", QString::number(life.count()) } }, deadline,
         translate(std::move(done), [](const QJsonObject& reply) -> LeaseResult { return numberOf(reply["ID"]); }));
 }
 
-void HttpStore::keepLease(int64_t lease, Deadline deadline, std::function<void(LeaseResult)> done)
+void GatewayStore::keepLease(int64_t lease, Deadline deadline, std::function<void(LeaseResult)> done)
 {
     this->post("/v3/lease/keepalive", { { "ID", QString::number(lease) } }, deadline,
         translate(std::move(done), [](const QJsonObject& reply) -> LeaseResult {
--- a/src/platform/HttpStore.h
+++ b/src/store/GatewayStore.h
@@ -1,17 +1,15 @@
 #pragma once
 // The key-value service over its JSON gateway: /v3/kv/range, /v3/kv/txn, /v3/kv/put, /v3/lease/...
 
-#include "http/Http.h"
-#include "platform/KeyValueStore.h"
+#include "store/HttpTransport.h"
 
 #include <QJsonObject>
 
-namespace dragonfly::platform {
+namespace dragonfly::store {
 
-class HttpStore : public KeyValueStore {
+class GatewayStore : public KeyValueStore {
 public:
-    /// @param endpoints addresses of the service; a failed call moves on to the next one
-    HttpStore(std::vector<Endpoint> endpoints, http::ClientPool* pool);
+    GatewayStore(std::vector<Endpoint> endpoints, http::ClientPool* pool);
 
     void read(const std::vector<ReadRequest>& ranges, Deadline deadline, std::function<void(ReadResult)> done) override;
     void compareAndSwap(const std::string& key, int64_t expected, const std::string& value, Deadline deadline,
@@ -26,9 +24,7 @@
     using Reply = std::variant<QJsonObject, StoreFailure>;
     void post(const char* path, const QJsonObject& body, Deadline deadline, std::function<void(Reply)> done);
 
-    std::vector<Endpoint> endpoints;
-    http::ClientPool* pool;
-    size_t next = 0;
+    HttpTransport transport;
 };
 
 }
--- /dev/null
+++ b/src/store/HttpTransport.cpp
@@ -0,0 +1,40 @@
+#include "store/HttpTransport.h"
+
+#include <algorithm>
+
+namespace dragonfly::store {
+
+namespace {
+
+    /// Longest wait for a connection, so that a service that is down does not use up a call's time.
+    constexpr std::chrono::milliseconds connectTime { 500 };
+
+}
+
+HttpTransport::HttpTransport(std::vector<Endpoint> endpoints, http::ClientPool* pool)
+    : endpoints(std::move(endpoints))
+    , pool(pool)
+{
+}
+
+void HttpTransport::call(const std::string& method, const std::string& target, const std::string& body,
+    Deadline deadline, std::function<void(HttpOutcome)> done)
+{
+    http::Request request { method, target, {}, body };
+    if (!body.empty())
+        request.headers.add("Content-Type", "application/json");
+    auto reply = std::make_shared<HttpReply>();
+    http::CallEvents events;
+    events.onHead = [reply](const http::ResponseHead& head) { reply->status = head.status; };
+    events.onBody = [reply](std::string_view bytes) { reply->body.append(bytes); };
+    events.onComplete = [reply, done] { done(std::move(*reply)); };
+    events.onFailure = [this, done](const http::CallFailure& failure) {
+        ++this->next;
+        done(failure.requestSent ? StoreFailure::Unknown : StoreFailure::NotDone);
+    };
+    const auto connectDeadline = std::min(deadline, Clock::now() + connectTime);
+    this->pool->send(this->endpoints[this->next % this->endpoints.size()], request, { connectDeadline, deadline },
+        std::move(events));
+}
+
+}
--- a/src/platform/Platform.h
+++ b/src/store/Store.h
@@ -1,5 +1,6 @@
 #pragma once
 // What the platform gives: its key-value service and the list of targets kept in it.
 
-#include "platform/HttpStore.h"
-#include "platform/KeyValueStore.h"
+#include "store/GatewayStore.h"
+#include "store/HttpTransport.h"
+#include "store/KeyValueStore.h"
--- a/tests/ClaimLedgerTest.cpp
+++ b/tests/ClaimLedgerTest.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 /// A store whose calls take effect and answer at random moments, or lose either.
-class UnreliableStore : public platform::KeyValueStore {
+class UnreliableStore : public store::KeyValueStore {
 public:
     explicit UnreliableStore(uint32_t seed, double lossShare)
         : random(seed)
@@ -25,15 +25,15 @@
     {
     }
 
-    void read(const std::vector<platform::ReadRequest>& ranges, Deadline,
-        std::function<void(platform::ReadResult)> done) override
+    void read(const std::vector<store::ReadRequest>& ranges, Deadline,
+        std::function<void(store::ReadResult)> done) override
     {
         this->later([this, key = ranges.front().key, done] {
             if (this->chance()) {
-                done(platform::StoreFailure::Unknown);
+                done(store::StoreFailure::Unknown);
                 return;
             }
-            std::vector<platform::KeyValue> found;
+            std::vector<store::KeyValue> found;
             if (this->values.contains(key))
                 found.push_back(this->values[key]);
             this->later([done, found] { done(found); });
@@ -41,11 +41,11 @@
     }
 
     void compareAndSwap(const std::string& key, int64_t expected, const std::string& value, Deadline,
-        std::function<void(platform::SwapResult)> done) override
+        std::function<void(store::SwapResult)> done) override
     {
         if (this->chance()) {
             // The caller gives up before the write arrives, if it ever does.
-            this->later([done] { done(platform::StoreFailure::Unknown); });
+            this->later([done] { done(store::StoreFailure::Unknown); });
             if (!this->chance())
                 this->muchLater([this, key, expected, value] { this->swap(key, expected, value); });
             return;
@@ -53,23 +53,23 @@
         this->later([this, key, expected, value, done] {
             const auto result = this->swap(key, expected, value);
             if (this->chance())
-                done(platform::StoreFailure::Unknown);
+                done(store::StoreFailure::Unknown);
             else
                 this->later([done, result] { done(result); });
         });
     }
 
     void put(
-        const std::string&, const std::string&, int64_t, Deadline, std::function<void(platform::WriteResult)>) override
+        const std::string&, const std::string&, int64_t, Deadline, std::function<void(store::WriteResult)>) override
     {
     }
-    void remove(const std::string&, Deadline, std::function<void(platform::WriteResult)>) override
+    void remove(const std::string&, Deadline, std::function<void(store::WriteResult)>) override
     {
     }
-    void grantLease(std::chrono::seconds, Deadline, std::function<void(platform::LeaseResult)>) override
+    void grantLease(std::chrono::seconds, Deadline, std::function<void(store::LeaseResult)>) override
     {
     }
-    void keepLease(int64_t, Deadline, std::function<void(platform::LeaseResult)>) override
+    void keepLease(int64_t, Deadline, std::function<void(store::LeaseResult)>) override
     {
     }
 
@@ -91,20 +91,20 @@
         QTimer::singleShot(static_cast<int>(20 + this->random() % 200), &this->context, work);
     }
 
-    platform::SwapResult swap(const std::string& key, int64_t expected, const std::string& value)
+    store::SwapResult swap(const std::string& key, int64_t expected, const std::string& value)
     {
         ++this->swaps;
         auto& stored = this->values[key];
         if (stored.modRevision != expected)
-            return platform::Conflict { stored };
+            return store::Conflict { stored };
         stored = { key, value, ++this->revision };
-        return platform::Swapped { this->revision };
+        return store::Swapped { this->revision };
     }
 
     QObject context; ///< ends what is still to come when the store goes
     std::mt19937 random;
     double lossShare;
-    std::map<std::string, platform::KeyValue> values;
+    std::map<std::string, store::KeyValue> values;
     int64_t revision = 0;
 };
 
