Give each shared prefix one home over all data centres and end replaced weights in time

Change: policy least-cost weighs time, work that others wait for, and a surcharge for replaced weights, with one home for each shared prefix; delays that are seen enter the choice and fade. Weights that were replaced too long ago answer no more. The roll-out takes the oldest weights first.

--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -42,7 +42,7 @@
             settings.policy = *policy;
         else
             reader.complain(
-                "policy", "expected expected-first-token, bounded-hash, two-choices, least-loaded or round-robin");
+                "policy", "expected expected-first-token, least-cost, bounded-hash, two-choices, least-loaded or round-robin");
         settings.prefixSlots = reader.number("prefixSlots", 1 << 18, 1 << 10, 1 << 26);
         settings.placementBytesPerSecond = reader.bytes("placementBytesPerSecond", 1024);
         reader.finish();
@@ -90,6 +90,7 @@
             reader.complain("revocationTime", "expected more than 600ms");
         forwarding.proofValidity = revocation - revocationMargin;
         forwarding.orderRole.leaseTime = reader.duration("orderLease", forwarding.orderRole.leaseTime);
+        forwarding.requests.weightsTime = reader.duration("weightsTime", seconds(15));
         forwarding.parallelLoads = reader.fraction("parallelLoads", 0.2);
         forwarding.requests.retryBudget.ratio = reader.fraction("retryRatio", 0.2);
         forwarding.requests.retryBudget.window = reader.duration("retryWindow", seconds(10));
--- a/src/directory/Directory.cpp
+++ b/src/directory/Directory.cpp
@@ -101,12 +101,24 @@
     return found == this->wanted.end() ? 0 : found->second;
 }
 
+std::optional<Clock::time_point> Directory::replacedAt(const std::string& model, uint64_t version) const
+{
+    const auto versions = this->namedAt.find(model);
+    if (versions == this->namedAt.end())
+        return std::nullopt;
+    const auto next = versions->second.upper_bound(version);
+    if (next == versions->second.end())
+        return std::nullopt;
+    return next->second;
+}
+
 void Directory::nameWeights(const NamedWeights& named)
 {
     auto& version = this->wanted[named.model];
     if (named.version <= version)
         return;
     version = named.version;
+    this->namedAt[named.model].emplace(named.version, Clock::now());
     logChange(
         LogLevel::Info, "weights named", { { "model", named.model }, { "version", std::to_string(named.version) } });
     if (this->onWeightsChanged)
--- a/src/directory/Directory.h
+++ b/src/directory/Directory.h
@@ -43,6 +43,8 @@
 
     /// The version of @p model that operators want; 0 while none was named.
     uint64_t wantedWeights(const std::string& model) const;
+    /// When this instance heard of the first version that replaces @p version; nothing while none does.
+    std::optional<Clock::time_point> replacedAt(const std::string& model, uint64_t version) const;
     void nameWeights(const NamedWeights& named);
     const std::map<std::string, uint64_t>& allWantedWeights() const
     {
@@ -56,6 +58,8 @@
     RouteTablePointer table;
     std::map<std::string, TargetPointer> byId;
     std::map<std::string, uint64_t> wanted;
+    /// When each version was named, by model. What was named before this instance started counts from its start.
+    std::map<std::string, std::map<uint64_t, Clock::time_point>> namedAt;
 };
 
 }
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -105,8 +105,8 @@
     }
     const ChoiceQuery query { this->context.directory, *this->request.routes, *this->request.route,
         this->request.description, this->request.organisation, this->context.settings.place,
-        this->context.settings.regions, this->context.memory, this->tried, QRandomGenerator::global()->generate64(),
-        now };
+        this->context.settings.regions, this->context.memory, this->tried,
+        this->context.settings.weightsTime, QRandomGenerator::global()->generate64(), now };
     auto choice = chooseTarget(this->context.settings.policy, query);
     if (!choice) {
         this->fail({ ErrorKind::NoTarget, "no target takes this request now", this->execution(), retryAfterRefusal });
@@ -273,6 +273,7 @@
     routing::noteSuccess(*choice.target->state);
     const std::chrono::duration<double> took = now - this->request.arrived;
     this->context.metrics.firstTokenSeconds.Observe(took.count());
+    this->noteDelay(now);
     const auto prompt = this->request.description.promptTokens;
     const auto work = prompt - std::min(prompt, choice.choice.cachedTokens);
     if (work < leastTokensToLearnFrom || choice.choice.cachedTokens || choice.fetchCacheFrom)
@@ -283,6 +284,16 @@
     cost.store(before ? before - before / costSmoothing + seen / costSmoothing : seen, std::memory_order_relaxed);
 }
 
+/// Tells the target's state by how much the first event came later than this request's own work explains.
+void ForwardCall::noteDelay(Clock::time_point now)
+{
+    const auto& choice = this->attempt->choice;
+    const auto expected = choice.choice.expectedFirstToken - choice.choice.queueTime;
+    const auto took = now - this->attempt->sentAt;
+    routing::noteDelay(
+        *choice.target->state, std::chrono::duration_cast<std::chrono::microseconds>(took - expected), now);
+}
+
 void ForwardCall::watchSlowCaller()
 {
     if (!this->paused || this->request.exchange->unsentBytes() > slowCallerBytes / 2)
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -56,6 +56,7 @@
 
     void relayEvents(std::string_view bytes);
     void noteFirstEvent();
+    void noteDelay(Clock::time_point now);
     void finishStream();
     void answerWhole();
     void onNotRun();
--- a/src/forward/ForwardContext.h
+++ b/src/forward/ForwardContext.h
@@ -17,6 +17,7 @@
     std::map<std::string, std::string> regions; ///< data centre to region
     routing::Policy policy;
     RetryBudgetLimits retryBudget;
+    std::chrono::milliseconds weightsTime { 15000 }; ///< replaced weights may answer for this long
     size_t prefixSlots = 1u << 14;
 };
 
--- a/src/forward/TargetChooser.cpp
+++ b/src/forward/TargetChooser.cpp
@@ -12,6 +12,16 @@
 
     /// Organisations that are not isolated share their prefixes under this scope.
     constexpr std::string_view commonScope = "shared";
+    /// Shorter shared prefixes are read faster than a request crosses to their home.
+    constexpr uint32_t leastHomeTokens = 1024;
+    /// Replaced weights answer as well as new ones for this time after the new ones were named.
+    constexpr std::chrono::milliseconds freeStaleTime { 1500 };
+    /// Kept off the time within which replaced weights may answer.
+    constexpr std::chrono::milliseconds weightsMargin { 2000 };
+    /// Then an answer by them is worth a fifth less, which is about as bad as this delay.
+    constexpr std::chrono::milliseconds firstStaleSurcharge { 250 };
+    /// The loss grows with the age of the new weights; a tenth of that age keeps step with it.
+    constexpr int staleSurchargeDivisor = 10;
 
     uint32_t shortName(const directory::Target& target)
     {
@@ -92,28 +102,58 @@
         return gathered.versions.size() - 1;
     }
 
-    /// Prompts without a shared prefix are ranked at random.
-    uint64_t rankOf(const PromptPrefixes& prefixes, const ChoiceQuery& query, uint32_t name)
+    /// Seed of the ranks: the shared prefix whatever the weights, so that its home outlasts them. Prompts
+    /// without one are ranked at random.
+    uint64_t rankSeed(const ChoiceQuery& query)
     {
-        const auto shared = prefixes.sharedCount();
-        const uint64_t pair[] = { shared ? prefixes.hashes[shared - 1] : query.random, name };
+        const auto& prompt = query.description.prompt;
+        if (prompt.size() < 2)
+            return query.random;
+        uint64_t hash = 0;
+        for (size_t i = 0; i + 1 < prompt.size(); ++i)
+            hash = fastHash(prompt[i].id, hash);
+        return hash;
+    }
+
+    uint64_t rankOf(uint64_t seed, uint32_t name)
+    {
+        const uint64_t pair[] = { seed, name };
         return fastHash({ reinterpret_cast<const char*>(pair), sizeof(pair) });
     }
 
-    Candidate candidateOf(const ChoiceQuery& query, const directory::Target& target, const PromptPrefixes& prefixes)
+    Candidate candidateOf(const ChoiceQuery& query, const directory::Target& target, uint64_t seed)
     {
         const auto& state = *target.state;
         Candidate candidate;
         candidate.reach = reachOf(query, target.registration.dataCentre);
         candidate.avoided = routing::timeOf(state.avoidUntil) > query.now;
         candidate.inFlight = state.inFlight.load(std::memory_order_relaxed);
+        candidate.delay = routing::expectedDelay(state, query.now);
         candidate.queuedTokens = routing::queuedTokens(state, query.now);
         candidate.nanosecondsPerToken = state.nanosecondsPerToken.load(std::memory_order_relaxed);
-        candidate.rank = rankOf(prefixes, query, shortName(target));
+        candidate.rank = rankOf(seed, shortName(target));
         candidate.familyRank = candidate.rank;
         return candidate;
     }
 
+    /// What an answer by replaced weights is worth less, expressed as time: nothing at first, then more and more.
+    std::chrono::nanoseconds staleSurcharge(const ChoiceQuery& query, uint64_t version)
+    {
+        const auto& model = query.description.model;
+        if (model.empty() || version >= query.directory.wantedWeights(model))
+            return std::chrono::nanoseconds(0);
+        const auto age = query.now - *query.directory.replacedAt(model, version);
+        return age < freeStaleTime ? std::chrono::nanoseconds(0) : firstStaleSurcharge + age / staleSurchargeDivisor;
+    }
+
+    /// Whether weights of @p version may still answer: not when they were replaced too long ago. A request may
+    /// wait at its engine before it begins.
+    bool mayAnswer(const ChoiceQuery& query, uint64_t version)
+    {
+        const auto replacedAt = query.directory.replacedAt(query.description.model, version);
+        return !replacedAt || query.now - *replacedAt < query.weightsTime - weightsMargin;
+    }
+
     bool isExcluded(const ChoiceQuery& query, const directory::Target& target)
     {
         const auto& tried = query.excluded;
@@ -123,14 +163,16 @@
     void gatherFrom(Gathered& gathered, const ChoiceQuery& query, const std::string& service)
     {
         const auto& model = query.description.model;
+        const auto seed = rankSeed(query);
         for (auto& target : query.directory.targetsOf(service)) {
             if (!target->isUsable(query.now) || isExcluded(query, *target))
                 continue;
             const auto version = model.empty() ? 0 : target->weightsOf(model);
-            if (!model.empty() && !version)
+            if (!model.empty() && (!version || !mayAnswer(query, version)))
                 continue;
             const auto index = indexOfVersion(gathered, query, version);
-            auto candidate = candidateOf(query, *target, gathered.versions[index]);
+            auto candidate = candidateOf(query, *target, seed);
+            candidate.surcharge = staleSurcharge(query, version);
             candidate.target = static_cast<uint32_t>(gathered.targets.size());
             gathered.candidates.push_back(candidate);
             gathered.prefixes.push_back(index);
@@ -246,7 +288,8 @@
         question.knownTokens = std::max(question.knownTokens, candidate.cachedTokens);
     for (const auto& prefixes : gathered.versions)
         question.homeTokens = std::max(question.homeTokens, prefixes.sharedTokens());
-    question.homeTrust = question.homeTokens ? 0.5 : 0;
+    if (question.homeTokens < leastHomeTokens)
+        question.homeTokens = 0;
     const auto choice = routing::chooseTarget(policy, gathered.candidates, question);
     if (!choice)
         return std::nullopt;
--- a/src/forward/TargetChooser.h
+++ b/src/forward/TargetChooser.h
@@ -17,6 +17,7 @@
     const std::map<std::string, std::string>& regions; ///< data centre to region
     const routing::PrefixMemory& memory;
     const std::vector<std::string>& excluded; ///< ids of targets that were tried
+    std::chrono::milliseconds weightsTime { 0 }; ///< how long replaced weights may answer
     uint64_t random = 0;
     Clock::time_point now;
 };
--- a/src/routing/Policy.cpp
+++ b/src/routing/Policy.cpp
@@ -140,7 +140,7 @@
             * (uint64_t(weight - 1) * uncachedTokens(candidate, question));
         if (candidate.reach == Reach::OtherRegion)
             result += otherRegionSurcharge;
-        return result;
+        return result + candidate.surcharge;
     }
 
     Pick pick(const ExpectedFirstToken&, Candidates candidates, const Question& question)
@@ -170,6 +170,43 @@
         return { best, best->cachedTokens ? Reason::CachedPrefix : Reason::ShortestQueue };
     }
 
+    /// Reading a shared prefix again also takes its engine from others and pushes other prefixes out, so it
+    /// weighs this many times its own time, beside that time itself.
+    constexpr uint32_t rereadWeight = 3;
+    /// How likely the home holds the shared prefix although this instance has not seen it there.
+    constexpr double homeTrust = 0.7;
+
+    nanoseconds costAt(const Candidate& candidate, const Question& question, bool isHome)
+    {
+        auto cached = candidate.cachedTokens;
+        if (isHome && cached < question.homeTokens)
+            cached = withTrust(cached, question.homeTokens, homeTrust);
+        const auto unread = question.promptTokens - std::min(question.promptTokens, cached);
+        const auto unreadShared = question.homeTokens - std::min(question.homeTokens, cached);
+        const uint64_t tokens = uint64_t(candidate.queuedTokens) + unread + uint64_t(rereadWeight) * unreadShared;
+        return networkTime[static_cast<size_t>(candidate.reach)] + candidate.delay
+            + costPerToken(candidate.nanosecondsPerToken) * tokens + candidate.surcharge;
+    }
+
+    Pick pick(const LeastCost&, Candidates candidates, const Question& question)
+    {
+        const auto* home = question.homeTokens ? &bestByFamilyRank(candidates) : nullptr;
+        const Candidate* best = nullptr;
+        nanoseconds least {};
+        for (const auto& candidate : candidates) {
+            const auto cost = costAt(candidate, question, &candidate == home);
+            const bool isBetter = !best || cost < least
+                || (cost == least && std::tuple(candidate.inFlight, candidate.rank) < std::tuple(best->inFlight, best->rank));
+            if (!isBetter)
+                continue;
+            best = &candidate;
+            least = cost;
+        }
+        if (best == home)
+            return { best, Reason::HomeOfPrefix };
+        return { best, best->cachedTokens ? Reason::CachedPrefix : Reason::ShortestQueue };
+    }
+
     /// Candidates that did not just fail, nearest first; all of them when every one did.
     std::vector<Candidate> usable(Candidates candidates)
     {
@@ -218,6 +255,8 @@
         return BoundedHash {};
     if (name == "expected-first-token")
         return ExpectedFirstToken {};
+    if (name == "least-cost")
+        return LeastCost {};
     return std::nullopt;
 }
 
@@ -241,7 +280,8 @@
     const auto& winner = *picked.candidate;
     const bool isHome = &winner == &homeOf(nearest(pool), question);
     return Choice { winner.target, winner.reach, picked.reason, isHome, winner.cachedTokens, question.knownTokens,
-        winner.cachedAge, expectedFirstToken(winner, question) };
+        winner.cachedAge, expectedFirstToken(winner, question),
+        costPerToken(winner.nanosecondsPerToken) * winner.queuedTokens };
 }
 
 }
--- a/src/routing/Policy.h
+++ b/src/routing/Policy.h
@@ -27,6 +27,8 @@
     uint32_t cachedTokens = 0; ///< believed to be cached from this prompt
     std::chrono::milliseconds cachedAge { 0 }; ///< since that belief was formed
     uint32_t nanosecondsPerToken = 0; ///< 0 while unknown
+    std::chrono::microseconds delay { 0 }; ///< by which answers came later than their own work explains
+    std::chrono::nanoseconds surcharge { 0 }; ///< added in the comparison for what an answer is worth less there
     uint64_t familyRank = 0; ///< rendezvous rank for the prompt's beginning, which many prompts share
     uint64_t rank = 0; ///< rendezvous rank for the prompt's whole prefix
 };
@@ -61,6 +63,7 @@
     uint32_t knownTokens = 0; ///< as in the question
     std::chrono::milliseconds cachedAge { 0 };
     std::chrono::nanoseconds expectedFirstToken { 0 };
+    std::chrono::nanoseconds queueTime { 0 }; ///< the part of it that is spent on the work of others
 };
 
 /// Each request goes to the next target in turn.
@@ -75,8 +78,10 @@
 };
 /// Shortest expected time to the first token, from queue, network and believed cache.
 struct ExpectedFirstToken { };
+/// Least time and work together, with one home for each shared prefix over all data centres.
+struct LeastCost { };
 
-using Policy = std::variant<RoundRobin, LeastLoaded, TwoChoices, BoundedHash, ExpectedFirstToken>;
+using Policy = std::variant<RoundRobin, LeastLoaded, TwoChoices, BoundedHash, ExpectedFirstToken, LeastCost>;
 
 /// The policy called @p name in settings, such as "expected-first-token".
 std::optional<Policy> parsePolicy(std::string_view name);
--- a/src/routing/TargetState.cpp
+++ b/src/routing/TargetState.cpp
@@ -1,6 +1,7 @@
 #include "routing/TargetState.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dragonfly::routing {
 
@@ -9,6 +10,10 @@
     constexpr std::chrono::milliseconds firstAvoidance { 250 };
     constexpr uint32_t mostDoublings = 5;
     constexpr uint32_t assumedNanosecondsPerToken = 50000;
+    /// Weight of one answer against what was seen before.
+    constexpr double delayWeight = 0.4;
+    /// Half of a delay that is not seen again is forgotten in this time: queues are worked off within seconds.
+    constexpr std::chrono::milliseconds delayHalfLife { 1000 };
 
     /// What is left at @p now of a queue of @p tokens at time @p since.
     uint32_t leftOf(const TargetState& state, const std::atomic<uint32_t>& tokens, const std::atomic<Clock::rep>& since,
@@ -75,6 +80,25 @@
     return state.pendingTokens.load(std::memory_order_relaxed) + std::max(reported, told);
 }
 
+std::chrono::microseconds expectedDelay(const TargetState& state, Clock::time_point now)
+{
+    const auto seen = state.delayUs.load(std::memory_order_relaxed);
+    if (!seen)
+        return std::chrono::microseconds(0);
+    const std::chrono::duration<double> age = now - timeOf(state.delayAt);
+    const auto halves = age / std::chrono::duration<double>(delayHalfLife);
+    return std::chrono::microseconds(std::llround(seen * std::exp2(-std::max(0.0, halves))));
+}
+
+void noteDelay(TargetState& state, std::chrono::microseconds delay, Clock::time_point now)
+{
+    const auto before = static_cast<double>(expectedDelay(state, now).count());
+    const auto seen = static_cast<double>(std::max<int64_t>(0, delay.count()));
+    state.delayUs.store(
+        static_cast<uint32_t>(before + (seen - before) * delayWeight), std::memory_order_relaxed);
+    state.delayAt.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
 void noteOthersWork(TargetState& state, uint32_t tokens, Clock::time_point now)
 {
     const auto left = leftOf(state, state.toldTokens, state.toldAt, now);
--- a/src/routing/TargetState.h
+++ b/src/routing/TargetState.h
@@ -22,6 +22,8 @@
     std::atomic<uint64_t> incarnation { 0 }; ///< hash of the incarnation that answered last; 0 while unknown
     std::atomic<uint64_t> weights { 0 }; ///< hash of the weights it answered with last; 0 while unknown
     std::atomic<uint32_t> nanosecondsPerToken { 0 }; ///< observed prefill cost; 0 while unknown
+    std::atomic<uint32_t> delayUs { 0 }; ///< by which first tokens came later than expected, at delayAt
+    std::atomic<Clock::rep> delayAt { 0 };
     std::atomic<uint32_t> cacheLifeMs { 60000 }; ///< how long a cached prefix was last seen to survive
 };
 
@@ -45,6 +47,12 @@
 bool noteIncarnation(TargetState& state, uint64_t incarnation);
 void noteLoad(TargetState& state, uint32_t queuedTokens, Clock::time_point now);
 
+/// Notes by how much an answer began later than the request's own work explains. Work of other instances,
+/// slowness and full batches all show in it.
+void noteDelay(TargetState& state, std::chrono::microseconds delay, Clock::time_point now);
+/// The delay to expect at @p now: what was seen fades, since a target that is not asked reports nothing.
+std::chrono::microseconds expectedDelay(const TargetState& state, Clock::time_point now);
+
 /// Another instance says that it sent work of @p tokens. Only from the control thread.
 void noteOthersWork(TargetState& state, uint32_t tokens, Clock::time_point now);
 
--- a/src/weights/RolloutPlan.cpp
+++ b/src/weights/RolloutPlan.cpp
@@ -24,7 +24,9 @@
     std::vector<std::string> chosen;
     while (loading < most && !waiting.empty()) {
         const auto rank = [&](const EngineState* engine) {
-            return std::tuple(loadingIn[engine->dataCentre], doneIn[engine->dataCentre], engine->inFlight);
+            // The oldest weights have the nearest time limit.
+            return std::tuple(
+                engine->version, loadingIn[engine->dataCentre], doneIn[engine->dataCentre], engine->inFlight);
         };
         const auto best = std::min_element(waiting.begin(), waiting.end(),
             [&](const EngineState* a, const EngineState* b) { return rank(a) < rank(b); });
