Keep weights' time limits over restarts and the retry budget over windows

Change: naming times are the epoch when they are not known, and such weights answer only where there are none newer; an engine that is behind is left alone until its new registration; the window uses 0.85 of the budget.

--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -11,6 +11,8 @@
 
     /// Kept off the time within which a revoked key must be refused, for requests on their way to a target.
     constexpr milliseconds revocationMargin { 600 };
+    /// Used part of the shared retry budget: windows of instances and of those who judge them do not coincide.
+    constexpr double retryBudgetUse = 0.85;
     constexpr const char* anyPort = "127.0.0.1:0";
 
     void readServer(MapReader reader, http::ServerLimits& limits)
@@ -92,7 +94,7 @@
         forwarding.orderRole.leaseTime = reader.duration("orderLease", forwarding.orderRole.leaseTime);
         forwarding.requests.weightsTime = reader.duration("weightsTime", seconds(15));
         forwarding.parallelLoads = reader.fraction("parallelLoads", 0.2);
-        forwarding.requests.retryBudget.ratio = reader.fraction("retryRatio", 0.2);
+        forwarding.requests.retryBudget.ratio = reader.fraction("retryRatio", 0.2) * retryBudgetUse;
         forwarding.requests.retryBudget.window = reader.duration("retryWindow", seconds(10));
         reader.finish();
         forwarding.requests.instance = settings.instance;
--- a/src/directory/Directory.cpp
+++ b/src/directory/Directory.cpp
@@ -66,6 +66,8 @@
     const bool changesWeights = isNew || target->registration.weights != registration.weights;
     if (isNew || changesWeights || target->registration.isDraining != registration.isDraining)
         logTarget(isNew ? "target registered" : "target changed", registration);
+    if (changesWeights)
+        target->refusingUntil = {};
     target->registration = std::move(registration);
     if (changesWeights && this->onWeightsChanged)
         this->onWeightsChanged();
@@ -103,8 +105,8 @@
 
 std::optional<Clock::time_point> Directory::replacedAt(const std::string& model, uint64_t version) const
 {
-    const auto versions = this->namedAt.find(model);
-    if (versions == this->namedAt.end())
+    const auto versions = this->namingTimes.find(model);
+    if (versions == this->namingTimes.end())
         return std::nullopt;
     const auto next = versions->second.upper_bound(version);
     if (next == versions->second.end())
@@ -112,13 +114,13 @@
     return next->second;
 }
 
-void Directory::nameWeights(const NamedWeights& named)
+void Directory::nameWeights(const NamedWeights& named, Clock::time_point namedAt)
 {
     auto& version = this->wanted[named.model];
     if (named.version <= version)
         return;
     version = named.version;
-    this->namedAt[named.model].emplace(named.version, Clock::now());
+    this->namingTimes[named.model].emplace(named.version, namedAt);
     logChange(
         LogLevel::Info, "weights named", { { "model", named.model }, { "version", std::to_string(named.version) } });
     if (this->onWeightsChanged)
--- a/src/directory/Directory.h
+++ b/src/directory/Directory.h
@@ -45,7 +45,8 @@
     uint64_t wantedWeights(const std::string& model) const;
     /// When this instance heard of the first version that replaces @p version; nothing while none does.
     std::optional<Clock::time_point> replacedAt(const std::string& model, uint64_t version) const;
-    void nameWeights(const NamedWeights& named);
+    /// @param namedAt not after the moment at which operators named them; the epoch when that is not known
+    void nameWeights(const NamedWeights& named, Clock::time_point namedAt);
     const std::map<std::string, uint64_t>& allWantedWeights() const
     {
         return this->wanted;
@@ -58,8 +59,8 @@
     RouteTablePointer table;
     std::map<std::string, TargetPointer> byId;
     std::map<std::string, uint64_t> wanted;
-    /// When each version was named, by model. What was named before this instance started counts from its start.
-    std::map<std::string, std::map<uint64_t, Clock::time_point>> namedAt;
+    /// When each version was named, by model; the epoch for what was named before this instance started.
+    std::map<std::string, std::map<uint64_t, Clock::time_point>> namingTimes;
 };
 
 }
--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -109,7 +109,7 @@
         if (this->step == ReadStep::Deployment)
             this->takeDeployment(pair, this->readStarted);
         else
-            this->take({ pair, false });
+            this->take({ pair, false }, this->currentAt);
     }
     this->lastKey = page->hasMore && !page->pairs.empty() ? page->pairs.back().key : std::string();
     if (this->lastKey.empty())
@@ -133,6 +133,7 @@
     if (!this->followedListed && this->onFollowedKey)
         this->onFollowedKey(false);
     this->watchedRevision = this->readRevision;
+    this->currentAt = Clock::now();
     this->watch();
     this->scheduleProof();
 }
@@ -159,7 +160,8 @@
         return;
     }
     for (const auto& change : changes->changes)
-        this->take(change);
+        this->take(change, this->currentAt);
+    this->currentAt = Clock::now();
     this->watchedRevision = std::max(this->watchedRevision, changes->revision);
     this->watch();
 }
@@ -201,7 +203,7 @@
     this->proofTimer.start(answered ? proofPeriod : proofRetry + jitter(proofRetry));
 }
 
-void DirectorySync::take(const store::Change& change)
+void DirectorySync::take(const store::Change& change, Clock::time_point changedAt)
 {
     const auto& key = change.pair.key;
     if (key == this->decoder.deploymentKey()) {
@@ -211,7 +213,7 @@
         this->takeTarget(change);
     } else if (key.starts_with(this->decoder.weightsPrefix())) {
         if (!change.isRemoval)
-            this->takeWeights(change.pair);
+            this->takeWeights(change.pair, changedAt);
     } else if (key == this->followedKey && this->onFollowedKey) {
         this->onFollowedKey(!change.isRemoval);
     }
@@ -272,13 +274,13 @@
     this->directory.registerTarget(std::move(std::get<Registration>(decoded)));
 }
 
-void DirectorySync::takeWeights(const store::KeyValue& pair)
+void DirectorySync::takeWeights(const store::KeyValue& pair, Clock::time_point namedAt)
 {
     const auto decoded = this->decoder.decodeWeights(pair.key, pair.value);
     if (const auto* error = errorOf(decoded))
         logChange(LogLevel::Error, "named weights refused", { { "key", pair.key }, { "reason", error->detail } });
     else
-        this->directory.nameWeights(std::get<NamedWeights>(decoded));
+        this->directory.nameWeights(std::get<NamedWeights>(decoded), namedAt);
 }
 
 void DirectorySync::removeAbsent()
--- a/src/directory/DirectorySync.h
+++ b/src/directory/DirectorySync.h
@@ -50,10 +50,11 @@
     void checkProof();
     void onChecked(const store::CheckResult& result, BootClock::time_point askedAt);
 
-    void take(const store::Change& change);
+    /// @param changedAt not after the change
+    void take(const store::Change& change, Clock::time_point changedAt);
     void takeDeployment(const store::KeyValue& pair, BootClock::time_point readAt);
     void takeTarget(const store::Change& change);
-    void takeWeights(const store::KeyValue& pair);
+    void takeWeights(const store::KeyValue& pair, Clock::time_point namedAt);
     void removeAbsent();
     void noteCall(bool succeeded);
 
@@ -71,6 +72,7 @@
     BootClock::time_point readStarted;
     std::set<std::string> listed; ///< targets seen by the whole read
     bool followedListed = false; ///< the followed key was seen by it
+    Clock::time_point currentAt; ///< all that had changed before was known; the epoch before the first whole read
     int64_t watchedRevision = 0; ///< changes up to here are known
     int64_t deploymentRevision = 0; ///< of the record that is in force; 0: none was read
     std::map<std::string, int64_t> targetRevisions; ///< of each target's record, so that no older one is taken
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -26,6 +26,9 @@
     constexpr milliseconds soundIdleTime { 1000 };
     /// A target that refused is not asked again for this time: about as long as it takes to work off a queue.
     constexpr milliseconds refusalPause { 250 };
+    /// The same for an engine that is behind with its weights, and so probably loads new ones. Its new
+    /// registration ends the pause sooner.
+    constexpr milliseconds loadingPause { 1500 };
     /// Silence after which a repeatable request is sent elsewhere, as a multiple of the route's target latency.
     constexpr int silenceFactor = 2;
     constexpr milliseconds shortestSilence { 350 };
@@ -344,7 +347,9 @@
 {
     auto& target = *this->attempt->choice.target;
     const auto status = this->attempt->head.status;
-    target.refusingUntil = Clock::now() + refusalPause;
+    const auto& model = this->request.description.model;
+    const bool isLoading = !model.empty() && target.weightsOf(model) < this->context.directory.wantedWeights(model);
+    target.refusingUntil = Clock::now() + (isLoading ? loadingPause : refusalPause);
     ++this->sends;
     --this->runs;
     this->attemptFailed("refused " + std::to_string(status),
--- a/src/forward/RetryWindow.h
+++ b/src/forward/RetryWindow.h
@@ -12,7 +12,7 @@
 namespace dragonfly::forward {
 
 struct RetryBudgetLimits {
-    double ratio = 0.2; ///< further sends for each first one
+    double ratio = 0.17; ///< further sends for each first one
     double allowance = 2; ///< further sends in a window that nothing has to earn
     std::chrono::milliseconds window { 10000 };
 };
--- a/src/forward/TargetChooser.cpp
+++ b/src/forward/TargetChooser.cpp
@@ -143,15 +143,20 @@
         if (model.empty() || version >= query.directory.wantedWeights(model))
             return std::chrono::nanoseconds(0);
         const auto age = query.now - *query.directory.replacedAt(model, version);
-        return age < freeStaleTime ? std::chrono::nanoseconds(0) : firstStaleSurcharge + age / staleSurchargeDivisor;
+        if (age < freeStaleTime)
+            return std::chrono::nanoseconds(0);
+        return firstStaleSurcharge + std::min<Clock::duration>(age, query.weightsTime) / staleSurchargeDivisor;
     }
 
     /// Whether weights of @p version may still answer: not when they were replaced too long ago. A request may
     /// wait at its engine before it begins.
-    bool mayAnswer(const ChoiceQuery& query, uint64_t version)
+    bool mayAnswer(const ChoiceQuery& query, uint64_t version, bool takeUnknownTimes)
     {
         const auto replacedAt = query.directory.replacedAt(query.description.model, version);
-        return !replacedAt || query.now - *replacedAt < query.weightsTime - weightsMargin;
+        if (!replacedAt)
+            return true;
+        const bool isTimeKnown = *replacedAt != Clock::time_point();
+        return isTimeKnown ? query.now - *replacedAt < query.weightsTime - weightsMargin : takeUnknownTimes;
     }
 
     bool isExcluded(const ChoiceQuery& query, const directory::Target& target)
@@ -160,7 +165,8 @@
         return std::find(tried.begin(), tried.end(), target.registration.id) != tried.end();
     }
 
-    void gatherFrom(Gathered& gathered, const ChoiceQuery& query, const std::string& service)
+    void gatherFrom(
+        Gathered& gathered, const ChoiceQuery& query, const std::string& service, bool takeUnknownTimes)
     {
         const auto& model = query.description.model;
         const auto seed = rankSeed(query);
@@ -168,7 +174,7 @@
             if (!target->isUsable(query.now) || isExcluded(query, *target))
                 continue;
             const auto version = model.empty() ? 0 : target->weightsOf(model);
-            if (!model.empty() && (!version || !mayAnswer(query, version)))
+            if (!model.empty() && (!version || !mayAnswer(query, version, takeUnknownTimes)))
                 continue;
             const auto index = indexOfVersion(gathered, query, version);
             auto candidate = candidateOf(query, *target, seed);
@@ -275,10 +281,13 @@
 std::optional<TargetChoice> chooseTarget(const routing::Policy& policy, const ChoiceQuery& query)
 {
     Gathered gathered;
-    for (const auto& service : serviceOrder(query.route, query.random)) {
-        gatherFrom(gathered, query, service);
-        if (!gathered.candidates.empty())
-            break;
+    const auto services = serviceOrder(query.route, query.random);
+    // Weights that were replaced before this instance started are asked only where there are no newer ones.
+    for (const bool takeUnknownTimes : { false, true }) {
+        for (const auto& service : services) {
+            if (gathered.candidates.empty())
+                gatherFrom(gathered, query, service, takeUnknownTimes);
+        }
     }
     creditPrefixes(gathered, query);
     routing::Question question;
