Tell a reset from an orderly close at the end of an answer without a length

Change: an exception notifier on the descriptor tells a reset in the same turn of the event loop; the answer's end is judged after it. Two equal Content-Length fields are refused as well.

Ruled out: the socket's error code, which is RemoteHostClosedError for both; reading the state from the descriptor, which is closed by then.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -89,6 +89,8 @@
         return 0;
     }
     const int signals = openSignalDescriptor();
+    // Qt's own dispatcher polls the sockets directly, which costs less than going through GLib.
+    qputenv("QT_NO_GLIB", "1");
     const QCoreApplication application(argc, argv);
     if (loaded.settings.interface == dragonfly::daemon::Interface::Forwarding)
         return runDaemon<dragonfly::daemon::ForwardingDaemon>(loaded.settings, signals);
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -59,11 +59,11 @@
     this->socket.setReadBufferSize(readBufferBytes);
     this->timer.setSingleShot(true);
     connect(&this->timer, &QTimer::timeout, this, &ClientConnection::checkDeadline);
+    connect(&this->socket, &QTcpSocket::connected, this, &ClientConnection::watchForReset);
     connect(&this->socket, &QTcpSocket::connected, this, &ClientConnection::writeRequest);
     connect(&this->socket, &QTcpSocket::readyRead, this, &ClientConnection::readMore);
     connect(&this->socket, &QTcpSocket::disconnected, this, &ClientConnection::onDisconnected);
-    connect(&this->socket, &QTcpSocket::errorOccurred, this, [this](QAbstractSocket::SocketError error) {
-        this->lastError = error;
+    connect(&this->socket, &QTcpSocket::errorOccurred, this, [this](QAbstractSocket::SocketError) {
         // With an open connection the disconnected signal follows, after the last bytes were read.
         if (this->socket.state() == QAbstractSocket::UnconnectedState)
             this->onDisconnected();
@@ -223,15 +223,10 @@
         this->readMore();
     if (!this->number)
         return;
-    boost::beast::error_code failure;
-    // An answer without a length is whole only when the target closed the connection in order.
-    const bool closedInOrder = this->lastError == QAbstractSocket::RemoteHostClosedError;
-    if (closedInOrder && this->headReported && this->parser->need_eof()) {
-        this->parser->put_eof(failure);
-        if (!failure) {
-            this->complete();
-            return;
-        }
+    if (this->headReported && this->parser->need_eof()) {
+        // A reset is reported in the same turn of the event loop as the close.
+        QMetaObject::invokeMethod(this, &ClientConnection::endWithoutLength, Qt::QueuedConnection);
+        return;
     }
     if (this->sent)
         this->fail(CallFailureKind::Closed, "the connection was closed before the answer was whole");
@@ -239,6 +234,29 @@
         this->fail(CallFailureKind::ConnectFailed, this->socket.errorString().toStdString());
 }
 
+void ClientConnection::watchForReset()
+{
+    this->resetNotifier = std::make_unique<QSocketNotifier>(this->socket.socketDescriptor(), QSocketNotifier::Exception);
+    connect(this->resetNotifier.get(), &QSocketNotifier::activated, this, [this] {
+        this->wasReset = true;
+        this->resetNotifier->setEnabled(false);
+    });
+}
+
+/// An answer without a length is whole only when the target closed the connection in order.
+void ClientConnection::endWithoutLength()
+{
+    if (!this->number)
+        return;
+    boost::beast::error_code failure;
+    if (!this->wasReset)
+        this->parser->put_eof(failure);
+    if (this->wasReset || failure)
+        this->fail(CallFailureKind::Closed, "the connection was reset before the answer was whole");
+    else
+        this->complete();
+}
+
 void ClientConnection::setDeadline(Deadline deadline)
 {
     // The timer is left alone when the deadline moves out: it fires early once and is armed again.
@@ -296,6 +314,7 @@
     this->number = 0;
     this->events.reset();
     this->timer.stop();
+    this->resetNotifier.reset();
     this->pool->forget(this);
     this->socket.disconnect(this);
     this->socket.abort();
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -3,6 +3,7 @@
 
 #include "http/Client.h"
 
+#include <QSocketNotifier>
 #include <QTcpSocket>
 #include <QTimer>
 #include <boost/beast/http/basic_parser.hpp>
@@ -97,6 +98,8 @@
     void readMore();
     bool takeParsed();
     void onDisconnected();
+    void watchForReset();
+    void endWithoutLength();
     void checkDeadline();
     void armTimer();
     void complete();
@@ -116,7 +119,9 @@
     std::shared_ptr<CallEvents> events; ///< shared, so that a handler may end its own call
     Clock::time_point becameIdle;
     Deadline idleDeadline = Deadline::max(); ///< when the target may close the idle connection
-    QAbstractSocket::SocketError lastError = QAbstractSocket::UnknownSocketError;
+    /// Tells a reset, which Qt's socket reports like an orderly close, and in the same turn of the event loop.
+    std::unique_ptr<QSocketNotifier> resetNotifier;
+    bool wasReset = false;
     int interimAnswers = 0; ///< of this call
     bool headReported = false;
     bool sent = false;
--- a/src/http/RequestChecks.cpp
+++ b/src/http/RequestChecks.cpp
@@ -21,7 +21,7 @@
         if (encodings && head.version() < http11)
             return "Transfer-Encoding: not allowed before HTTP/1.1";
         const auto length = head[field::content_length];
-        if (length.find_first_not_of("0123456789") != beast::string_view::npos)
+        if (head.count(field::content_length) > 1 || length.find_first_not_of("0123456789") != beast::string_view::npos)
             return "Content-Length: expected one decimal number";
         return std::nullopt;
     }
