Set a request's urgency by organisation and then by route

Cause: all organisations have one priority, which took the place of the route's, so engines read prompts of 17,000 tokens ahead of ones of 300.

Change: urgency is the organisation's priority and, within it, the route's.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -46,6 +46,8 @@
     constexpr milliseconds retryAfterRefusal { 300 };
 
     constexpr uint32_t mostUrgency = 9;
+    /// An organisation's priority goes before the route's; routes are told apart within it.
+    constexpr uint32_t urgenciesPerRank = 3;
     constexpr uint32_t costSmoothing = 8;
     constexpr uint32_t leastTokensToLearnFrom = 512;
 
@@ -136,8 +138,8 @@
     dispatch.cacheSalt = choice.cacheSalt;
     dispatch.weightsVersion = choice.weightsVersion;
     if (!this->request.description.model.empty()) {
-        const auto priority = organisation && organisation->priority ? *organisation->priority : route.priority;
-        dispatch.urgency = std::min(priority, mostUrgency);
+        const auto rank = organisation ? organisation->priority.value_or(0) : 0;
+        dispatch.urgency = std::min(rank * urgenciesPerRank + route.priority, mostUrgency);
     }
     dispatch.fetchCacheFrom = choice.fetchCacheFrom;
     dispatch.saveCacheTo = choice.saveCacheTo;
