Give short shared prefixes a home in each data centre

Cause: short replies were spread over all engines of a data centre, and each engine read their shared parts.

Change: the home of a prefix below 1,024 tokens is chosen within the nearest data centre, and a miss of it weighs more.

--- a/src/forward/TargetChooser.cpp
+++ b/src/forward/TargetChooser.cpp
@@ -12,8 +12,6 @@
 
     /// Organisations that are not isolated share their prefixes under this scope.
     constexpr std::string_view commonScope = "shared";
-    /// Shorter shared prefixes are read faster than a request crosses to their home.
-    constexpr uint32_t leastHomeTokens = 1024;
     /// Replaced weights answer as well as new ones for this time after the new ones were named.
     constexpr std::chrono::milliseconds freeStaleTime { 1500 };
     /// Kept off the time within which replaced weights may answer.
@@ -297,8 +295,6 @@
         question.knownTokens = std::max(question.knownTokens, candidate.cachedTokens);
     for (const auto& prefixes : gathered.versions)
         question.homeTokens = std::max(question.homeTokens, prefixes.sharedTokens());
-    if (question.homeTokens < leastHomeTokens)
-        question.homeTokens = 0;
     const auto choice = routing::chooseTarget(policy, gathered.candidates, question);
     if (!choice)
         return std::nullopt;
--- a/src/routing/Policy.cpp
+++ b/src/routing/Policy.cpp
@@ -172,7 +172,12 @@
 
     /// Reading a shared prefix again also takes its engine from others and pushes other prefixes out, so it
     /// weighs this many times its own time, beside that time itself.
-    constexpr uint32_t rereadWeight = 3;
+    constexpr uint32_t rereadWeight = 4;
+    /// Short prefixes are asked for far more often than long ones, and a lost one is read by every engine.
+    constexpr uint32_t shortRereadWeight = 25;
+    /// Longer shared prefixes have one home over all data centres: reading them costs more than the way there.
+    /// Shorter ones have one in each.
+    constexpr uint32_t longPrefixTokens = 1024;
     /// How likely the home holds the shared prefix although this instance has not seen it there.
     constexpr double homeTrust = 0.7;
 
@@ -183,14 +188,16 @@
             cached = withTrust(cached, question.homeTokens, homeTrust);
         const auto unread = question.promptTokens - std::min(question.promptTokens, cached);
         const auto unreadShared = question.homeTokens - std::min(question.homeTokens, cached);
-        const uint64_t tokens = uint64_t(candidate.queuedTokens) + unread + uint64_t(rereadWeight) * unreadShared;
+        const uint64_t weight = question.homeTokens >= longPrefixTokens ? rereadWeight : shortRereadWeight;
+        const uint64_t tokens = uint64_t(candidate.queuedTokens) + unread + weight * unreadShared;
         return networkTime[static_cast<size_t>(candidate.reach)] + candidate.delay
             + costPerToken(candidate.nanosecondsPerToken) * tokens + candidate.surcharge;
     }
 
     Pick pick(const LeastCost&, Candidates candidates, const Question& question)
     {
-        const auto* home = question.homeTokens ? &bestByFamilyRank(candidates) : nullptr;
+        const bool isLong = question.homeTokens >= longPrefixTokens;
+        const auto* home = question.homeTokens ? &bestByFamilyRank(isLong ? candidates : nearest(candidates)) : nullptr;
         const Candidate* best = nullptr;
         nanoseconds least {};
         for (const auto& candidate : candidates) {
