--- a/src/claims/ClaimLedger.h
+++ b/src/claims/ClaimLedger.h
@@ -32,8 +32,8 @@
 public:
     static constexpr uint32_t documentCount = 64;
 
-    ClaimLedger(store::KeyValueStore& store, const LedgerLimits& limits, uint32_t writesPerSecond,
-        QObject* parent = nullptr);
+    ClaimLedger(
+        store::KeyValueStore& store, const LedgerLimits& limits, uint32_t writesPerSecond, QObject* parent = nullptr);
 
     /// Claims a call, or waits for the attempt that holds it, until @p deadline.
     void claim(const ClaimRequest& request, Deadline deadline, std::function<void(Verdict)> done);
--- a/src/ctl/BlockingStore.cpp
+++ b/src/ctl/BlockingStore.cpp
@@ -43,8 +43,7 @@
 
 store::WriteResult BlockingStore::put(const std::string& key, const std::string& value)
 {
-    return await<store::WriteResult>(
-        [&](auto done) { this->store.put(key, value, 0, Clock::now() + callTime, done); });
+    return await<store::WriteResult>([&](auto done) { this->store.put(key, value, 0, Clock::now() + callTime, done); });
 }
 
 Result<std::string> fetch(const Endpoint& endpoint, const std::string& path)
--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -44,7 +44,8 @@
 Status ForwardingDaemon::start()
 {
     logChange(LogLevel::Info, "starting",
-        { { "data_centre", this->settings.place.dataCentre }, { "platform", this->settings.platform.front().toString() },
+        { { "data_centre", this->settings.place.dataCentre },
+            { "platform", this->settings.platform.front().toString() },
             { "proof_validity_ms", std::to_string(this->settings.forwarding.proofValidity.count()) } });
     this->directory.onRoutesChanged = [this] { this->applyRoutes(); };
     this->directory.onWeightsChanged = [this] { this->rollout.noteChange(); };
@@ -53,8 +54,8 @@
     this->server.onRefusal = [this](ErrorKind kind) {
         this->metrics.failed(kind).Increment();
         observe::logDecision(observe::Decision::Refused,
-            { { "outcome", std::string(answerFor(kind).name) },
-                { "status", std::to_string(answerFor(kind).status) }, { "execution", "not-run" } });
+            { { "outcome", std::string(answerFor(kind).name) }, { "status", std::to_string(answerFor(kind).status) },
+                { "execution", "not-run" } });
     };
     const auto listened = this->server.listenShared(this->settings.listen);
     if (const auto* error = errorOf(listened))
@@ -75,8 +76,7 @@
     this->admin.route("/ready", [this] {
         this->noteReadiness();
         return QHttpServerResponse(this->wasReady ? "ready\n" : "not ready\n",
-            this->wasReady ? QHttpServerResponse::StatusCode::Ok
-                           : QHttpServerResponse::StatusCode::ServiceUnavailable);
+            this->wasReady ? QHttpServerResponse::StatusCode::Ok : QHttpServerResponse::StatusCode::ServiceUnavailable);
     });
     this->admin.route("/status", [this] { return QHttpServerResponse("application/json", this->statusJson()); });
     const auto& at = this->settings.admin;
@@ -150,9 +150,8 @@
     QJsonArray targets;
     for (const auto& [id, target] : this->directory.targets())
         targets.append(QJsonObject { { "id", text(id) }, { "service", text(target->registration.service) },
-            { "data_centre", text(target->registration.dataCentre) },
-            { "draining", target->registration.isDraining }, { "usable", target->isUsable(now) },
-            { "in_flight", static_cast<int>(target->state->inFlight.load()) } });
+            { "data_centre", text(target->registration.dataCentre) }, { "draining", target->registration.isDraining },
+            { "usable", target->isUsable(now) }, { "in_flight", static_cast<int>(target->state->inFlight.load()) } });
     status["targets"] = targets;
     return QJsonDocument(status).toJson(QJsonDocument::Compact);
 }
@@ -164,7 +163,7 @@
     this->phase = Phase::Noticed;
     logChange(LogLevel::Info, "draining", { { "active_requests", std::to_string(this->forwarding.activeRequests) } });
     this->server.announceClosing();
-    this->rollout.stop([] { });
+    this->rollout.stop([] {});
     // New work is still taken until the balancer has had time to see that /ready says no.
     QTimer::singleShot(this->settings.drainNotice, this, &ForwardingDaemon::finishRequests);
 }
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -43,8 +43,8 @@
         if (const auto policy = routing::parsePolicy(name))
             settings.policy = *policy;
         else
-            reader.complain(
-                "policy", "expected expected-first-token, least-cost, bounded-hash, two-choices, least-loaded or round-robin");
+            reader.complain("policy",
+                "expected expected-first-token, least-cost, bounded-hash, two-choices, least-loaded or round-robin");
         settings.prefixSlots = reader.number("prefixSlots", 1 << 18, 1 << 10, 1 << 26);
         settings.placementBytesPerSecond = reader.bytes("placementBytesPerSecond", 1024);
         reader.finish();
@@ -109,8 +109,8 @@
         auto& settings = loaded.settings;
         MapReader reader(file, node, loaded.problems);
         const auto part = [&](const char* name) { return MapReader(file, reader.child(name), loaded.problems); };
-        settings.interface
-            = reader.choice("interface", { "completions", "forwarding" }, 0) ? Interface::Forwarding : Interface::Completions;
+        settings.interface = reader.choice("interface", { "completions", "forwarding" }, 0) ? Interface::Forwarding
+                                                                                            : Interface::Completions;
         settings.instance = reader.requiredText("instance");
         settings.place.region = reader.requiredText("region");
         settings.place.dataCentre = reader.requiredText("dataCentre");
--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -299,7 +299,8 @@
     if (succeeded == this->reachable)
         return;
     this->reachable = succeeded;
-    if (succeeded)
+    const bool isRegained = succeeded && this->currentAt != Clock::time_point();
+    if (isRegained)
         this->absenceDeadline = Clock::now() + lapseGrace;
     logChange(succeeded ? LogLevel::Info : LogLevel::Warning,
         succeeded ? "the platform's service answers" : "the platform's service does not answer");
--- a/src/directory/DirectorySync.h
+++ b/src/directory/DirectorySync.h
@@ -18,8 +18,8 @@
 class DirectorySync : public QObject {
     Q_OBJECT
 public:
-    DirectorySync(store::WatchableStore& store, const RecordDecoder& decoder, Directory& directory,
-        observe::Metrics& metrics);
+    DirectorySync(
+        store::WatchableStore& store, const RecordDecoder& decoder, Directory& directory, observe::Metrics& metrics);
 
     void start();
 
--- a/src/forward/Dialect.h
+++ b/src/forward/Dialect.h
@@ -1,8 +1,8 @@
 #pragma once
 // What the router needs to know of a request and its answer, and how both sides spell it.
 
-#include "http/Message.h"
 #include "base/Base.h"
+#include "http/Message.h"
 
 #include <optional>
 #include <string>
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -110,8 +110,8 @@
     }
     const ChoiceQuery query { this->context.directory, *this->request.routes, *this->request.route,
         this->request.description, this->request.organisation, this->context.settings.place,
-        this->context.settings.regions, this->context.memory, this->tried,
-        this->context.settings.weightsTime, QRandomGenerator::global()->generate64(), now };
+        this->context.settings.regions, this->context.memory, this->tried, this->context.settings.weightsTime,
+        QRandomGenerator::global()->generate64(), now };
     auto choice = chooseTarget(this->context.settings.policy, query);
     if (!choice) {
         this->fail({ ErrorKind::NoTarget, "no target takes this request now", this->execution(), retryAfterRefusal });
@@ -119,8 +119,7 @@
     }
     if (this->sends && !this->context.retriesOf(choice->target->registration.service).take(now)) {
         this->context.metrics.retriesDenied.Increment();
-        this->fail(
-            { ErrorKind::Overloaded, "the budget of retries is used up", this->execution(), retryAfterRefusal });
+        this->fail({ ErrorKind::Overloaded, "the budget of retries is used up", this->execution(), retryAfterRefusal });
         return;
     }
     this->send(std::move(*choice));
@@ -143,7 +142,8 @@
     }
     dispatch.fetchCacheFrom = choice.fetchCacheFrom;
     dispatch.saveCacheTo = choice.saveCacheTo;
-    dispatch.resumeAfter = this->events.lastId().empty() ? this->request.description.lastEventId : this->events.lastId();
+    dispatch.resumeAfter
+        = this->events.lastId().empty() ? this->request.description.lastEventId : this->events.lastId();
     return dispatch;
 }
 
@@ -172,8 +172,7 @@
     this->tried.push_back(registration.id);
     const auto request = this->context.dialect.dispatch(this->request.exchange->request(), this->dispatchFor(choice));
     const auto& description = this->request.description;
-    const auto uncached
-        = description.promptTokens - std::min(description.promptTokens, choice.choice.cachedTokens);
+    const auto uncached = description.promptTokens - std::min(description.promptTokens, choice.choice.cachedTokens);
     this->attempt.emplace();
     this->attempt->load = entry::TargetLoad(choice.target->state, uncached);
     this->attempt->sentAt = now;
@@ -238,8 +237,7 @@
 
 void ForwardCall::onBody(std::string_view bytes)
 {
-    if (this->streamBegun && this->mayHaveRun && this->attempt->head.status == statusOk
-        && !this->isForeignAnswer()) {
+    if (this->streamBegun && this->mayHaveRun && this->attempt->head.status == statusOk && !this->isForeignAnswer()) {
         this->relayEvents(bytes);
         return;
     }
@@ -472,8 +470,8 @@
         return;
     this->context.metrics.callersGone.Increment();
     // A request that may not be repeated and is under way runs to its end: breaking it off undoes nothing.
-    const bool runsOn = this->request.route->kind == RequestKind::NonIdempotent && this->attempt
-        && this->attempt->call && this->attempt->call->requestSent();
+    const bool runsOn = this->request.route->kind == RequestKind::NonIdempotent && this->attempt && this->attempt->call
+        && this->attempt->call->requestSent();
     if (runsOn)
         return;
     if (this->attempt) {
--- a/src/forward/Forwarder.cpp
+++ b/src/forward/Forwarder.cpp
@@ -42,8 +42,7 @@
     request.routes = this->context.directory.routes();
     if (!request.routes) {
         this->refuse(exchange, request.description,
-            { ErrorKind::NotConfigured, "no configuration has been received yet", Execution::NotRun,
-                retryAfterStart });
+            { ErrorKind::NotConfigured, "no configuration has been received yet", Execution::NotRun, retryAfterStart });
         return;
     }
     request.route = request.routes->findRoute(request.description.host, request.description.path);
--- a/src/forward/TargetChooser.cpp
+++ b/src/forward/TargetChooser.cpp
@@ -163,8 +163,7 @@
         return std::find(tried.begin(), tried.end(), target.registration.id) != tried.end();
     }
 
-    void gatherFrom(
-        Gathered& gathered, const ChoiceQuery& query, const std::string& service, bool takeUnknownTimes)
+    void gatherFrom(Gathered& gathered, const ChoiceQuery& query, const std::string& service, bool takeUnknownTimes)
     {
         const auto& model = query.description.model;
         const auto seed = rankSeed(query);
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -1,8 +1,8 @@
 #include "http/ClientConnection.h"
 
 #include <boost/asio/buffer.hpp>
-#include <charconv>
 #include <boost/beast/http/error.hpp>
+#include <charconv>
 #include <limits>
 
 namespace dragonfly::http {
@@ -78,7 +78,8 @@
 
 bool ClientConnection::usable(Clock::time_point now) const
 {
-    return now < this->idleDeadline && !this->number && this->socket.state() == QAbstractSocket::ConnectedState && !this->socket.bytesAvailable();
+    return now < this->idleDeadline && !this->number && this->socket.state() == QAbstractSocket::ConnectedState
+        && !this->socket.bytesAvailable();
 }
 
 void ClientConnection::start(uint64_t number, const Request& request, const CallOptions& options, CallEvents events)
@@ -236,7 +237,8 @@
 
 void ClientConnection::watchForReset()
 {
-    this->resetNotifier = std::make_unique<QSocketNotifier>(this->socket.socketDescriptor(), QSocketNotifier::Exception);
+    this->resetNotifier
+        = std::make_unique<QSocketNotifier>(this->socket.socketDescriptor(), QSocketNotifier::Exception);
     connect(this->resetNotifier.get(), &QSocketNotifier::activated, this, [this] {
         this->wasReset = true;
         this->resetNotifier->setEnabled(false);
--- a/src/membership/ConfigKeeper.h
+++ b/src/membership/ConfigKeeper.h
@@ -22,8 +22,8 @@
 class ConfigKeeper : public QObject {
     Q_OBJECT
 public:
-    ConfigKeeper(std::string ownAddress, store::KeyValueStore& store, PeerTransport& peers,
-        observe::Metrics& metrics, ApplyConfig apply);
+    ConfigKeeper(std::string ownAddress, store::KeyValueStore& store, PeerTransport& peers, observe::Metrics& metrics,
+        ApplyConfig apply);
 
     uint64_t revision() const
     {
--- a/src/membership/PlatformSync.cpp
+++ b/src/membership/PlatformSync.cpp
@@ -29,8 +29,7 @@
 
 }
 
-PlatformSync::PlatformSync(
-    store::KeyValueStore& store, ConfigKeeper& keeper, Fleet& fleet, observe::Metrics& metrics)
+PlatformSync::PlatformSync(store::KeyValueStore& store, ConfigKeeper& keeper, Fleet& fleet, observe::Metrics& metrics)
     : store(store)
     , keeper(keeper)
     , fleet(fleet)
--- a/src/observe/Log.cpp
+++ b/src/observe/Log.cpp
@@ -34,7 +34,8 @@
     LineBudget budget(decisionsPerSecond, decisionBurst, failureReserve); // guarded by budgetMutex
 
     /// Writes lines to standard output while it has room.
-    class PipeBackend : public logging::sinks::basic_formatted_sink_backend<char, logging::sinks::synchronized_feeding> {
+    class PipeBackend
+        : public logging::sinks::basic_formatted_sink_backend<char, logging::sinks::synchronized_feeding> {
     public:
         void consume(const logging::record_view&, const std::string& line)
         {
@@ -106,8 +107,10 @@
     logging::add_common_attributes();
     auto sink = boost::make_shared<Sink>();
     sink->set_formatter(logging::expressions::stream
-        << "time=" << logging::expressions::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-        << " level=" << logging::trivial::severity << " instance=" << instance << " " << logging::expressions::smessage);
+        << "time="
+        << logging::expressions::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+        << " level=" << logging::trivial::severity << " instance=" << instance << " "
+        << logging::expressions::smessage);
     logging::core::get()->add_sink(sink);
 }
 
--- a/src/routing/Policy.cpp
+++ b/src/routing/Policy.cpp
@@ -203,7 +203,8 @@
         for (const auto& candidate : candidates) {
             const auto cost = costAt(candidate, question, &candidate == home);
             const bool isBetter = !best || cost < least
-                || (cost == least && std::tuple(candidate.inFlight, candidate.rank) < std::tuple(best->inFlight, best->rank));
+                || (cost == least
+                    && std::tuple(candidate.inFlight, candidate.rank) < std::tuple(best->inFlight, best->rank));
             if (!isBetter)
                 continue;
             best = &candidate;
--- a/src/routing/TargetState.cpp
+++ b/src/routing/TargetState.cpp
@@ -94,8 +94,7 @@
 {
     const auto before = static_cast<double>(expectedDelay(state, now).count());
     const auto seen = static_cast<double>(std::max<int64_t>(0, delay.count()));
-    state.delayUs.store(
-        static_cast<uint32_t>(before + (seen - before) * delayWeight), std::memory_order_relaxed);
+    state.delayUs.store(static_cast<uint32_t>(before + (seen - before) * delayWeight), std::memory_order_relaxed);
     state.delayAt.store(now.time_since_epoch().count(), std::memory_order_relaxed);
 }
 
--- a/src/store/GatewayStore.cpp
+++ b/src/store/GatewayStore.cpp
@@ -81,8 +81,7 @@
 {
 }
 
-void GatewayStore::post(
-    const char* path, const QJsonObject& body, Deadline deadline, std::function<void(Reply)> done)
+void GatewayStore::post(const char* path, const QJsonObject& body, Deadline deadline, std::function<void(Reply)> done)
 {
     const auto text = QJsonDocument(body).toJson(QJsonDocument::Compact).toStdString();
     this->transport.call("POST", path, text, deadline, [done = std::move(done)](const HttpOutcome& outcome) {
--- a/src/weights/EngineApi.h
+++ b/src/weights/EngineApi.h
@@ -1,8 +1,8 @@
 #pragma once
 // What engines can be asked and ordered about the weights of their models.
 
-#include "http/Message.h"
 #include "base/Base.h"
+#include "http/Message.h"
 
 #include <map>
 #include <string>
--- a/src/weights/RolloutPlan.cpp
+++ b/src/weights/RolloutPlan.cpp
@@ -20,7 +20,8 @@
         if (engine.version < wanted && !engine.isLoading)
             waiting.push_back(&engine);
     }
-    const auto most = std::max<size_t>(1, static_cast<size_t>(std::lround(share * static_cast<double>(engines.size()))));
+    const auto most
+        = std::max<size_t>(1, static_cast<size_t>(std::lround(share * static_cast<double>(engines.size()))));
     std::vector<std::string> chosen;
     while (loading < most && !waiting.empty()) {
         const auto rank = [&](const EngineState* engine) {
--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -81,14 +81,14 @@
             if (const auto* swapped = std::get_if<store::Swapped>(&result)) {
                 this->isTaken = true;
                 this->role.take(lease, swapped->modRevision, leaseAskedAt, BootClock::now());
-                logChange(LogLevel::Info, "gives orders to engines",
-                    { { "fencing_token", std::to_string(swapped->modRevision) } });
+                logChange(
+                    LogLevel::Info, "gives orders to engines", { { "token", std::to_string(swapped->modRevision) } });
                 this->renewTimer.start(this->settings.role.leaseTime / renewalsPerLease);
                 this->noteChange();
                 return;
             }
             this->isTaken = std::holds_alternative<store::Conflict>(result);
-            this->store.endLease(lease, Clock::now() + callTime, [](const store::WriteResult&) { });
+            this->store.endLease(lease, Clock::now() + callTime, [](const store::WriteResult&) {});
             // A write without an answer may have taken the key; the lease that was ended takes it away again.
             if (!this->isTaken)
                 this->takeTimer.start(takePause);
@@ -244,7 +244,7 @@
     this->loads[order.targetId].isAsking = true;
     logChange(LogLevel::Info, "engine is ordered to load weights",
         { { "target", order.targetId }, { "model", order.model }, { "version", std::to_string(order.version) },
-            { "fencing_token", std::to_string(order.fencingToken) },
+            { "token", std::to_string(order.fencingToken) },
             { "orders_before", std::to_string(order.acceptedBefore) } });
     this->call(*target, this->api.orderRequest(order),
         [this, target, order](const http::ResponseHead* head, std::string_view) {
--- a/src/weights/WeightsRollout.h
+++ b/src/weights/WeightsRollout.h
@@ -53,8 +53,8 @@
     void step();
     void planModel(const std::string& model, uint64_t wanted);
     void ask(const directory::TargetPointer& target, const std::string& model, uint64_t version);
-    void onReport(const directory::TargetPointer& target, const std::string& model, uint64_t version,
-        const EngineReport& report);
+    void onReport(
+        const directory::TargetPointer& target, const std::string& model, uint64_t version, const EngineReport& report);
     void order(const directory::TargetPointer& target, const LoadOrder& order);
     void onOrdered(const directory::TargetPointer& target, const LoadOrder& order, OrderOutcome outcome);
     /// Sends one call to an engine; @p done gets nothing when no whole answer came.
--- /dev/null
+++ b/standins/metadatastore.cpp
@@ -0,0 +1,287 @@
+// Stand-in for the users' metadata store: /api/kv-* calls over a table with revisions, leases and watches.
+//
+// POST /control takes {"mode": "up" | "busy" | "silent" | "lose-answers"}, {"refuse": [addresses]},
+// {"compact": true}, {"put": {"key", "value"}} and {"remove": key}; operators and targets write that way.
+// GET /control gives {"calls": N, "role": value of the order holder's key}.
+
+#include "standins/KeyValueTable.h"
+#include "standins/Program.h"
+
+#include <QJsonArray>
+#include <QTimer>
+#include <QUrlQuery>
+#include <deque>
+
+namespace {
+
+using namespace standins;
+using dragonfly::Clock;
+using std::chrono::milliseconds;
+
+enum class Mode {
+    Up,
+    Busy, ///< refuses every call
+    Silent, ///< answers none
+    LoseAnswers, ///< calls take effect, then the connection closes without an answer
+};
+
+struct Answer {
+    int status = 200;
+    QJsonObject body;
+};
+
+struct Event {
+    std::string key;
+    int64_t revision;
+    std::optional<std::string> value; ///< none: the key was removed
+};
+
+QString encode(const std::string& bytes)
+{
+    return QString::fromLatin1(QByteArray::fromStdString(bytes).toBase64());
+}
+
+class MetadataStore {
+public:
+    MetadataStore()
+    {
+        QObject::connect(&this->leaseTimer, &QTimer::timeout, [this] { this->endLeases(); });
+        this->leaseTimer.start(20);
+    }
+
+    void handle(const http::ExchangePointer& exchange)
+    {
+        const auto& request = exchange->request();
+        const QUrl url(QString::fromStdString(request.target));
+        if (url.path() == "/control") {
+            this->control(*exchange);
+            return;
+        }
+        ++this->calls;
+        if (this->mode == Mode::Silent) {
+            this->unanswered.push_back(exchange);
+            return;
+        }
+        if (this->mode == Mode::Busy) {
+            respondJson(*exchange, 503, { { "error", "busy" } });
+            return;
+        }
+        const QUrlQuery query(url);
+        if (url.path() == "/api/kv-watch") {
+            this->watch(exchange, query);
+            return;
+        }
+        const auto answer = this->call(request.method, url.path().toStdString(), query, parseJson(request.body));
+        if (this->mode == Mode::LoseAnswers)
+            exchange->abort();
+        else
+            respondJson(*exchange, answer.status, answer.body);
+    }
+
+private:
+    struct Watch {
+        http::ExchangePointer exchange;
+        std::string prefix;
+        int64_t after;
+        dragonfly::Deadline deadline;
+    };
+
+    QJsonObject itemOf(const std::string& key) const
+    {
+        const auto& stored = this->table.values.at(key);
+        return { { "key", QString::fromStdString(key) }, { "value", encode(stored.value) },
+            { "revision", static_cast<qint64>(stored.modRevision) }, { "lease", static_cast<qint64>(stored.lease) } };
+    }
+
+    Answer call(const std::string& method, const std::string& path, const QUrlQuery& query, const QJsonObject& body)
+    {
+        if (path == "/api/kv-range")
+            return this->range(query);
+        if (path == "/api/kv-txn")
+            return this->transact(body);
+        if (path == "/api/kv-lease") {
+            const milliseconds life(body["ttl_ms"].toInt());
+            const auto seconds = std::chrono::ceil<std::chrono::seconds>(life);
+            this->table.leases[++this->table.lastLease] = { seconds, Clock::now() + life };
+            return { 200, { { "lease", static_cast<qint64>(this->table.lastLease) }, { "ttl_ms", body["ttl_ms"] } } };
+        }
+        const auto number = std::strtoll(path.substr(path.rfind('/') + 1).c_str(), nullptr, 10);
+        const auto lease = this->table.leases.find(number);
+        if (lease == this->table.leases.end())
+            return { 404, {} };
+        if (method == "DELETE")
+            lease->second.deadline = Clock::now();
+        else
+            lease->second.deadline = Clock::now() + lease->second.life;
+        this->endLeases();
+        return { 200, { { "ttl_ms", static_cast<qint64>(milliseconds(lease->second.life).count()) } } };
+    }
+
+    Answer range(const QUrlQuery& query) const
+    {
+        const auto prefix = query.queryItemValue("prefix", QUrl::FullyDecoded).toStdString();
+        const auto after = query.queryItemValue("after", QUrl::FullyDecoded).toStdString();
+        QJsonArray items;
+        for (const auto& [key, stored] : this->table.values) {
+            if (key.starts_with(prefix) && key > after)
+                items.append(this->itemOf(key));
+        }
+        return { 200,
+            { { "items", items }, { "truncated", false },
+                { "current_rev", static_cast<qint64>(this->table.revision) } } };
+    }
+
+    Answer transact(const QJsonObject& body)
+    {
+        const auto expected = body["expected"].toArray();
+        QJsonArray found;
+        bool holds = true;
+        for (const auto& each : expected) {
+            const auto key = each.toObject()["key"].toString().toStdString();
+            const auto revision = this->table.modRevisionOf(key);
+            holds &= revision == each.toObject()["revision"].toInteger();
+            if (revision)
+                found.append(this->itemOf(key));
+        }
+        if (!holds)
+            return { 412, { { "items", found } } };
+        const auto writes = body["writes"].toArray();
+        for (const auto& each : writes) {
+            const auto lease = each.toObject()["lease"].toInteger();
+            if (lease && !this->table.leases.contains(lease))
+                return { 404, {} };
+        }
+        for (const auto& each : writes) {
+            const auto write = each.toObject();
+            this->put(write["key"].toString().toStdString(),
+                QByteArray::fromBase64(write["value"].toString().toLatin1()).toStdString(), write["lease"].toInteger());
+        }
+        return { 200, { { "revision", static_cast<qint64>(this->table.revision) } } };
+    }
+
+    void put(const std::string& key, const std::string& value, int64_t lease)
+    {
+        this->table.put(key, value, lease);
+        this->tell({ key, this->table.revision, value });
+    }
+
+    void remove(const std::string& key)
+    {
+        if (this->table.values.erase(key))
+            this->tell({ key, ++this->table.revision, std::nullopt });
+    }
+
+    void tell(Event event)
+    {
+        this->history.push_back(std::move(event));
+        this->answerWatches();
+    }
+
+    void endLeases()
+    {
+        const auto now = Clock::now();
+        std::vector<std::string> lapsed;
+        for (const auto& [key, stored] : this->table.values) {
+            const auto lease = this->table.leases.find(stored.lease);
+            if (stored.lease && lease != this->table.leases.end() && lease->second.deadline <= now)
+                lapsed.push_back(key);
+        }
+        for (const auto& key : lapsed)
+            this->remove(key);
+        std::erase_if(this->table.leases, [now](const auto& lease) { return lease.second.deadline <= now; });
+        this->answerWatches();
+    }
+
+    void watch(const http::ExchangePointer& exchange, const QUrlQuery& query)
+    {
+        const auto after = query.queryItemValue("after").toLongLong();
+        if (after < this->oldestRevision) {
+            respondJson(*exchange, 410, {});
+            return;
+        }
+        const milliseconds wait(query.queryItemValue("wait_ms").toInt());
+        this->watches.push_back(
+            { exchange, query.queryItemValue("prefix", QUrl::FullyDecoded).toStdString(), after, Clock::now() + wait });
+        this->answerWatches();
+    }
+
+    void answerWatches()
+    {
+        std::erase_if(this->watches, [this](const Watch& watch) {
+            QJsonArray events;
+            for (const auto& event : this->history) {
+                if (event.revision <= watch.after || !event.key.starts_with(watch.prefix))
+                    continue;
+                QJsonObject item { { "key", QString::fromStdString(event.key) },
+                    { "revision", static_cast<qint64>(event.revision) } };
+                if (event.value)
+                    item["value"] = encode(*event.value);
+                else
+                    item["removed"] = true;
+                events.append(item);
+            }
+            if (events.isEmpty() && Clock::now() < watch.deadline)
+                return false;
+            respondJson(*watch.exchange, 200,
+                { { "events", events }, { "current_rev", static_cast<qint64>(this->table.revision) } });
+            return true;
+        });
+    }
+
+    void control(http::Exchange& exchange)
+    {
+        const auto body = parseJson(exchange.request().body);
+        const auto name = body["mode"].toString();
+        if (name == "up")
+            this->mode = Mode::Up;
+        else if (name == "busy")
+            this->mode = Mode::Busy;
+        else if (name == "silent")
+            this->mode = Mode::Silent;
+        else if (name == "lose-answers")
+            this->mode = Mode::LoseAnswers;
+        if (!name.isEmpty() && name != "up") {
+            for (const auto& watch : this->watches)
+                watch.exchange->abort();
+            this->watches.clear();
+        }
+        if (const auto put = body["put"].toObject(); !put.isEmpty())
+            this->put(put["key"].toString().toStdString(), put["value"].toString().toStdString(), 0);
+        if (body.contains("remove"))
+            this->remove(body["remove"].toString().toStdString());
+        if (body["compact"].toBool()) {
+            this->history.clear();
+            this->oldestRevision = this->table.revision + 1;
+        }
+        const auto role = this->table.values.find("dragonfly/order-holder");
+        respondJson(exchange, 200,
+            { { "calls", static_cast<qint64>(this->calls) },
+                { "role", role == this->table.values.end() ? "" : QString::fromStdString(role->second.value) } });
+    }
+
+    Mode mode = Mode::Up;
+    KeyValueTable table;
+    std::deque<Event> history;
+    int64_t oldestRevision = 0; ///< older history has been discarded
+    std::vector<Watch> watches;
+    std::vector<http::ExchangePointer> unanswered;
+    uint64_t calls = 0;
+    QTimer leaseTimer;
+};
+
+}
+
+int main(int argc, char** argv)
+{
+    uint16_t port = 0;
+    options::options_description description("standin-metadatastore");
+    description.add_options()("port", options::value(&port), "port to listen on; any when left out");
+    if (!readFlags(argc, argv, description))
+        return 2;
+    const QCoreApplication application(argc, argv);
+    MetadataStore store;
+    http::Server server({}, [&store](const http::ExchangePointer& exchange) { store.handle(exchange); });
+    if (!listenAndPrint(server, port))
+        return 1;
+    return QCoreApplication::exec();
+}
--- a/tests/ClaimLedgerTest.cpp
+++ b/tests/ClaimLedgerTest.cpp
@@ -25,8 +25,8 @@
     {
     }
 
-    void read(const std::vector<store::ReadRequest>& ranges, Deadline,
-        std::function<void(store::ReadResult)> done) override
+    void read(
+        const std::vector<store::ReadRequest>& ranges, Deadline, std::function<void(store::ReadResult)> done) override
     {
         this->later([this, key = ranges.front().key, done] {
             if (this->chance()) {
--- a/tests/ClientAnswerTest.cpp
+++ b/tests/ClientAnswerTest.cpp
@@ -92,8 +92,8 @@
 Test(clientAnswer, endsByTheDeadlineWhateverTheTargetSends)
 {
     const std::string head = "HTTP/1.1 200 OK\r\n";
-    const std::vector<std::string> unfinished { "", "HTTP/1.1 100 Continue\r\n\r\n", head, head + "Content-Length: 9\r\n\r\nhel",
-        head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhel", withoutLength };
+    const std::vector<std::string> unfinished { "", "HTTP/1.1 100 Continue\r\n\r\n", head,
+        head + "Content-Length: 9\r\n\r\nhel", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhel", withoutLength };
     for (const auto& bytes : unfinished) {
         const RawServer server({ { bytes, Ending::Silence, 0ms } });
         const auto began = Clock::now();
--- /dev/null
+++ b/tests/DirectoryTest.cpp
@@ -0,0 +1,326 @@
+// What an instance knows: routes, targets, freshness, and the synchronisation with a store that misbehaves.
+
+#include "directory/DirectorySync.h"
+#include "tests/support/Process.h"
+
+#include <QCoreApplication>
+#include <QTimer>
+#include <criterion/criterion.h>
+
+using namespace testing;
+using namespace dragonfly;
+using namespace dragonfly::directory;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Records are texts: a deployment is its version, a target its state, weights their version.
+class TextDecoder : public RecordDecoder {
+public:
+    std::string deploymentKey() const override
+    {
+        return "config";
+    }
+    std::string registrationPrefix() const override
+    {
+        return "targets/";
+    }
+    std::string weightsPrefix() const override
+    {
+        return "weights/";
+    }
+    Result<Deployment> decodeDeployment(std::string_view bytes) const override
+    {
+        Deployment deployment;
+        deployment.version = std::stoul(std::string(bytes));
+        return deployment;
+    }
+    Result<Registration> decodeRegistration(std::string_view key, std::string_view bytes) const override
+    {
+        if (bytes != "ready" && bytes != "draining")
+            return Error { ErrorKind::BadRequest, "unknown state", Execution::NotRun, {} };
+        Registration registration;
+        registration.id = std::string(key.substr(8));
+        registration.service = "engines";
+        registration.isDraining = bytes == "draining";
+        return registration;
+    }
+    Result<NamedWeights> decodeWeights(std::string_view key, std::string_view bytes) const override
+    {
+        return NamedWeights { std::string(key.substr(8)), std::stoul(std::string(bytes)) };
+    }
+};
+
+/// A store in this process whose faults a test sets.
+class FakeStore : public store::WatchableStore {
+public:
+    struct Record {
+        std::string value;
+        int64_t revision;
+    };
+
+    void set(const std::string& key, const std::string& value)
+    {
+        this->records[key] = { value, ++this->revision };
+        this->history.push_back({ { key, value, this->revision }, false });
+    }
+    void erase(const std::string& key)
+    {
+        this->records.erase(key);
+        this->history.push_back({ { key, {}, ++this->revision }, true });
+    }
+
+    bool isDown = false; ///< answers nothing but a refusal
+    bool watchesAreDeaf = false; ///< watches end without the changes that were made
+    bool historyIsGone = false;
+
+    void readPage(const std::string& prefix, const std::string& after, Deadline,
+        std::function<void(store::PageResult)> done) override
+    {
+        store::Page page;
+        page.revision = this->revision;
+        for (const auto& [key, record] : this->records) {
+            if (!key.starts_with(prefix) || key <= after)
+                continue;
+            page.hasMore = page.pairs.size() == 2; // pages are small, so that reads have several
+            if (page.hasMore)
+                break;
+            page.pairs.push_back({ key, record.value, record.revision });
+        }
+        this->answer<store::PageResult>(std::move(page), std::move(done));
+    }
+
+    void watch(const std::string&, int64_t after, Clock::time_point waitUntil, Deadline,
+        std::function<void(store::WatchResult)> done) override
+    {
+        if (std::exchange(this->historyIsGone, false)) {
+            this->answer<store::WatchResult>(store::HistoryGone {}, std::move(done));
+            return;
+        }
+        store::Changes changes;
+        changes.revision = this->revision;
+        for (const auto& change : this->history) {
+            if (change.pair.modRevision > after && !this->watchesAreDeaf)
+                changes.changes.push_back(change);
+        }
+        if (changes.changes.empty() && !this->watchesAreDeaf && Clock::now() < waitUntil && !this->isDown) {
+            QTimer::singleShot(
+                5ms, &this->loop, [this, after, waitUntil, done] { this->watch("", after, waitUntil, {}, done); });
+            return;
+        }
+        this->answer<store::WatchResult>(std::move(changes), std::move(done));
+    }
+
+    void checkRevision(
+        const std::string& key, int64_t expected, Deadline, std::function<void(store::CheckResult)> done) override
+    {
+        const auto& record = this->records[key];
+        if (record.revision == expected)
+            this->answer<store::CheckResult>(Success {}, std::move(done));
+        else
+            this->answer<store::CheckResult>(
+                store::Conflict { { key, record.value, record.revision } }, std::move(done));
+    }
+
+    void compareAndSwapLeased(const std::string&, int64_t, const std::string&, int64_t, Deadline,
+        std::function<void(store::LeasedSwapResult)>) override
+    {
+    }
+    void endLease(int64_t, Deadline, std::function<void(store::WriteResult)>) override
+    {
+    }
+    void read(const std::vector<store::ReadRequest>&, Deadline, std::function<void(store::ReadResult)>) override
+    {
+    }
+    void compareAndSwap(
+        const std::string&, int64_t, const std::string&, Deadline, std::function<void(store::SwapResult)>) override
+    {
+    }
+    void put(
+        const std::string&, const std::string&, int64_t, Deadline, std::function<void(store::WriteResult)>) override
+    {
+    }
+    void remove(const std::string&, Deadline, std::function<void(store::WriteResult)>) override
+    {
+    }
+    void grantLease(std::chrono::seconds, Deadline, std::function<void(store::LeaseResult)>) override
+    {
+    }
+    void keepLease(int64_t, Deadline, std::function<void(store::LeaseResult)>) override
+    {
+    }
+
+private:
+    template <typename Outcome> void answer(Outcome outcome, std::function<void(Outcome)> done)
+    {
+        if (this->isDown)
+            outcome = store::StoreFailure::NotDone;
+        QTimer::singleShot(1ms, &this->loop, [outcome, done] { done(outcome); });
+    }
+
+    std::map<std::string, Record> records;
+    std::vector<store::Change> history;
+    int64_t revision = 10;
+    QObject loop;
+};
+
+int argumentCount = 0;
+
+struct Fixture {
+    QCoreApplication application { argumentCount, nullptr };
+    FakeStore store;
+    TextDecoder decoder;
+    observe::Metrics metrics;
+    Directory directory { 3s };
+    DirectorySync sync { store, decoder, directory, metrics };
+
+    void start()
+    {
+        this->store.set("config", "4");
+        this->store.set("targets/a", "ready");
+        this->store.set("targets/b", "ready");
+        this->store.set("targets/c", "ready");
+        this->store.set("weights/m", "1");
+        this->sync.start();
+        cr_assert(waitUntil([this] { return this->directory.wantedWeights("m") == 1; }, 2s));
+        runFor(20ms); // the whole read ends, and watches begin
+    }
+    uint64_t version() const
+    {
+        return this->directory.routes() ? this->directory.routes()->version() : 0;
+    }
+};
+
+}
+
+Test(freshness, countsFromBeforeTheProofWasAskedFor)
+{
+    Freshness freshness(4s);
+    const BootClock::time_point start { 1000s };
+    cr_assert_not(freshness.isProved(start));
+    freshness.prove(start);
+    cr_assert(freshness.isProved(start + 3999ms));
+    cr_assert_not(freshness.isProved(start + 4s));
+    freshness.prove(start + 3s);
+    freshness.prove(start + 1s); // an answer that was overtaken
+    cr_assert(freshness.isProved(start + 6s));
+    freshness.disprove();
+    cr_assert_not(freshness.isProved(start + 3s));
+}
+
+Test(routeTable, findsTheLongestPrefixOfTheHost)
+{
+    Deployment deployment;
+    for (const auto* prefix : { "/a/", "/a/b/", "/" }) {
+        Route route;
+        route.name = prefix;
+        route.host = "h";
+        route.pathPrefix = prefix;
+        deployment.routes.push_back(route);
+    }
+    deployment.organisations.push_back({ "first", { "k1", "k2" }, {}, false });
+    const RouteTable table(std::move(deployment));
+    cr_assert_eq(table.findRoute("h", "/a/b/c")->name, "/a/b/");
+    cr_assert_eq(table.findRoute("h", "/a/bc")->name, "/a/");
+    cr_assert_eq(table.findRoute("h", "/x")->name, "/");
+    cr_assert_null(table.findRoute("other", "/a/b/c"));
+    cr_assert_eq(table.findOrganisation("k2")->name, "first");
+    cr_assert_null(table.findOrganisation("k3"));
+    cr_assert(table.needsKeys());
+}
+
+Test(directory, neverGoesBackToAnOlderConfiguration)
+{
+    Directory directory(3s);
+    Deployment newer;
+    newer.version = 7;
+    Deployment older;
+    older.version = 5;
+    cr_assert(directory.apply(newer));
+    cr_assert_not(directory.apply(older));
+    cr_assert_eq(directory.routes()->version(), 7);
+}
+
+Test(directory, anotherLifeOfATargetStartsWithoutBeliefs)
+{
+    Directory directory(3s);
+    Registration registration;
+    registration.id = "a";
+    registration.startedUnixMs = 1;
+    directory.registerTarget(registration);
+    const auto before = directory.targets().at("a");
+    before->isReplaced = true;
+    directory.registerTarget(registration);
+    cr_assert_eq(directory.targets().at("a"), before);
+    registration.startedUnixMs = 2;
+    directory.registerTarget(registration);
+    cr_assert_not(directory.targets().at("a")->isReplaced);
+    directory.removeTarget("a");
+    cr_assert(directory.targets().empty());
+}
+
+Test(directorySync, followsChanges)
+{
+    Fixture fixture;
+    fixture.start();
+    cr_assert_eq(fixture.version(), 4);
+    cr_assert(fixture.directory.freshness.isProved(BootClock::now()));
+    fixture.store.set("config", "6");
+    fixture.store.set("targets/b", "draining");
+    fixture.store.erase("targets/c");
+    cr_assert(waitUntil([&] { return fixture.version() == 6 && fixture.directory.targets().size() == 2; }, 1s));
+    cr_assert(fixture.directory.targets().at("b")->registration.isDraining);
+}
+
+Test(directorySync, aDeafWatchProvesNothingAndIsFoundOut)
+{
+    Fixture fixture;
+    fixture.start();
+    fixture.store.watchesAreDeaf = true;
+    fixture.store.set("config", "9");
+    fixture.store.set("targets/a", "draining");
+    // The revision of the configuration is checked by itself.
+    cr_assert(waitUntil([&] { return fixture.version() == 9; }, 2500ms));
+    fixture.store.watchesAreDeaf = false;
+    fixture.store.historyIsGone = true;
+    cr_assert(waitUntil([&] { return fixture.directory.targets().at("a")->registration.isDraining; }, 2s));
+}
+
+Test(directorySync, withoutTheStoreTheProofEndsAndTargetsStay)
+{
+    Fixture fixture;
+    fixture.start();
+    fixture.store.isDown = true;
+    cr_assert(waitUntil([&] { return !fixture.directory.freshness.isProved(BootClock::now()); }, 4s));
+    cr_assert_eq(fixture.directory.targets().size(), 3);
+    cr_assert_not(fixture.sync.isReachable());
+    fixture.store.isDown = false;
+    cr_assert(waitUntil([&] { return fixture.directory.freshness.isProved(BootClock::now()); }, 2s));
+}
+
+Test(directorySync, recordsThatLapsedInAnOutageMayComeBack)
+{
+    Fixture fixture;
+    fixture.start();
+    fixture.store.isDown = true;
+    cr_assert(waitUntil([&] { return !fixture.sync.isReachable(); }, 6s));
+    fixture.store.erase("targets/a");
+    fixture.store.erase("targets/b");
+    fixture.store.isDown = false;
+    cr_assert(waitUntil([&] { return fixture.sync.isReachable(); }, 2s));
+    runFor(700ms);
+    cr_assert_eq(fixture.directory.targets().size(), 3, "they may register again");
+    fixture.store.set("targets/a", "ready");
+    cr_assert(waitUntil([&] { return fixture.directory.targets().size() == 2; }, 3s), "one did not");
+    cr_assert(fixture.directory.targets().contains("a"));
+}
+
+Test(directorySync, aBrokenRecordNamesNoTarget)
+{
+    Fixture fixture;
+    fixture.start();
+    fixture.store.set("targets/x", "?");
+    fixture.store.set("targets/a", "?");
+    cr_assert(waitUntil([&] { return !fixture.directory.targets().contains("a"); }, 1s));
+    cr_assert_eq(fixture.directory.targets().size(), 2);
+}
--- /dev/null
+++ b/tests/ForwardTest.cpp
@@ -0,0 +1,361 @@
+// Forwarding through real processes: an entry instance between callers, a metadata store and targets that
+// misbehave one at a time and together.
+
+#include "tests/support/ForwardSite.h"
+
+#include <criterion/criterion.h>
+#include <set>
+
+using namespace testing;
+using namespace dragonfly;
+using namespace std::chrono_literals;
+
+namespace {
+
+void setAll(const std::vector<std::unique_ptr<Process>>& targets, const QJsonObject& order)
+{
+    for (const auto& target : targets)
+        control(target->address(), order);
+}
+
+int sum(const std::vector<std::unique_ptr<Process>>& targets, const char* field)
+{
+    int total = 0;
+    for (const auto& target : targets)
+        total += control(target->address())[QLatin1String(field)].toInt();
+    return total;
+}
+
+/// The number of whole events in a stream, or -1 when one is missing, doubled or out of order.
+int eventsOf(const std::string& body)
+{
+    int count = 0;
+    size_t at = 0;
+    while ((at = body.find("id: ", at)) != std::string::npos) {
+        if (std::atoi(body.c_str() + at + 4) != ++count)
+            return -1;
+        ++at;
+    }
+    return count;
+}
+
+}
+
+Test(forward, passesRequestsAndAnswersOnUnchanged)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry();
+    const auto answer = site.ask({ "r1", "/book/seat?row=7&x=%20", "POST", "the body" });
+    cr_assert_eq(answer->status, 200);
+    cr_assert_eq(answer->header("X-Dragonflyarch-Response-Stamp"), "stamp-of-r1");
+    cr_assert(answer->body.starts_with("done by service-"));
+    QJsonObject seen;
+    for (const auto& service : site.services) {
+        const auto stats = control(service->address());
+        if (stats["runs"].toInt())
+            seen = stats["last"].toObject();
+    }
+    const auto headers = seen["headers"].toObject();
+    cr_assert_eq(seen["target"].toString().toStdString(), "/book/seat?row=7&x=%20");
+    cr_assert_eq(seen["body"].toString().toStdString(), "the body");
+    cr_assert_eq(headers["X-Custom"].toString().toStdString(), "kept");
+    cr_assert_eq(headers["X-Dragonflyarch-Tenant"].toString().toStdString(), "first");
+    cr_assert_not(headers.contains("Authorization"), "a key must not reach a target");
+    const auto left = headers["X-Dragonflyarch-Deadline-Ms"].toString().toInt();
+    cr_assert(left > 1500 && left <= 2000, "%d: what is left until the route's timeout", left);
+}
+
+Test(forward, servesEachKindAndRefusesWhatHasNoRouteOrKey)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry();
+    const auto stream = site.ask({ "s1", "/ask/x" });
+    cr_assert_eq(stream->status, 200);
+    cr_assert_eq(eventsOf(stream->body), 6);
+    cr_assert(stream->whole);
+    cr_assert_eq(site.ask({ "i1", "/read/x", "GET", "" })->status, 200);
+    cr_assert_eq(site.ask({ "o1", "/open/x", "GET", "", "" })->status, 200);
+    cr_assert_eq(site.ask({ "n1", "/nowhere/x" })->status, 404);
+    cr_assert_eq(site.ask({ "k1", "/book/x", "POST", "b", "unknown-key" })->status, 401);
+    cr_assert_eq(sum(site.services, "runs"), 2);
+}
+
+Test(forward, aRequestThatMayNotBeRepeatedRunsAtMostOnce)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry();
+    for (const auto* fault : { "close", "reset", "foreign", "unstamped" }) {
+        setAll(site.services, { { "answer", fault } });
+        const auto before = sum(site.services, "runs");
+        const auto answer = site.ask({ std::string("b-") + fault, "/book/x" });
+        cr_assert_eq(answer->status, 502, "%s: %d", fault, answer->status);
+        cr_assert_eq(answer->execution(), "unknown");
+        cr_assert_eq(sum(site.services, "runs"), before + 1, "%s", fault);
+    }
+}
+
+Test(forward, anIdempotentRequestGoesToAnotherTarget)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry();
+    for (const auto* fault : { "close", "reset", "foreign", "error", "silent", "busy" }) {
+        control(site.services[0]->address(), { { "answer", fault } });
+        for (int i = 0; i < 4; ++i) {
+            const auto answer = site.ask({ std::string(fault) + std::to_string(i), "/read/x", "GET", "" });
+            cr_assert_eq(answer->status, 200, "%s: %d", fault, answer->status);
+            cr_assert_eq(answer->body, "done by service-1");
+        }
+        control(site.services[0]->address(), { { "answer", "good" } });
+        runFor(600ms);
+    }
+}
+
+Test(forward, aRefusalThatSaysNotRunIsTrue)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry();
+    setAll(site.services, { { "answer", "busy" } });
+    const auto refused = site.ask({ "r1", "/book/x" });
+    cr_assert_eq(refused->status, 503);
+    cr_assert_eq(refused->execution(), "not-run");
+    cr_assert_neq(refused->header("Retry-After"), "");
+    cr_assert_lt(refused->took(), 500ms, "it is refused at once");
+    cr_assert_eq(sum(site.services, "runs"), 0);
+}
+
+Test(forward, anotherTargetAtTheAddressIsNotAsked)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry();
+    control(site.services[0]->address(), { { "replaced_by", "somebody" } });
+    for (int i = 0; i < 6; ++i) {
+        const auto answer = site.ask({ "r" + std::to_string(i), "/book/x" });
+        cr_assert_eq(answer->status, 200);
+        cr_assert_eq(answer->body, "done by service-1");
+    }
+    cr_assert_eq(control(site.services[0]->address())["runs"].toInt(), 0);
+}
+
+Test(forward, aBrokenStreamGoesOnElsewhereWhereItMay)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry();
+    control(site.engines[0]->address(), { { "answer", "close-in-stream" } });
+    for (int i = 0; i < 6; ++i) {
+        const auto answer = site.ask({ "s" + std::to_string(i), "/ask/x" });
+        cr_assert(answer->whole, "%d: %s", i, answer->body.c_str());
+        cr_assert_eq(eventsOf(answer->body), 6, "%s", answer->body.c_str());
+    }
+}
+
+Test(forward, aBrokenStreamNeverLooksWhole)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry();
+    setAll(site.engines, { { "answer", "close-in-stream" } });
+    for (const auto* path : { "/once/x", "/ask/x" }) {
+        const auto answer = site.ask({ std::string("s") + path, path });
+        cr_assert_not(answer->whole);
+        cr_assert_geq(eventsOf(answer->body), 2, "%s", answer->body.c_str());
+    }
+    cr_assert_eq(sum(site.engines, "distinct"), 3, "the one that may not be resumed ran once");
+}
+
+Test(forward, theFinalAnswerComesAtTheRoutesTimeout)
+{
+    const Application application;
+    ForwardSite site;
+    site.publish({ forwardKey }, 600);
+    site.startEntry();
+    setAll(site.services, { { "answer", "silent" } });
+    for (const auto* path : { "/book/x", "/read/x" }) {
+        const auto answer = site.ask({ std::string("t") + path, path });
+        cr_assert_eq(answer->status, 504);
+        cr_assert(answer->took() >= 550ms && answer->took() < 900ms, "%d ms", static_cast<int>(answer->took().count()));
+    }
+}
+
+Test(forward, aCallerThatLeavesStopsWhatMayBeRepeated)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry();
+    setAll(site.engines, { { "event_ms", 200 }, { "events", 50 } });
+    const auto answer = site.send({ "s1", "/ask/x", "POST", "b", forwardKey, 2000 });
+    cr_assert(waitUntil([&] { return !answer->body.empty(); }, 2s));
+    site.caller.hangUp();
+    cr_assert(waitUntil([&] { return sum(site.engines, "cancelled") == 1; }, 500ms));
+}
+
+Test(forward, aRevokedKeyIsRefusedAndAnotherStays)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry();
+    cr_assert_eq(site.ask({ "r1", "/book/x" })->status, 200);
+    site.publish({ "new-key" });
+    cr_assert(waitUntil([&] { return site.ask({ "r2", "/book/x" })->status == 401; }, 1s));
+    cr_assert_eq(site.ask({ "r3", "/book/x", "POST", "b", "new-key" })->status, 200);
+    cr_assert_eq(site.ask({ "r4", "/book/x", "POST", "b", secondForwardKey })->status, 200);
+}
+
+Test(forward, withoutTheStoreKeysAreTakenOnlyWhileTheirProofHolds)
+{
+    const Application application;
+    ForwardSite site;
+    auto& entry = site.startEntry(true, "forwarding: { revocationTime: 2500ms }\n");
+    site.storeControl({ { "mode", "silent" } });
+    cr_assert_eq(site.ask({ "r1", "/book/x" })->status, 200);
+    runFor(2600ms);
+    const auto runs = sum(site.services, "runs");
+    const auto refused = site.ask({ "r2", "/book/x" });
+    cr_assert_eq(refused->status, 503);
+    cr_assert_eq(refused->execution(), "not-run");
+    cr_assert_eq(sum(site.services, "runs"), runs);
+    cr_assert_eq(site.ask({ "r3", "/open/x", "GET", "", "" })->status, 200, "anonymous requests go on");
+    const auto ready = get(entry.address("admin"), "/ready");
+    cr_assert(waitFor(ready));
+    cr_assert_eq(ready->status, 503);
+    site.storeControl({ { "mode", "up" } });
+    cr_assert(waitUntil([&] { return site.ask({ "r4", "/book/x" })->status == 200; }, 3s));
+}
+
+Test(forward, timeSpentFrozenCountsAgainstTheProof)
+{
+    const Application application;
+    ForwardSite site;
+    auto& entry = site.startEntry(true, "forwarding: { revocationTime: 2500ms }\n");
+    entry.freeze();
+    site.publish({ "new-key" });
+    const auto answer = site.send({ "r1", "/book/x" }); // arrives while the instance stands still
+    runFor(2600ms);
+    entry.thaw();
+    cr_assert(waitFor(answer, 5s));
+    cr_assert_neq(answer->status, 200);
+    cr_assert_eq(sum(site.services, "runs"), 0);
+}
+
+Test(forward, anInstanceThatKnowsNothingSaysSo)
+{
+    const Application application;
+    ForwardSite site;
+    site.storeControl({ { "mode", "busy" } });
+    site.startEntry(false);
+    const auto answer = site.ask({ "r1", "/book/x" });
+    cr_assert_eq(answer->status, 503);
+    cr_assert_eq(answer->execution(), "not-run");
+    site.storeControl({ { "mode", "up" } });
+    cr_assert(waitUntil([&] { return site.ask({ "r2", "/book/x" })->status == 200; }, 5s));
+}
+
+Test(forward, aDrainingTargetGetsNoNewWork)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry();
+    control(site.services[0]->address(), { { "draining", true } });
+    runFor(300ms);
+    for (int i = 0; i < 10; ++i)
+        cr_assert_eq(site.ask({ "r" + std::to_string(i), "/book/x" })->body, "done by service-1");
+    cr_assert_eq(control(site.services[0]->address())["while_draining"].toInt(), 0);
+}
+
+Test(forward, weightsAreRolledOutByOneHolderAndAgainByTheNext)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry();
+    site.startEntry();
+    const auto allRun = [&](int version) {
+        return std::all_of(site.engines.begin(), site.engines.end(),
+            [version](const auto& engine) { return control(engine->address())["version"].toInt() == version; });
+    };
+    site.nameWeights(2);
+    cr_assert(waitUntil([&] { return allRun(2); }, 10s));
+    const auto holder = site.storeControl({})["role"].toString();
+    site.entries[holder == "entry-0" ? 0 : 1]->kill();
+    site.nameWeights(3);
+    cr_assert(waitUntil([&] { return allRun(3); }, 15s));
+    std::map<qint64, QString> holderOf;
+    for (const auto& engine : site.engines) {
+        qint64 highest = 0;
+        const auto orders = control(engine->address())["orders"].toArray();
+        for (const auto& each : orders) {
+            const auto order = each.toObject();
+            const auto token = order["fencing_token"].toInteger();
+            cr_assert_geq(token, highest, "tokens only rise");
+            highest = token;
+            const auto [known, isNew] = holderOf.emplace(token, order["holder"].toString());
+            cr_assert_eq(known->second, order["holder"].toString(), "one token, one holder");
+        }
+    }
+    cr_assert_eq(holderOf.size(), 2);
+    cr_assert_eq(site.ask({ "s1", "/ask/x" }, holder == "entry-0" ? 1 : 0)->status, 200);
+}
+
+Test(forward, aGracefulStopCutsNothing)
+{
+    const Application application;
+    ForwardSite site;
+    auto& entry = site.startEntry();
+    setAll(site.engines, { { "event_ms", 100 }, { "events", 12 } });
+    std::vector<AnswerPointer> answers;
+    for (int i = 0; i < 5; ++i)
+        answers.push_back(site.send({ "s" + std::to_string(i), "/once/x" }));
+    runFor(100ms);
+    entry.terminate();
+    runFor(100ms);
+    answers.push_back(site.send({ "late", "/book/x" })); // the balancer has not noticed yet
+    cr_assert(waitForAll(answers, 5s));
+    for (const auto& answer : answers) {
+        cr_assert_eq(answer->status, 200);
+        cr_assert(answer->whole);
+    }
+    cr_assert_eq(entry.waitForExit(4s), 0);
+}
+
+Test(forward, severalFaultsAtOnceKeepThePromises)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry();
+    site.storeControl({ { "mode", "lose-answers" } });
+    control(site.services[0]->address(), { { "answer", "reset" } });
+    control(site.engines[0]->address(), { { "answer", "close-in-stream" } });
+    control(site.engines[1]->address(), { { "work_ms", 100 } });
+    std::vector<AnswerPointer> books;
+    std::vector<AnswerPointer> streams;
+    for (int i = 0; i < 20; ++i) {
+        books.push_back(site.send({ "b" + std::to_string(i), "/book/x" }));
+        streams.push_back(site.send({ "s" + std::to_string(i), "/ask/x" }));
+        runFor(30ms);
+    }
+    cr_assert(waitForAll(books, 5s));
+    cr_assert(waitForAll(streams, 5s));
+    cr_assert_eq(sum(site.services, "runs"), sum(site.services, "distinct"), "each ran once at most");
+    std::set<std::string> ran;
+    for (const auto& service : site.services) {
+        const auto ids = control(service->address())["ids"].toArray();
+        for (const auto& id : ids)
+            cr_assert(ran.insert(id.toString().toStdString()).second, "one ran at two targets");
+    }
+    for (size_t i = 0; i < books.size(); ++i) {
+        const bool hasRun = ran.contains("b" + std::to_string(i));
+        cr_assert(books[i]->status != 200 || hasRun);
+        cr_assert(books[i]->status != 503 || !hasRun, "a refusal must be true");
+    }
+    for (const auto& stream : streams) {
+        if (stream->whole && stream->status == 200)
+            cr_assert_eq(eventsOf(stream->body), 6);
+        else
+            cr_assert_geq(eventsOf(stream->body), 0);
+    }
+}
--- /dev/null
+++ b/tests/PlatformAdapterTest.cpp
@@ -0,0 +1,193 @@
+// The adapter: what the platform's records, headers and calls mean, and that its names stay inside it.
+
+#include "platform/Platform.h"
+
+#include <criterion/criterion.h>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+using namespace dragonfly;
+using namespace dragonfly::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string config = R"({"version":7,"routes":[
+ {"name":"r1","host":"a.example","prefix":"/p/","kind":"streaming","timeout_ms":8000,"target_latency_ms":800,
+  "priority":1,"traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"max_attempts":1,
+  "anonymous":false,"sticky":true,"resumable":false,"gap_aim_ms":300},
+ {"name":"r2","host":"b.example","prefix":"/q/","kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":200,
+  "priority":2,"service":"s2","max_attempts":2}],
+ "services":[{"name":"s1","health_path":"/health","max_connections":630,"engine":{"slots":128,
+  "kv_capacity_tokens":238579,"kv_token_bytes":18432,"models":[{"name":"m"}]}},
+  {"name":"s2","max_connections":110},
+  {"name":"s3","kv_store_addr":"172.20.0.2:8781","zone":"ege-a","kv_capacity_tokens":4423886}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1,"isolated":true},{"name":"t2","api_keys":[]}],
+ "some_new_field":{}})";
+
+http::Request clientRequest()
+{
+    return { "POST", "/p/x?y=1",
+        { { "Host", "a.example" }, { "X-Dragonflyarch-Attempt-Id", "9c41" }, { "X-Dragonflyarch-Model", "m" },
+            { "X-Dragonflyarch-Token-Usage", "1460,80" },
+            { "X-Dragonflyarch-Prompt-Prefix", "5c1e:800,91bd:410,e440:250" },
+            { "X-Dragonflyarch-Deadline-Ms", "8000" }, { "Authorization", "Bearer secret" }, { "X-Other", "kept" },
+            { "Connection", "keep-alive, X-Hop" }, { "X-Hop", "this connection only" },
+            { "X-Dragonflyarch-Tenant", "forged" }, { "x-dragonflyarch-cache-salt", "forged" },
+            { "X-Dragonflyarch-Hold", "forged" }, { "Kv-From", "forged" }, { "X-Dragonflyarch-Kv-Backup", "forged" },
+            { "X-Dragonflyarch-Pin-Ms", "forged" }, { "X-Dragonflyarch-Request-Urgency", "0" } },
+        "body" };
+}
+
+size_t countOf(const http::Headers& headers, const std::string& value)
+{
+    return static_cast<size_t>(
+        std::count_if(headers.begin(), headers.end(), [&](const auto& field) { return field.value == value; }));
+}
+
+}
+
+Test(recordCodec, readsADeployment)
+{
+    const auto decoded = RecordCodec().decodeDeployment(config);
+    const auto& deployment = std::get<directory::Deployment>(decoded);
+    cr_assert_eq(deployment.version, 7);
+    const auto& stream = deployment.routes[0];
+    cr_assert_eq(stream.kind, directory::RequestKind::Streaming);
+    cr_assert_eq(stream.shares.size(), 2);
+    cr_assert_eq(stream.shares[1].weight, 10);
+    cr_assert_eq(stream.timeout, 8000ms);
+    cr_assert_eq(*stream.longestPause, 300ms);
+    cr_assert(stream.describesPrompt);
+    cr_assert_not(stream.isResumable);
+    cr_assert_eq(deployment.routes[1].shares[0].service, "s2");
+    cr_assert_eq(deployment.routes[1].kind, directory::RequestKind::NonIdempotent);
+    cr_assert_eq(deployment.services[0].engines->cacheTokens, 238579);
+    cr_assert_eq(deployment.services[2].cacheStore->endpoint.toString(), "172.20.0.2:8781");
+    cr_assert(deployment.organisations[0].isIsolated);
+    cr_assert_eq(deployment.organisations[0].apiKeys[1], "k2");
+    cr_assert_not(deployment.organisations[1].priority.has_value());
+    cr_assert_eq(deployment.limits.idleTime, 15000ms);
+}
+
+Test(recordCodec, refusesWhatItCannotRead)
+{
+    const RecordCodec codec;
+    for (const auto* bytes : { "", "[]", "{", "{\"version\":1}", "{\"version\":-1,\"routes\":[],\"services\":[]}",
+             "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/"
+             "\",\"kind\":\"new\"}],\"services\":[]}" })
+        cr_assert(errorOf(codec.decodeDeployment(bytes)), "%s", bytes);
+    const std::string good
+        = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready",)"
+          R"("born":17,"models":[{"name":"m","version":3}],"seq":4})";
+    const auto read = codec.decodeRegistration("servers/i-1", good);
+    const auto& registration = std::get<directory::Registration>(read);
+    cr_assert_eq(registration.id, "i-1");
+    cr_assert_eq(registration.weights.at("m"), 3);
+    cr_assert_eq(registration.startedUnixMs, 17);
+    const std::pair<const char*, const char*> faults[]
+        = { { "\"ready\"", "\"asleep\"" }, { "\"10.0.0.1:80\"", "\"nowhere\"" }, { "\"slots\":8", "\"slots\":\"8\"" },
+              { "\"zone\":\"z\",", "" }, { "\"version\":3", "\"version\":\"3\"" } };
+    for (const auto& [from, to] : faults) {
+        auto bad = good;
+        bad.replace(bad.find(from), std::string(from).size(), to);
+        cr_assert(errorOf(codec.decodeRegistration("servers/i-1", bad)), "%s", bad.c_str());
+    }
+}
+
+Test(headerCodec, describesARequest)
+{
+    const auto described = HeaderCodec().describe(clientRequest());
+    const auto& description = std::get<forward::Description>(described);
+    cr_assert_eq(description.requestId, "9c41");
+    cr_assert_eq(description.host, "a.example");
+    cr_assert_eq(description.path, "/p/x");
+    cr_assert_eq(*description.apiKey, "secret");
+    cr_assert_eq(*description.patience, 8000ms);
+    cr_assert_eq(description.promptTokens, 1460);
+    cr_assert_eq(description.prompt.size(), 3);
+    cr_assert_eq(description.prompt[1].id, "91bd");
+    cr_assert_eq(description.prompt[1].tokens, 410);
+    for (const auto& [name, value] : { std::pair("X-Dragonflyarch-Deadline-Ms", "soon"),
+             std::pair("X-Dragonflyarch-Prompt-Prefix", "ab"), std::pair("X-Dragonflyarch-Token-Usage", "x,1") })
+        cr_assert(errorOf(HeaderCodec().describe({ "GET", "/", { { name, value } }, {} })), "%s", name);
+}
+
+Test(headerCodec, dispatchesTheCallersBytesAndItsOwnWords)
+{
+    forward::Dispatch dispatch;
+    dispatch.targetId = "i-1";
+    dispatch.organisation = "t1";
+    dispatch.timeLeft = 1234ms;
+    dispatch.cacheSalt = "salt";
+    dispatch.weightsVersion = 3;
+    dispatch.urgency = 4;
+    const auto request = HeaderCodec().dispatch(clientRequest(), dispatch);
+    cr_assert_eq(request.target, "/p/x?y=1");
+    cr_assert_eq(request.body, "body");
+    const auto& headers = request.headers;
+    cr_assert_eq(headers.valueOr("Host", ""), "a.example");
+    cr_assert_eq(headers.valueOr("X-Other", ""), "kept");
+    cr_assert_eq(headers.valueOr("X-Dragonflyarch-Prompt-Prefix", ""), "5c1e:800,91bd:410,e440:250");
+    cr_assert_eq(headers.valueOr("X-Dragonflyarch-Deadline-Ms", ""), "1234");
+    cr_assert_eq(headers.valueOr("X-Dragonflyarch-Tenant", ""), "t1");
+    cr_assert_eq(headers.valueOr("X-Dragonflyarch-Expect-Version", ""), "3");
+    cr_assert_eq(headers.valueOr("X-Dragonflyarch-Request-Urgency", ""), "4");
+    cr_assert_eq(countOf(headers, "forged"), 0);
+    cr_assert_eq(countOf(headers, "Bearer secret"), 0);
+    cr_assert_not(headers.find("X-Hop").has_value());
+    cr_assert_not(headers.find("Connection").has_value());
+}
+
+Test(headerCodec, readsAnswers)
+{
+    const HeaderCodec codec;
+    const auto whole = codec.readAnswer({ 200,
+        { { "X-Dragonflyarch-Attempt-Id", "9c41" }, { "X-Dragonflyarch-Response-Stamp", "s" },
+            { "X-Dragonflyarch-Instance-Load", "3,1,8" }, { "X-Dragonflyarch-Weight-Versions", "5" },
+            { "Connection", "close" } } });
+    cr_assert(whole.isStamped);
+    cr_assert(whole.isClosing);
+    cr_assert_not(whole.notRun);
+    cr_assert_eq(whole.load->waiting, 1);
+    cr_assert_eq(*whole.weightsVersion, 5);
+    cr_assert(codec.readAnswer({ 503, { { "X-Dragonflyarch-Not-Executed", "1" } } }).notRun);
+    cr_assert(codec.readAnswer({ 421, {} }).notRun);
+    cr_assert_not(codec.readAnswer({ 503, {} }).notRun, "only the target's own word counts");
+    cr_assert(codec.readAnswer({ 200, { { "Content-Encoding", "gzip" } } }).isEncoded);
+}
+
+Test(engineCodec, ordersAndReports)
+{
+    const EngineCodec codec;
+    const auto order = codec.orderRequest({ "i-1", "m", 2, "entry-7", 41, 5 });
+    cr_assert_eq(order.headers.valueOr("X-Dragonflyarch-Expect-Instance", ""), "i-1");
+    for (const auto* part : { "\"version\":2", "\"fencing_token\":41", "\"expected\":5", "\"holder\":\"entry-7\"" })
+        cr_assert(order.body.find(part) != std::string::npos, "%s in %s", part, order.body.c_str());
+    using weights::OrderOutcome;
+    const std::pair<int, OrderOutcome> outcomes[] = { { 202, OrderOutcome::Accepted },
+        { 200, OrderOutcome::AlreadyDone }, { 409, OrderOutcome::Busy }, { 412, OrderOutcome::Fenced },
+        { 400, OrderOutcome::Refused }, { 421, OrderOutcome::Refused }, { 500, OrderOutcome::Unknown } };
+    for (const auto& [status, outcome] : outcomes)
+        cr_assert_eq(codec.readOrderAnswer({ status, {} }), outcome, "%d", status);
+    const auto report = codec.readReport({ 200, {} }, R"({"models":[{"name":"m","version":4}],"busy":true,"seq":2})");
+    cr_assert_eq(std::get<weights::EngineReport>(report).ordersAccepted, 2);
+    cr_assert(std::get<weights::EngineReport>(report).isBusy);
+    cr_assert(errorOf(codec.readReport({ 503, {} }, "{}")));
+}
+
+Test(adapter, itsNamesStandNowhereElseInTheProduct)
+{
+    const char* names[] = { "X-Dragonflyarch-", "Kv-From", "/api/", "op/config", "op/version", "\"servers/", "api_keys",
+        "fencing_token\"", "opcode", "kv_store", "max_attempts", "traffic_split", "switch_mode", "Expect-Instance" };
+    for (const auto& entry : std::filesystem::recursive_directory_iterator(SOURCE_FOLDER "/src")) {
+        if (!entry.is_regular_file())
+            continue;
+        std::stringstream text;
+        text << std::ifstream(entry.path()).rdbuf();
+        for (const auto* name : names)
+            cr_assert(text.str().find(name) == std::string::npos, "'%s' stands in %s", name, entry.path().c_str());
+    }
+}
--- /dev/null
+++ b/tests/WeightsPartsTest.cpp
@@ -0,0 +1,117 @@
+// The role of giving orders and the plan of a roll-out, each alone, at every order of events.
+
+#include "weights/OrderRole.h"
+#include "weights/RolloutPlan.h"
+
+#include <criterion/criterion.h>
+#include <random>
+#include <set>
+
+using namespace dragonfly;
+using namespace dragonfly::weights;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr RoleTimes times { 3000ms, 300ms };
+
+std::vector<EngineState> engines(int count, uint64_t version)
+{
+    std::vector<EngineState> result;
+    for (int i = 0; i < count; ++i)
+        result.push_back({ "e" + std::to_string(i), "dc" + std::to_string(i % 3), version, false, 0 });
+    return result;
+}
+
+}
+
+Test(orderRole, waitsOutTheHolderBeforeItAndStopsBeforeItsLeaseEnds)
+{
+    OrderRole role(times);
+    const BootClock::time_point start { 100s };
+    cr_assert_not(role.mayOrder(start));
+    role.take(7, 41, start, start + 20ms);
+    cr_assert_not(role.mayOrder(start + 2900ms), "the holder before may still have an order on its way");
+    role.renew(7, start + 1s);
+    role.renew(7, start + 2s);
+    role.renew(7, start + 3s);
+    cr_assert(role.mayOrder(start + 3400ms));
+    cr_assert_not(role.mayOrder(start + 5800ms));
+    cr_assert(role.expire(start + 5800ms));
+    cr_assert_not(role.current().has_value());
+}
+
+Test(orderRole, aRenewalCountsFromWhenItWasAskedFor)
+{
+    OrderRole role(times);
+    const BootClock::time_point start { 100s };
+    role.take(7, 41, start, start);
+    role.renew(7, start + 1s); // its answer may have come seconds later
+    cr_assert_eq(role.current()->ordersUntil, start + 1s + 2700ms);
+    role.renew(7, start + 500ms); // answers may overtake each other
+    cr_assert_eq(role.current()->ordersUntil, start + 1s + 2700ms);
+    role.renew(8, start + 2s); // another lease
+    cr_assert_eq(role.current()->ordersUntil, start + 1s + 2700ms);
+}
+
+/// Two instances and one store: whatever is lost or delayed, orders of the two never come within a lease time.
+Test(orderRole, holdersNeverOverlap)
+{
+    for (uint32_t seed = 0; seed < 200; ++seed) {
+        std::mt19937 random(seed);
+        const auto chance = [&random](double share) { return std::uniform_real_distribution<>(0, 1)(random) < share; };
+        OrderRole roles[2] = { OrderRole(times), OrderRole(times) };
+        int holder = -1; // as the store sees it
+        BootClock::time_point leaseEnds {};
+        int64_t token = 0;
+        std::optional<std::pair<int, BootClock::time_point>> lastOrder;
+        for (BootClock::time_point now { 100s }; now < BootClock::time_point { 160s }; now += 50ms) {
+            if (holder >= 0 && now >= leaseEnds)
+                holder = -1;
+            for (int i = 0; i < 2; ++i) {
+                if (chance(0.3))
+                    continue; // it stands still
+                roles[i].expire(now);
+                if (roles[i].current() && holder == i && chance(0.1)) {
+                    leaseEnds = now + 3s;
+                    if (chance(0.7)) // else the answer is lost
+                        roles[i].renew(roles[i].current()->lease, now);
+                }
+                if (!roles[i].current() && holder < 0 && chance(0.1)) {
+                    holder = i;
+                    leaseEnds = now + 3s;
+                    ++token;
+                    roles[i].take(token, token, now, now);
+                }
+                if (!roles[i].mayOrder(now))
+                    continue;
+                cr_assert(!lastOrder || lastOrder->first == i || now - lastOrder->second >= 3s, "seed %u", seed);
+                lastOrder = { i, now };
+            }
+        }
+    }
+}
+
+Test(rolloutPlan, loadsAShareAtATimeOverAllDataCentres)
+{
+    auto states = engines(9, 1);
+    const auto first = chooseNextLoads(states, 2, 0.2);
+    cr_assert_eq(first.size(), 2);
+    states[0].isLoading = true;
+    states[1].isLoading = true;
+    cr_assert(chooseNextLoads(states, 2, 0.2).empty());
+    states[1].isLoading = false;
+    states[1].version = 2;
+    const auto next = chooseNextLoads(states, 2, 0.2);
+    cr_assert_eq(next.size(), 1);
+    cr_assert_eq(next.front(), "e2", "the third data centre has neither a loading engine nor a new one");
+}
+
+Test(rolloutPlan, takesTheOldestFirstAndEndsWhenAllAreNew)
+{
+    auto states = engines(9, 2);
+    states[5].version = 1;
+    cr_assert_eq(chooseNextLoads(states, 3, 0.2).front(), "e5");
+    cr_assert(chooseNextLoads(engines(9, 3), 3, 0.2).empty());
+    cr_assert_eq(chooseNextLoads(engines(2, 1), 2, 0.2).size(), 1, "one at least");
+}
--- /dev/null
+++ b/tests/support/ForwardSite.cpp
@@ -0,0 +1,131 @@
+#include "tests/support/ForwardSite.h"
+
+#include <QJsonDocument>
+#include <fstream>
+
+namespace testing {
+
+using namespace dragonfly;
+
+namespace {
+
+    QString text(const std::string& value)
+    {
+        return QString::fromStdString(value);
+    }
+
+    QJsonObject routeOf(const char* name, const char* prefix, const char* kind, const char* service, int timeoutMs)
+    {
+        return { { "name", name }, { "host", "site.example" }, { "prefix", prefix }, { "kind", kind },
+            { "service", service }, { "timeout_ms", timeoutMs }, { "target_latency_ms", 200 }, { "priority", 1 },
+            { "max_attempts", 2 } };
+    }
+
+    QJsonObject with(QJsonObject object, const char* field, const QJsonValue& value)
+    {
+        object[QLatin1String(field)] = value;
+        return object;
+    }
+
+}
+
+ForwardSite::ForwardSite()
+    : store(std::make_unique<Process>("standin-metadatastore", QStringList {}))
+{
+    this->publish({ forwardKey });
+    for (const auto* id : { "engine-0", "engine-1" })
+        this->engines.push_back(this->startTarget(id, "engines", "m"));
+    for (const auto* id : { "service-0", "service-1" })
+        this->services.push_back(this->startTarget(id, "desk", ""));
+}
+
+std::unique_ptr<Process> ForwardSite::startTarget(const QString& id, const QString& service, const QString& model)
+{
+    QStringList arguments { "--id", id, "--store", text(this->store->address().toString()), "--service", service,
+        "--data-centre", "north-a" };
+    if (!model.isEmpty())
+        arguments += { "--model", model };
+    return std::make_unique<Process>("standin-target", arguments);
+}
+
+Process& ForwardSite::startEntry(bool waitUntilReady, const std::string& extraSettings)
+{
+    const auto number = this->entries.size();
+    const auto file = this->folder.filePath("entry-" + QString::number(number) + ".yaml").toStdString();
+    std::ofstream(file) << "interface: forwarding\ninstance: entry-" << number
+                        << "\nregion: north\ndataCentre: north-a\nregions: { north-a: north }\nplatform: ["
+                        << this->store->address().toString()
+                        << "]\ndrain: { notice: 300ms, time: 3s }\nrouting: { policy: least-cost }\n"
+                        << extraSettings;
+    this->entries.push_back(std::make_unique<Process>("dragonflyd", QStringList { "--settings", text(file) }, "ready"));
+    auto& entry = *this->entries.back();
+    if (waitUntilReady) {
+        const auto known = this->engines.size() + this->services.size();
+        const bool ready = waitUntil(
+            [&] {
+                const auto status = get(entry.address("admin"), "/status");
+                return waitFor(status) && status->json()["targets"].toArray().size() == static_cast<qsizetype>(known);
+            },
+            std::chrono::seconds(10));
+        require(ready, "the entry instance does not know its targets");
+    }
+    return entry;
+}
+
+AnswerPointer ForwardSite::send(const ForwardRequestSpec& spec, size_t entry)
+{
+    http::Headers headers { { "Host", "site.example" }, { "X-Dragonflyarch-Attempt-Id", spec.id },
+        { "X-Dragonflyarch-Deadline-Ms", std::to_string(spec.deadlineMs) }, { "Authorization", "Bearer " + spec.key },
+        { "X-Custom", "kept" } };
+    if (spec.path.starts_with("/ask/") || spec.path.starts_with("/once/")) {
+        headers.add("X-Dragonflyarch-Model", "m");
+        headers.add("X-Dragonflyarch-Token-Usage", "300,10");
+        headers.add("X-Dragonflyarch-Prompt-Prefix", "aa:200,bb:100");
+    }
+    if (!spec.lastEventId.empty())
+        headers.add("Last-Event-Id", spec.lastEventId);
+    return this->caller.send(this->entries[entry]->address(), { spec.method, spec.path, headers, spec.body });
+}
+
+AnswerPointer ForwardSite::ask(const ForwardRequestSpec& spec, size_t entry)
+{
+    auto answer = this->send(spec, entry);
+    require(waitFor(answer, std::chrono::seconds(20)), "no answer to " + spec.id);
+    return answer;
+}
+
+void ForwardSite::publish(const QStringList& firstKeys, int timeoutMs)
+{
+    this->version += 3; // versions grow in uneven steps
+    const QJsonArray routes { with(routeOf("ask", "/ask/", "streaming", "engines", timeoutMs), "resumable", true),
+        routeOf("once", "/once/", "streaming", "engines", timeoutMs),
+        routeOf("book", "/book/", "non_idempotent", "desk", timeoutMs),
+        routeOf("read", "/read/", "idempotent", "desk", timeoutMs),
+        with(routeOf("open", "/open/", "idempotent", "desk", timeoutMs), "anonymous", true) };
+    const QJsonArray services { QJsonObject { { "name", "engines" }, { "max_connections", 100 },
+                                    { "engine", QJsonObject { { "slots", 8 } } } },
+        QJsonObject { { "name", "desk" }, { "max_connections", 100 } } };
+    const QJsonArray tenants { QJsonObject { { "name", "first" }, { "api_keys", QJsonArray::fromStringList(firstKeys) },
+                                   { "priority", 0 }, { "isolated", true } },
+        QJsonObject { { "name", "second" }, { "api_keys", QJsonArray { secondForwardKey } }, { "priority", 1 } } };
+    const QJsonObject config { { "version", this->version }, { "routes", routes }, { "services", services },
+        { "tenants", tenants },
+        { "limits", QJsonObject { { "max_body_bytes", 100000 }, { "idle_timeout_ms", 10000 } } } };
+    this->storeControl({ { "put",
+        QJsonObject { { "key", "op/config" },
+            { "value", QString::fromUtf8(QJsonDocument(config).toJson(QJsonDocument::Compact)) } } } });
+}
+
+void ForwardSite::nameWeights(int wanted)
+{
+    this->storeControl({ { "put",
+        QJsonObject {
+            { "key", "op/version/m" }, { "value", QString("{\"model\":\"m\",\"version\":%1}").arg(wanted) } } } });
+}
+
+QJsonObject ForwardSite::storeControl(const QJsonObject& order)
+{
+    return control(this->store->address(), order);
+}
+
+}
