Let callers that were refused for lack of proof come back at once

Cause: an instance that cannot vouch for a key told callers to wait half a second, although their repeat reaches another instance, which mostly can.

Change: Retry-After is 0.05 s where another instance can serve the repeat. Linter findings mended.

--- a/src/base/BootClock.h
+++ b/src/base/BootClock.h
@@ -14,7 +14,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): the name that clocks have
 
     static time_point now() noexcept
     {
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -173,7 +173,7 @@
     const auto request = this->context.dialect.dispatch(this->request.exchange->request(), this->dispatchFor(choice));
     const auto& description = this->request.description;
     const auto uncached = description.promptTokens - std::min(description.promptTokens, choice.choice.cachedTokens);
-    this->attempt.emplace();
+    this->attempt = Attempt {};
     this->attempt->load = entry::TargetLoad(choice.target->state, uncached);
     this->attempt->sentAt = now;
     const auto endpoint = registration.endpoint;
--- a/src/forward/Forwarder.cpp
+++ b/src/forward/Forwarder.cpp
@@ -4,10 +4,9 @@
 
 namespace {
 
-    /// When a caller may come back to an instance that has lost touch with the platform: others still have it.
-    constexpr std::chrono::milliseconds retryAfterStale { 500 };
-    /// When a caller may come back to an instance that has just started.
-    constexpr std::chrono::milliseconds retryAfterStart { 300 };
+    /// When a caller may come back after this instance could not vouch for a key, or knew no configuration yet. A
+    /// repeat reaches another instance, which mostly can; so it need not wait.
+    constexpr std::chrono::milliseconds retryElsewhere { 50 };
 
 }
 
@@ -20,7 +19,7 @@
     // An old configuration can neither vouch for a key nor deny it.
     if (!freshness.isProved(now))
         return Error { ErrorKind::NotConfigured, "it is not known whether the key is still valid", Execution::NotRun,
-            retryAfterStale };
+            retryElsewhere };
     const auto& key = request.description.apiKey;
     request.organisation = key ? request.routes->findOrganisation(*key) : nullptr;
     if (!request.organisation)
@@ -42,7 +41,7 @@
     request.routes = this->context.directory.routes();
     if (!request.routes) {
         this->refuse(exchange, request.description,
-            { ErrorKind::NotConfigured, "no configuration has been received yet", Execution::NotRun, retryAfterStart });
+            { ErrorKind::NotConfigured, "no configuration has been received yet", Execution::NotRun, retryElsewhere });
         return;
     }
     request.route = request.routes->findRoute(request.description.host, request.description.path);
