Let streams use connections that were idle for up to four seconds; show times to the first event

Change: streams may use connections that were idle for up to 4 s; the line about a request says after how long the first event came.

Ruled out: the choice of the engine; the difference is the same for all reasons of the choice.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -24,6 +24,8 @@
     /// Kept connections that were idle for longer carry no request that may not be repeated: the target, or
     /// something on the way, may have dropped them.
     constexpr milliseconds soundIdleTime { 1000 };
+    /// The same for streams: a new connection to another region delays the first token by a round trip.
+    constexpr milliseconds soundIdleTimeOfStreams { 4000 };
     /// A target that refused is not asked again for this time: about as long as it takes to work off a queue.
     constexpr milliseconds refusalPause { 250 };
     /// The same for an engine that is behind with its weights, and so probably loads new ones. Its new
@@ -154,7 +156,7 @@
     if (!mayGoOn)
         return this->request.deadline;
     const auto& route = *this->request.route;
-    const bool isFlowing = this->attempt && this->attempt->firstEventSeen && route.longestPause;
+    const bool isFlowing = this->attempt && this->attempt->firstEventAfter && route.longestPause;
     const auto expected = isFlowing ? *route.longestPause * stallFactor : route.targetLatency * silenceFactor;
     return std::min(this->request.deadline, Clock::now() + std::max(expected, shortestSilence));
 }
@@ -181,7 +183,7 @@
     ++this->runs;
     http::CallOptions options { now + connectTime, this->progressDeadline() };
     if (!this->isRepeatable())
-        options.oldestIdle = now - soundIdleTime;
+        options.oldestIdle = now - (this->isStream() ? soundIdleTimeOfStreams : soundIdleTime);
     http::CallEvents events;
     events.onHead = [self = this->shared_from_this()](const http::ResponseHead& head) { self->onHead(head); };
     events.onBody = [self = this->shared_from_this()](std::string_view bytes) { self->onBody(bytes); };
@@ -266,11 +268,11 @@
 
 void ForwardCall::noteFirstEvent()
 {
-    if (this->attempt->firstEventSeen)
+    if (this->attempt->firstEventAfter)
         return;
-    this->attempt->firstEventSeen = true;
-    this->attempt->load.promptDone();
     const auto now = Clock::now();
+    this->attempt->firstEventAfter = std::chrono::duration_cast<milliseconds>(now - this->attempt->sentAt);
+    this->attempt->load.promptDone();
     const auto& choice = this->attempt->choice;
     rememberPrompt(this->context.memory, choice, now);
     routing::noteSuccess(*choice.target->state);
@@ -412,12 +414,14 @@
 {
     const auto& choice = this->attempt->choice;
     const auto took = std::chrono::duration_cast<milliseconds>(Clock::now() - this->attempt->sentAt);
+    const auto firstEvent = this->attempt->firstEventAfter;
     if (!this->trail.empty())
         this->trail += ';';
     this->trail += choice.target->registration.id + " (" + std::string(routing::toString(choice.choice.reason)) + ", "
         + std::to_string(choice.candidates) + " candidates, weights " + std::to_string(choice.weightsVersion)
         + ", cached " + std::to_string(choice.choice.cachedTokens) + "/"
         + std::to_string(this->request.description.promptTokens) + (choice.fetchCacheFrom ? ", fetched" : "") + ", "
+        + (firstEvent ? "first event after " + std::to_string(firstEvent->count()) + " of " : "")
         + std::to_string(took.count()) + " ms): " + outcome;
     this->attempt.reset();
 }
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -40,7 +40,7 @@
         http::ResponseHead head;
         AnswerNote note;
         std::string body;
-        bool firstEventSeen = false;
+        std::optional<std::chrono::milliseconds> firstEventAfter; ///< of a stream
     };
 
     void nextAttempt();
