--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -313,6 +313,11 @@
     QTimer::singleShot(this->settings.drainNotice, this, &Daemon::finishRequests);
 }
 
+void Daemon::reload()
+{
+    observe::logChange(observe::LogLevel::Warning, "settings are read at the start only");
+}
+
 void Daemon::finishRequests()
 {
     this->phase = Phase::Finishing;
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -24,6 +24,8 @@
     Status start();
     /// Ends without cutting a request, then quits the application.
     void drain();
+    /// Says that settings are read at the start only.
+    void reload();
 
 private:
     enum class Phase { Serving, Noticed, Finishing };
--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/ForwardingDaemon.h"
 
 #include <QCoreApplication>
+#include <QFileInfo>
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -17,6 +18,9 @@
     /// How often the end of the last request is looked for.
     constexpr std::chrono::milliseconds drainPoll { 50 };
 
+    /// The settings file may change without a signal; this is how long it may take to notice.
+    constexpr std::chrono::milliseconds settingsPeriod { 5000 };
+
     QString text(const std::string& value)
     {
         return QString::fromStdString(value);
@@ -64,6 +68,9 @@
         if (auto status = (this->*step)(); errorOf(status))
             return status;
     }
+    this->settingsChangedAt = QFileInfo(text(this->settings.file)).lastModified();
+    connect(&this->settingsTimer, &QTimer::timeout, this, &ForwardingDaemon::reloadIfChanged);
+    this->settingsTimer.start(settingsPeriod);
     this->sync.start();
     const auto listening = std::get<Endpoint>(listened).toString();
     logChange(LogLevel::Info, "serving", { { "listen", listening } });
@@ -156,6 +163,33 @@
     return QJsonDocument(status).toJson(QJsonDocument::Compact);
 }
 
+void ForwardingDaemon::reloadIfChanged()
+{
+    if (QFileInfo(text(this->settings.file)).lastModified() != this->settingsChangedAt)
+        this->reload();
+}
+
+void ForwardingDaemon::reload()
+{
+    this->settingsChangedAt = QFileInfo(text(this->settings.file)).lastModified();
+    const auto loaded = loadSettings(this->settings.file);
+    if (!loaded.problems.empty()) {
+        logChange(LogLevel::Error, "changed settings refused; the former stay in force",
+            { { "problem", toString(loaded.problems.front()) },
+                { "problems", std::to_string(loaded.problems.size()) } });
+        return;
+    }
+    const auto& next = loaded.settings;
+    this->settings.drainNotice = next.drainNotice;
+    this->settings.drainTime = next.drainTime;
+    this->settings.forwarding.requests.weightsTime = next.forwarding.requests.weightsTime;
+    this->settings.forwarding.requests.policy = next.forwarding.requests.policy;
+    const bool moved = next.listen != this->settings.listen || next.platform != this->settings.platform;
+    logChange(LogLevel::Info, "settings reloaded",
+        { { "weights_time_ms", std::to_string(next.forwarding.requests.weightsTime.count()) },
+            { "addresses", moved ? "changed; they apply after a restart" : "unchanged" } });
+}
+
 void ForwardingDaemon::drain()
 {
     if (this->phase != Phase::Serving)
--- a/src/daemon/ForwardingDaemon.h
+++ b/src/daemon/ForwardingDaemon.h
@@ -10,6 +10,7 @@
 #include "platform/Platform.h"
 #include "weights/Weights.h"
 
+#include <QDateTime>
 #include <QHttpServer>
 #include <QObject>
 #include <memory>
@@ -26,6 +27,9 @@
     Status start();
     /// Ends without cutting a request, then quits the application.
     void drain();
+    /// Reads the settings file again and applies what may change while requests are under way. A file with
+    /// mistakes changes nothing.
+    void reload();
 
 private:
     enum class Phase { Serving, Noticed, Finishing };
@@ -39,6 +43,7 @@
     void finishRequests();
     void waitForRequests(Deadline deadline);
     void leave();
+    void reloadIfChanged();
 
     Settings settings;
     observe::Metrics metrics;
@@ -55,6 +60,8 @@
     forward::Forwarder forwarder;
     http::Server server;
     QHttpServer admin;
+    QTimer settingsTimer;
+    QDateTime settingsChangedAt; ///< time of the file that is in force
     Phase phase = Phase::Serving;
     bool wasReady = false;
 };
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -141,6 +141,7 @@
 LoadedSettings loadSettings(const std::string& file)
 {
     LoadedSettings loaded;
+    loaded.settings.file = file;
     try {
         readAll(file, YAML::LoadFile(file), loaded);
     } catch (const YAML::BadFile&) {
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -24,6 +24,7 @@
 };
 
 struct Settings {
+    std::string file; ///< where these settings were read
     Interface interface = Interface::Completions;
     std::string instance;
     routing::Place place;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -19,13 +19,14 @@
 constexpr int exitFailure = 1;
 constexpr int exitUsage = 2;
 
-/// Blocks SIGTERM and SIGINT for all threads; they arrive on the returned descriptor instead.
+/// Blocks SIGTERM, SIGINT and SIGHUP for all threads; they arrive on the returned descriptor instead.
 int openSignalDescriptor()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
@@ -44,8 +45,12 @@
     QSocketNotifier notifier(signals, QSocketNotifier::Read);
     QObject::connect(&notifier, &QSocketNotifier::activated, &daemon, [&daemon, signals] {
         signalfd_siginfo info;
-        while (read(signals, &info, sizeof(info)) == sizeof(info))
-            daemon.drain();
+        while (read(signals, &info, sizeof(info)) == sizeof(info)) {
+            if (info.ssi_signo == SIGHUP)
+                daemon.reload();
+            else
+                daemon.drain();
+        }
     });
     return QCoreApplication::exec();
 }
--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -23,8 +23,9 @@
     constexpr int renewalsPerLease = 3;
     /// How often the plan is looked at while engines are behind.
     constexpr std::chrono::milliseconds stepPeriod { 150 };
-    /// An engine whose new weights were not seen by then is asked for a report.
-    constexpr std::chrono::milliseconds loadTime { 4000 };
+    /// An engine whose new weights were not seen by then is asked for a report: its registration may tell of them
+    /// a heartbeat late, and others wait for its place.
+    constexpr std::chrono::milliseconds loadTime { 1100 };
     /// Before the next report of an engine that was busy or did not answer.
     constexpr std::chrono::milliseconds busyPause { 400 };
 
--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -322,6 +322,25 @@
     cr_assert_eq(entry.waitForExit(4s), 0);
 }
 
+Test(forward, changedSettingsAreCheckedWholeAndCutNothing)
+{
+    const Application application;
+    ForwardSite site;
+    auto& entry = site.startEntry();
+    setAll(site.engines, { { "event_ms", 100 }, { "events", 8 } });
+    const auto stream = site.send({ "s1", "/once/x" });
+    runFor(100ms);
+    site.changeSettings(0, "forwarding: { weightsTime: 5 parsecs }\n");
+    entry.hangUp();
+    cr_assert(waitUntil([&] { return entry.printedLine("changed settings refused"); }, 2s));
+    site.changeSettings(0, "forwarding: { weightsTime: 9s }\n");
+    entry.hangUp();
+    cr_assert(waitUntil([&] { return entry.printedLine("weights_time_ms=9000"); }, 2s));
+    cr_assert(waitFor(stream, 5s));
+    cr_assert(stream->whole);
+    cr_assert_eq(site.ask({ "r1", "/book/x" })->status, 200);
+}
+
 Test(forward, severalFaultsAtOnceKeepThePromises)
 {
     const Application application;
--- a/tests/support/ForwardSite.cpp
+++ b/tests/support/ForwardSite.cpp
@@ -51,12 +51,8 @@
 Process& ForwardSite::startEntry(bool waitUntilReady, const std::string& extraSettings)
 {
     const auto number = this->entries.size();
-    const auto file = this->folder.filePath("entry-" + QString::number(number) + ".yaml").toStdString();
-    std::ofstream(file) << "interface: forwarding\ninstance: entry-" << number
-                        << "\nregion: north\ndataCentre: north-a\nregions: { north-a: north }\nplatform: ["
-                        << this->store->address().toString()
-                        << "]\ndrain: { notice: 300ms, time: 3s }\nrouting: { policy: least-cost }\n"
-                        << extraSettings;
+    this->changeSettings(number, extraSettings);
+    const auto file = this->settingsFile(number);
     this->entries.push_back(std::make_unique<Process>("dragonflyd", QStringList { "--settings", text(file) }, "ready"));
     auto& entry = *this->entries.back();
     if (waitUntilReady) {
@@ -72,6 +68,21 @@
     return entry;
 }
 
+std::string ForwardSite::settingsFile(size_t entry) const
+{
+    return this->folder.filePath("entry-" + QString::number(entry) + ".yaml").toStdString();
+}
+
+void ForwardSite::changeSettings(size_t entry, const std::string& extraSettings)
+{
+    std::ofstream(this->settingsFile(entry))
+        << "interface: forwarding\ninstance: entry-" << entry
+        << "\nregion: north\ndataCentre: north-a\nregions: { north-a: north }\nplatform: ["
+        << this->store->address().toString()
+        << "]\ndrain: { notice: 300ms, time: 3s }\nrouting: { policy: least-cost }\n"
+        << extraSettings;
+}
+
 AnswerPointer ForwardSite::send(const ForwardRequestSpec& spec, size_t entry)
 {
     http::Headers headers { { "Host", "site.example" }, { "X-Dragonflyarch-Attempt-Id", spec.id },
--- a/tests/support/ForwardSite.h
+++ b/tests/support/ForwardSite.h
@@ -36,6 +36,8 @@
 
     /// Publishes the configuration with a new version, with the keys of the first organisation.
     void publish(const QStringList& firstKeys, int timeoutMs = 2000);
+    /// Writes the settings file of an entry instance anew.
+    void changeSettings(size_t entry, const std::string& extraSettings);
     void nameWeights(int version);
     QJsonObject storeControl(const QJsonObject& order);
 
@@ -46,6 +48,7 @@
     Caller caller { "" };
 
 private:
+    std::string settingsFile(size_t entry) const;
     std::unique_ptr<Process> startTarget(const QString& id, const QString& service, const QString& model);
 
     QTemporaryDir folder;
--- a/tests/support/Process.cpp
+++ b/tests/support/Process.cpp
@@ -4,6 +4,7 @@
 #include <QEventLoop>
 #include <QThread>
 #include <QTimer>
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -103,6 +104,17 @@
     this->signal(SIGCONT);
 }
 
+void Process::hangUp()
+{
+    this->signal(SIGHUP);
+}
+
+bool Process::printedLine(const std::string& part)
+{
+    return std::any_of(this->printed.begin(), this->printed.end(),
+        [&part](const auto& line) { return line.second.find(part) != std::string::npos; });
+}
+
 void Process::terminate()
 {
     this->signal(SIGTERM);
--- a/tests/support/Process.h
+++ b/tests/support/Process.h
@@ -28,6 +28,9 @@
     void freeze(); ///< SIGSTOP
     void thaw(); ///< SIGCONT
     void terminate(); ///< SIGTERM
+    void hangUp(); ///< SIGHUP
+    /// Whether a line with @p part was printed on standard output.
+    bool printedLine(const std::string& part);
     bool isRunning() const
     {
         return this->process.state() != QProcess::NotRunning;
@@ -48,7 +51,7 @@
     void readLines();
 
     QProcess process;
-    std::map<std::string, std::string> printed;
+    std::map<std::string, std::string> printed; ///< by the first word of the line
     std::string errors;
 };
 
