Answer by weights of unknown age only where no engine runs newer ones

Change: weights that were replaced before the instance started may answer only if no registered engine runs newer ones, whether it can be asked now or not.

Ruled out: a wrong clock; the request began 15.1 s after the naming that another instance had seen.

--- a/src/forward/TargetChooser.cpp
+++ b/src/forward/TargetChooser.cpp
@@ -148,13 +148,26 @@
 
     /// Whether weights of @p version may still answer: not when they were replaced too long ago. A request may
     /// wait at its engine before it begins.
-    bool mayAnswer(const ChoiceQuery& query, uint64_t version, bool takeUnknownTimes)
+    bool mayAnswer(const ChoiceQuery& query, uint64_t version, uint64_t newest)
     {
         const auto replacedAt = query.directory.replacedAt(query.description.model, version);
         if (!replacedAt)
             return true;
         const bool isTimeKnown = *replacedAt != Clock::time_point();
-        return isTimeKnown ? query.now - *replacedAt < query.weightsTime - weightsMargin : takeUnknownTimes;
+        // What was replaced before this instance started may answer only where no engine runs newer weights.
+        return isTimeKnown ? query.now - *replacedAt < query.weightsTime - weightsMargin : version >= newest;
+    }
+
+    /// The newest weights that any engine runs, even if it cannot be asked now.
+    uint64_t newestWeights(const ChoiceQuery& query, const std::vector<std::string>& services)
+    {
+        uint64_t newest = 0;
+        for (const auto& [id, target] : query.directory.targets()) {
+            const auto& service = target->registration.service;
+            if (std::find(services.begin(), services.end(), service) != services.end())
+                newest = std::max(newest, target->weightsOf(query.description.model));
+        }
+        return newest;
     }
 
     bool isExcluded(const ChoiceQuery& query, const directory::Target& target)
@@ -163,7 +176,7 @@
         return std::find(tried.begin(), tried.end(), target.registration.id) != tried.end();
     }
 
-    void gatherFrom(Gathered& gathered, const ChoiceQuery& query, const std::string& service, bool takeUnknownTimes)
+    void gatherFrom(Gathered& gathered, const ChoiceQuery& query, const std::string& service, uint64_t newest)
     {
         const auto& model = query.description.model;
         const auto seed = rankSeed(query);
@@ -171,7 +184,7 @@
             if (!target->isUsable(query.now) || isExcluded(query, *target))
                 continue;
             const auto version = model.empty() ? 0 : target->weightsOf(model);
-            if (!model.empty() && (!version || !mayAnswer(query, version, takeUnknownTimes)))
+            if (!model.empty() && (!version || !mayAnswer(query, version, newest)))
                 continue;
             const auto index = indexOfVersion(gathered, query, version);
             auto candidate = candidateOf(query, *target, seed);
@@ -279,12 +292,10 @@
 {
     Gathered gathered;
     const auto services = serviceOrder(query.route, query.random);
-    // Weights that were replaced before this instance started are asked only where there are no newer ones.
-    for (const bool takeUnknownTimes : { false, true }) {
-        for (const auto& service : services) {
-            if (gathered.candidates.empty())
-                gatherFrom(gathered, query, service, takeUnknownTimes);
-        }
+    const auto newest = newestWeights(query, services);
+    for (const auto& service : services) {
+        if (gathered.candidates.empty())
+            gatherFrom(gathered, query, service, newest);
     }
     creditPrefixes(gathered, query);
     routing::Question question;
--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -21,6 +21,10 @@
     constexpr std::chrono::milliseconds takePause { 1000 };
     /// Renewals in one lease.
     constexpr int renewalsPerLease = 3;
+    /// Longest answer time of a renewal, so that several fit into what is left of a lease.
+    constexpr std::chrono::milliseconds renewalTime { 400 };
+    /// The next renewal after one that failed.
+    constexpr std::chrono::milliseconds renewalRetry { 100 };
     /// How often the plan is looked at while engines are behind.
     constexpr std::chrono::milliseconds stepPeriod { 150 };
     /// An engine whose new weights were not seen by then is asked for a report: its registration may tell of them
@@ -40,7 +44,7 @@
     , metrics(metrics)
     , role(settings.role)
 {
-    for (auto* timer : { &this->takeTimer, &this->stepTimer })
+    for (auto* timer : { &this->takeTimer, &this->renewTimer, &this->stepTimer })
         timer->setSingleShot(true);
     connect(&this->takeTimer, &QTimer::timeout, this, &WeightsRollout::takeRole);
     connect(&this->renewTimer, &QTimer::timeout, this, &WeightsRollout::renewRole);
@@ -99,15 +103,20 @@
 void WeightsRollout::renewRole()
 {
     const auto now = BootClock::now();
+    if (!this->role.current())
+        return;
     if (this->role.expire(now)) {
         this->loseRole("the lease may have ended");
         return;
     }
     const auto lease = this->role.current()->lease;
     this->metrics.platformCalls.Increment();
-    this->store.keepLease(lease, Clock::now() + callTime, [this, lease, now](const store::LeaseResult& result) {
-        if (std::holds_alternative<int64_t>(result))
+    this->store.keepLease(lease, Clock::now() + renewalTime, [this, lease, now](const store::LeaseResult& result) {
+        const bool isRenewed = std::holds_alternative<int64_t>(result);
+        if (isRenewed)
             this->role.renew(lease, now);
+        if (this->role.current())
+            this->renewTimer.start(isRenewed ? this->settings.role.leaseTime / renewalsPerLease : renewalRetry);
     });
 }
 
--- a/tests/ForwardPartsTest.cpp
+++ b/tests/ForwardPartsTest.cpp
@@ -200,6 +200,10 @@
         pool.description.prompt.front().id = std::to_string(i);
         cr_assert_eq(pool.choose()->target->registration.id, "e4");
     }
+    pool.directory.targets().at("e4")->refusingUntil = pool.now + 1s;
+    cr_assert_not(pool.choose().has_value(), "the one with newer weights only refuses for a moment");
+    pool.directory.nameWeights({ "m", 3 }, pool.now);
+    cr_assert_not(pool.choose().has_value(), "a further version makes the oldest no younger");
 }
 
 Test(targetChooser, leavesOutWhatIsDrainingRefusingReplacedOrTried)
