Take requests only once targets and weights are known

Cause: after a start the configuration came into force before the list of targets was read, and for some 75 ms requests were refused although there were targets; and callers that were refused by an instance without a configuration came back after 50 ms, when all instances had been started at once and none knew more.

Change: the configuration is read last; such callers come back after 400 ms. Test: DirectoryTest directorySync/requestsAreTakenOnlyOnceTargetsAndWeightsAreKnown.

--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -76,10 +76,9 @@
 
 void DirectorySync::readAll()
 {
-    this->step = ReadStep::Deployment;
+    this->step = ReadStep::Targets;
     this->lastKey.clear();
     this->readRevision = 0;
-    this->readStarted = BootClock::now();
     this->listed.clear();
     this->followedListed = false;
     this->readNext();
@@ -87,6 +86,9 @@
 
 void DirectorySync::readNext()
 {
+    if (this->step == ReadStep::Followed && this->followedKey.empty())
+        this->step = ReadStep::Deployment;
+    this->pageAskedAt = BootClock::now();
     this->metrics.platformCalls.Increment();
     this->store.readPage(this->prefixOf(this->step), this->lastKey, Clock::now() + callTime,
         [this](const store::PageResult& result) { this->onPage(result); });
@@ -107,7 +109,7 @@
             this->listed.insert(pair.key);
         this->followedListed |= pair.key == this->followedKey;
         if (this->step == ReadStep::Deployment)
-            this->takeDeployment(pair, this->readStarted);
+            this->takeDeployment(pair, this->pageAskedAt);
         else
             this->take({ pair, false }, this->currentAt);
     }
--- a/src/directory/DirectorySync.h
+++ b/src/directory/DirectorySync.h
@@ -33,8 +33,9 @@
     std::function<void(bool exists)> onFollowedKey;
 
 private:
-    /// The prefixes that a whole read goes through, one after the other.
-    enum class ReadStep { Deployment, Targets, Weights, Followed, Done };
+    /// The prefixes that a whole read goes through, one after the other. The deployment comes last: once it is in
+    /// force, requests are taken, and then targets and weights have to be known.
+    enum class ReadStep { Targets, Weights, Followed, Deployment, Done };
 
     void readAll();
     void readNext();
@@ -69,7 +70,7 @@
     ReadStep step = ReadStep::Done;
     std::string lastKey; ///< of the page before
     int64_t readRevision = 0; ///< before the first page of the whole read
-    BootClock::time_point readStarted;
+    BootClock::time_point pageAskedAt; ///< of the page under way
     std::set<std::string> listed; ///< targets seen by the whole read
     bool followedListed = false; ///< the followed key was seen by it
     Clock::time_point currentAt; ///< all that had changed before was known; the epoch before the first whole read
--- a/src/forward/Forwarder.cpp
+++ b/src/forward/Forwarder.cpp
@@ -4,9 +4,12 @@
 
 namespace {
 
-    /// When a caller may come back after this instance could not vouch for a key, or knew no configuration yet. A
-    /// repeat reaches another instance, which mostly can; so it need not wait.
+    /// When a caller may come back after this instance could not vouch for a key. A repeat reaches another
+    /// instance, which mostly can; so it need not wait.
     constexpr std::chrono::milliseconds retryElsewhere { 50 };
+    /// When a caller may come back after this instance knew no configuration yet. All may have been started at
+    /// once; reading everything takes a few round trips to another region.
+    constexpr std::chrono::milliseconds retryAfterStart { 400 };
 
 }
 
@@ -41,7 +44,7 @@
     request.routes = this->context.directory.routes();
     if (!request.routes) {
         this->refuse(exchange, request.description,
-            { ErrorKind::NotConfigured, "no configuration has been received yet", Execution::NotRun, retryElsewhere });
+            { ErrorKind::NotConfigured, "no configuration has been received yet", Execution::NotRun, retryAfterStart });
         return;
     }
     request.route = request.routes->findRoute(request.description.host, request.description.path);
--- a/tests/DirectoryTest.cpp
+++ b/tests/DirectoryTest.cpp
@@ -259,6 +259,21 @@
     cr_assert(directory.targets().empty());
 }
 
+Test(directorySync, requestsAreTakenOnlyOnceTargetsAndWeightsAreKnown)
+{
+    Fixture fixture;
+    size_t targets = 0;
+    uint64_t weights = 0;
+    fixture.directory.onRoutesChanged = [&] {
+        targets = fixture.directory.targets().size();
+        weights = fixture.directory.wantedWeights("m");
+    };
+    fixture.start();
+    cr_assert(waitUntil([&] { return fixture.version() == 4; }, 1s));
+    cr_assert_eq(targets, 3);
+    cr_assert_eq(weights, 1);
+}
+
 Test(directorySync, followsChanges)
 {
     Fixture fixture;
