Tell instances that start in a roll-out which replaced weights may still answer

Change: the holder of orders writes a key with a lease for each replaced version that engines still run; it ends when that version may answer no more. Instances that heard of the replacement themselves do not need it.

Ruled out: the time of day in the record, which jumps on some instances; the version numbers alone, since a version that was named and overtaken meanwhile cannot be seen.

Two calls for each replaced version and one for each instance.

--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -28,7 +28,8 @@
 
     weights::RolloutSettings rolloutSettings(const Settings& settings)
     {
-        return { settings.instance, settings.forwarding.orderRole, settings.forwarding.parallelLoads };
+        const auto& forwarding = settings.forwarding;
+        return { settings.instance, forwarding.orderRole, forwarding.requests.weightsTime, forwarding.parallelLoads };
     }
 
 }
@@ -53,8 +54,12 @@
             { "proof_validity_ms", std::to_string(this->settings.forwarding.proofValidity.count()) } });
     this->directory.onRoutesChanged = [this] { this->applyRoutes(); };
     this->directory.onWeightsChanged = [this] { this->rollout.noteChange(); };
-    this->sync.followedKey = weights::WeightsRollout::roleKey;
-    this->sync.onFollowedKey = [this](bool exists) { this->rollout.noteRole(exists); };
+    this->sync.followedPrefix = weights::WeightsRollout::keyPrefix;
+    this->sync.onFollowed = [this](const std::string& key, bool exists) { this->rollout.noteKey(key, exists); };
+    this->sync.onWholeRead = [this] {
+        const auto* role = weights::WeightsRollout::roleKey;
+        this->rollout.noteKey(role, this->sync.isFollowed(role));
+    };
     this->server.onRefusal = [this](ErrorKind kind) {
         this->metrics.failed(kind).Increment();
         observe::logDecision(observe::Decision::Refused,
--- a/src/directory/Directory.cpp
+++ b/src/directory/Directory.cpp
@@ -114,6 +114,20 @@
     return next->second;
 }
 
+void Directory::vouchFor(const std::string& model, uint64_t version, bool mayStillAnswer)
+{
+    if (mayStillAnswer)
+        this->vouchedFor[model].insert(version);
+    else
+        this->vouchedFor[model].erase(version);
+}
+
+bool Directory::isVouchedFor(const std::string& model, uint64_t version) const
+{
+    const auto versions = this->vouchedFor.find(model);
+    return versions != this->vouchedFor.end() && versions->second.contains(version);
+}
+
 void Directory::nameWeights(const NamedWeights& named, Clock::time_point namedAt)
 {
     auto& version = this->wanted[named.model];
--- a/src/directory/Directory.h
+++ b/src/directory/Directory.h
@@ -13,6 +13,9 @@
 
 namespace dragonfly::directory {
 
+/// Kept off the time within which replaced weights may answer: a request may wait at its engine before it begins.
+inline constexpr std::chrono::milliseconds weightsMargin { 2000 };
+
 class Directory {
 public:
     explicit Directory(std::chrono::milliseconds proofValidity)
@@ -47,6 +50,10 @@
     std::optional<Clock::time_point> replacedAt(const std::string& model, uint64_t version) const;
     /// @param namedAt not after the moment at which operators named them; the epoch when that is not known
     void nameWeights(const NamedWeights& named, Clock::time_point namedAt);
+    /// Another instance vouches, or no longer does, that @p version was replaced so recently that it may still
+    /// answer. For instances that did not hear of its replacement themselves.
+    void vouchFor(const std::string& model, uint64_t version, bool mayStillAnswer);
+    bool isVouchedFor(const std::string& model, uint64_t version) const;
     const std::map<std::string, uint64_t>& allWantedWeights() const
     {
         return this->wanted;
@@ -61,6 +68,7 @@
     std::map<std::string, uint64_t> wanted;
     /// When each version was named, by model; the epoch for what was named before this instance started.
     std::map<std::string, std::map<uint64_t, Clock::time_point>> namingTimes;
+    std::map<std::string, std::set<uint64_t>> vouchedFor; ///< versions, by model
 };
 
 }
--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -67,7 +67,7 @@
     case ReadStep::Weights:
         return this->decoder.weightsPrefix();
     case ReadStep::Followed:
-        return this->followedKey;
+        return this->followedPrefix;
     case ReadStep::Done:
         break;
     }
@@ -80,13 +80,12 @@
     this->lastKey.clear();
     this->readRevision = 0;
     this->listed.clear();
-    this->followedListed = false;
     this->readNext();
 }
 
 void DirectorySync::readNext()
 {
-    if (this->step == ReadStep::Followed && this->followedKey.empty())
+    if (this->step == ReadStep::Followed && this->followedPrefix.empty())
         this->step = ReadStep::Deployment;
     this->pageAskedAt = BootClock::now();
     this->metrics.platformCalls.Increment();
@@ -105,9 +104,8 @@
     if (!this->readRevision)
         this->readRevision = page->revision;
     for (const auto& pair : page->pairs) {
-        if (this->step == ReadStep::Targets)
+        if (this->step == ReadStep::Targets || this->step == ReadStep::Followed)
             this->listed.insert(pair.key);
-        this->followedListed |= pair.key == this->followedKey;
         if (this->step == ReadStep::Deployment)
             this->takeDeployment(pair, this->pageAskedAt);
         else
@@ -132,8 +130,12 @@
     }
     for (const auto& key : gone)
         this->takeTarget({ { key, {}, this->readRevision }, true });
-    if (!this->followedListed && this->onFollowedKey)
-        this->onFollowedKey(false);
+    for (const auto& key : std::set(this->followed)) {
+        if (!this->listed.contains(key))
+            this->takeFollowed(key, false);
+    }
+    if (this->onWholeRead)
+        this->onWholeRead();
     this->watchedRevision = this->readRevision;
     this->currentAt = Clock::now();
     this->watch();
@@ -216,8 +218,8 @@
     } else if (key.starts_with(this->decoder.weightsPrefix())) {
         if (!change.isRemoval)
             this->takeWeights(change.pair, changedAt);
-    } else if (key == this->followedKey && this->onFollowedKey) {
-        this->onFollowedKey(!change.isRemoval);
+    } else if (!this->followedPrefix.empty() && key.starts_with(this->followedPrefix)) {
+        this->takeFollowed(key, !change.isRemoval);
     }
 }
 
@@ -276,6 +278,16 @@
     this->directory.registerTarget(std::move(std::get<Registration>(decoded)));
 }
 
+void DirectorySync::takeFollowed(const std::string& key, bool exists)
+{
+    if (exists)
+        this->followed.insert(key);
+    else
+        this->followed.erase(key);
+    if (this->onFollowed)
+        this->onFollowed(key, exists);
+}
+
 void DirectorySync::takeWeights(const store::KeyValue& pair, Clock::time_point namedAt)
 {
     const auto decoded = this->decoder.decodeWeights(pair.key, pair.value);
--- a/src/directory/DirectorySync.h
+++ b/src/directory/DirectorySync.h
@@ -28,9 +28,15 @@
     {
         return this->reachable;
     }
-    /// A key that others of the product's parts want to know about: called whenever it was seen to exist or not.
-    std::string followedKey;
-    std::function<void(bool exists)> onFollowedKey;
+    /// Keys of the product's own parts below this prefix: onFollowed tells whenever one was seen to exist or not.
+    std::string followedPrefix;
+    std::function<void(const std::string& key, bool exists)> onFollowed;
+    bool isFollowed(const std::string& key) const
+    {
+        return this->followed.contains(key);
+    }
+    /// Called when everything has been read, at the start and after each gap.
+    std::function<void()> onWholeRead;
 
 private:
     /// The prefixes that a whole read goes through, one after the other. The deployment comes last: once it is in
@@ -55,6 +61,7 @@
     void take(const store::Change& change, Clock::time_point changedAt);
     void takeDeployment(const store::KeyValue& pair, BootClock::time_point readAt);
     void takeTarget(const store::Change& change);
+    void takeFollowed(const std::string& key, bool exists);
     void takeWeights(const store::KeyValue& pair, Clock::time_point namedAt);
     void removeAbsent();
     void noteCall(bool succeeded);
@@ -72,7 +79,7 @@
     int64_t readRevision = 0; ///< before the first page of the whole read
     BootClock::time_point pageAskedAt; ///< of the page under way
     std::set<std::string> listed; ///< targets seen by the whole read
-    bool followedListed = false; ///< the followed key was seen by it
+    std::set<std::string> followed; ///< followed keys that exist
     Clock::time_point currentAt; ///< all that had changed before was known; the epoch before the first whole read
     int64_t watchedRevision = 0; ///< changes up to here are known
     int64_t deploymentRevision = 0; ///< of the record that is in force; 0: none was read
--- a/src/forward/TargetChooser.cpp
+++ b/src/forward/TargetChooser.cpp
@@ -14,8 +14,6 @@
     constexpr std::string_view commonScope = "shared";
     /// Replaced weights answer as well as new ones for this time after the new ones were named.
     constexpr std::chrono::milliseconds freeStaleTime { 1500 };
-    /// Kept off the time within which replaced weights may answer.
-    constexpr std::chrono::milliseconds weightsMargin { 2000 };
     /// Then an answer by them is worth a fifth less, which is about as bad as this delay.
     constexpr std::chrono::milliseconds firstStaleSurcharge { 250 };
     /// The loss grows with the age of the new weights; a tenth of that age keeps step with it.
@@ -154,8 +152,11 @@
         if (!replacedAt)
             return true;
         const bool isTimeKnown = *replacedAt != Clock::time_point();
-        // What was replaced before this instance started may answer only where no engine runs newer weights.
-        return isTimeKnown ? query.now - *replacedAt < query.weightsTime - weightsMargin : version >= newest;
+        if (isTimeKnown)
+            return query.now - *replacedAt < query.weightsTime - directory::weightsMargin;
+        // What was replaced before this instance started may answer only where no engine runs newer weights, or
+        // where another instance vouches for its age.
+        return version >= newest || query.directory.isVouchedFor(query.description.model, version);
     }
 
     /// The newest weights that any engine runs, even if it cannot be asked now.
--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -25,6 +25,8 @@
     constexpr std::chrono::milliseconds renewalTime { 400 };
     /// The next renewal after one that failed.
     constexpr std::chrono::milliseconds renewalRetry { 100 };
+    /// Shorter marks for replaced weights are not worth their calls.
+    constexpr std::chrono::seconds shortestVouch { 2 };
     /// How often the plan is looked at while engines are behind.
     constexpr std::chrono::milliseconds stepPeriod { 150 };
     /// An engine whose new weights were not seen by then is asked for a report: its registration may tell of them
@@ -51,6 +53,53 @@
     connect(&this->stepTimer, &QTimer::timeout, this, &WeightsRollout::step);
 }
 
+void WeightsRollout::noteKey(const std::string& key, bool exists)
+{
+    if (key == roleKey) {
+        this->noteRole(exists);
+        return;
+    }
+    const auto slash = key.rfind('/');
+    if (!key.starts_with(vouchPrefix) || slash < vouchPrefix.size())
+        return;
+    const auto model = key.substr(vouchPrefix.size(), slash - vouchPrefix.size());
+    this->directory.vouchFor(model, std::strtoull(key.c_str() + slash + 1, nullptr, 10), exists);
+}
+
+void WeightsRollout::vouchForReplaced()
+{
+    const auto now = Clock::now();
+    std::erase_if(this->vouched, [now](const auto& entry) { return entry.second <= now; });
+    for (const auto& [id, target] : this->directory.targets()) {
+        for (const auto& [model, version] : target->registration.weights) {
+            const auto replacedAt = this->directory.replacedAt(model, version);
+            if (!replacedAt || *replacedAt == Clock::time_point())
+                continue;
+            const auto end = *replacedAt + this->settings.weightsTime - directory::weightsMargin;
+            // Rounded down: the mark must not outlast what it stands for.
+            const auto time = std::chrono::floor<std::chrono::seconds>(end - now);
+            if (time >= shortestVouch)
+                this->vouchFor(model, version, time);
+        }
+    }
+}
+
+void WeightsRollout::vouchFor(const std::string& model, uint64_t version, std::chrono::seconds time)
+{
+    const auto key = std::string(vouchPrefix) + model + "/" + std::to_string(version);
+    if (!this->vouched.emplace(key, Clock::now() + time).second)
+        return;
+    this->metrics.platformCalls.Increment();
+    this->store.grantLease(time, Clock::now() + callTime, [this, key](const store::LeaseResult& result) {
+        const auto* lease = std::get_if<int64_t>(&result);
+        if (!lease)
+            return;
+        this->metrics.platformCalls.Increment();
+        this->store.put(
+            key, this->settings.instance, *lease, Clock::now() + callTime, [](const store::WriteResult&) {});
+    });
+}
+
 void WeightsRollout::noteRole(bool taken)
 {
     this->isTaken = taken;
@@ -160,6 +209,7 @@
         const bool isGone = found == this->directory.targets().end();
         load = isGone ? this->loads.erase(load) : std::next(load);
     }
+    this->vouchForReplaced();
     if (this->role.mayOrder(BootClock::now())) {
         for (const auto& [model, wanted] : this->directory.allWantedWeights())
             this->planModel(model, wanted);
--- a/src/weights/WeightsRollout.h
+++ b/src/weights/WeightsRollout.h
@@ -19,19 +19,24 @@
 struct RolloutSettings {
     std::string instance;
     RoleTimes role;
+    std::chrono::milliseconds weightsTime { 15000 }; ///< replaced weights may answer for this long
     double parallelShare = 0.2; ///< engines of a model that load at the same time; more slow each other down
 };
 
 class WeightsRollout : public QObject {
     Q_OBJECT
 public:
+    static constexpr const char* keyPrefix = "dragonfly/";
     static constexpr const char* roleKey = "dragonfly/order-holder";
+    /// Followed by model and version: exists while replaced weights may still answer. For instances that were
+    /// started after the replacement was named.
+    static constexpr std::string_view vouchPrefix = "dragonfly/may-still-answer/";
 
     WeightsRollout(const RolloutSettings& settings, store::WatchableStore& store, const EngineApi& api,
         directory::Directory& directory, observe::Metrics& metrics);
 
-    /// The key of the role was seen to be taken or free.
-    void noteRole(bool isTaken);
+    /// A key of this module was seen to exist or not.
+    void noteKey(const std::string& key, bool exists);
     /// Wanted weights, or those of some target, have changed.
     void noteChange();
     /// Gives the role up and calls @p done, also when the platform does not answer.
@@ -45,11 +50,15 @@
         bool isAsking = false; ///< a report or an order is under way
     };
 
+    void noteRole(bool isTaken);
     void takeRole();
     void writeRole(int64_t lease, BootClock::time_point leaseAskedAt);
     void renewRole();
     void loseRole(const char* reason);
 
+    /// Writes what instances that start now cannot know: which replaced weights may still answer, and how long.
+    void vouchForReplaced();
+    void vouchFor(const std::string& model, uint64_t version, std::chrono::seconds time);
     void step();
     void planModel(const std::string& model, uint64_t wanted);
     void ask(const directory::TargetPointer& target, const std::string& model, uint64_t version);
@@ -73,6 +82,7 @@
     QTimer renewTimer;
     QTimer stepTimer;
     std::map<std::string, Load> loads; ///< by target id
+    std::map<std::string, Deadline> vouched; ///< keys that were written, and when they end
     bool isTaken = true; ///< by some instance, as far as is known
     bool isTaking = false;
     bool stopping = false;
--- a/standins/target.cpp
+++ b/standins/target.cpp
@@ -2,7 +2,8 @@
 //
 // It writes its registration into the metadata store by its control call. POST /control takes
 // {"answer": "good" | "close" | "reset" | "error" | "busy" | "silent" | "foreign" | "unstamped" | "short" |
-// "close-in-stream"}, {"draining": bool}, {"version": N}, {"fence": bool}, {"work_ms": N}, {"events": N} and
+// "close-in-stream"}, {"draining": bool}, {"version": N}, {"fence": bool}, {"work_ms": N}, {"load_ms": N}, {"events":
+// N} and
 // {"replaced_by": id}. GET /control gives counts, the orders and what was seen of each request.
 
 #include "standins/Program.h"
@@ -214,6 +215,7 @@
         this->workMs = body["work_ms"].toInt(this->workMs);
         this->events = body["events"].toInt(this->events);
         this->eventMs = body["event_ms"].toInt(this->eventMs);
+        this->loadMs = body["load_ms"].toInt(this->loadMs);
         if (body.contains("draining")) {
             this->isDraining = body["draining"].toBool();
             this->writeRegistration();
--- a/tests/ForwardPartsTest.cpp
+++ b/tests/ForwardPartsTest.cpp
@@ -204,6 +204,10 @@
     cr_assert_not(pool.choose().has_value(), "the one with newer weights only refuses for a moment");
     pool.directory.nameWeights({ "m", 3 }, pool.now);
     cr_assert_not(pool.choose().has_value(), "a further version makes the oldest no younger");
+    pool.directory.vouchFor("m", 1, true);
+    cr_assert(pool.choose().has_value(), "another instance heard of the replacement a moment ago");
+    pool.directory.vouchFor("m", 1, false);
+    cr_assert_not(pool.choose().has_value());
 }
 
 Test(targetChooser, leavesOutWhatIsDrainingRefusingReplacedOrTried)
--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -234,6 +234,7 @@
     ForwardSite site;
     auto& entry = site.startEntry(true, "forwarding: { revocationTime: 2500ms }\n");
     entry.freeze();
+    site.storeControl({ { "mode", "silent" } }); // so that nothing but the proof's age tells
     site.publish({ "new-key" });
     const auto answer = site.send({ "r1", "/book/x" }); // arrives while the instance stands still
     runFor(2600ms);
@@ -301,6 +302,25 @@
     cr_assert_eq(site.ask({ "s1", "/ask/x" }, holder == "entry-0" ? 1 : 0)->status, 200);
 }
 
+Test(forward, anInstanceThatStartsInARollOutServes)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry();
+    runFor(4s); // it takes the role and may give orders
+    setAll(site.engines, { { "load_ms", 6000 } });
+    site.nameWeights(2);
+    cr_assert(waitUntil(
+        [&] {
+            return control(site.engines[0]->address())["orders"].toArray().size()
+                + control(site.engines[1]->address())["orders"].toArray().size()
+                > 0;
+        },
+        3s));
+    site.startEntry();
+    cr_assert_eq(site.ask({ "s1", "/ask/x" }, 1)->status, 200);
+}
+
 Test(forward, aGracefulStopCutsNothing)
 {
     const Application application;
