--- a/tests/support/ForwardSite.h
+++ b/tests/support/ForwardSite.h
@@ -20,7 +20,7 @@
     std::string body = "body of the request";
     std::string key = forwardKey;
     int deadlineMs = 3000;
-    std::string lastEventId;
+    std::string lastEventId = {}; ///< of a stream that is resumed
 };
 
 class ForwardSite {
