Let the target stand-in break off within an event

Cause: the stand-in wrote half an event and dropped the connection at once, which discarded what it had written; so the naive path forward-partial-events stayed green.

Change: the connection goes four event times later.

Conclusion: the test brings about the break that it is named for.

--- a/standins/target.cpp
+++ b/standins/target.cpp
@@ -136,7 +136,8 @@
         }
         if (this->mode == "close-in-stream" && number == this->events / 2) {
             exchange->write("id: " + std::to_string(number) + "\nda");
-            exchange->abort();
+            // What was written has to leave before the connection goes.
+            QTimer::singleShot(this->eventMs * 4, &this->loop, [exchange] { exchange->abort(); });
             return;
         }
         if (number > this->events) {
