Let one instance of a data centre follow the platform's records for the others

Counted on one instance: 150 of its 180 calls in 26 s were watches, each answered by one or two changed registrations; each of the 83 asked for the same.

Change: instances register themselves (dragonfly/instances/NAME, under a lease) and follow the one of their data centre with the most processor time; that one asks the platform's service. A follower asks for the changes behind its revision over the peer socket; the answer carries the age of the proof that the configuration is the newest, counted from before the question, so that a proof handed on never looks younger than it is. A peer that is silent, behind, or does not ask the service itself is left out for a while; then the next is asked, then the service. When the service turns this instance away, any peer will do, the nearest first, and the service is probed meanwhile without anything waiting for it. Watches that follow each other start 300 ms apart, so that quick changes come in one answer, and a watch that was cut goes on behind its revision instead of reading everything anew.

Tests: RelayTest (18). instancesTurnedAwayByTheServiceServeOn failed in about half of its first runs: two cut instances followed each other and found out only when their proofs had grown too old. Answers now say whether they are first hand, and only those are relied on while the service can be asked.

--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -32,13 +32,27 @@
         return { settings.instance, forwarding.orderRole, forwarding.requests.weightsTime, forwarding.parallelLoads };
     }
 
+    relay::Peer ownPeer(const Settings& settings)
+    {
+        const auto address = settings.peersAdvertised.value_or(settings.peers);
+        return { settings.instance, address.toString(), settings.place, settings.capacity };
+    }
+
+    /// Everything of the product's own lies below this.
+    constexpr const char* ownKeys = "dragonfly/";
+
 }
 
 ForwardingDaemon::ForwardingDaemon(const Settings& given)
     : settings(given)
     , store(settings.platform.front(), &this->storeConnections)
     , directory(settings.forwarding.proofValidity)
-    , sync(this->store, this->records, this->directory, this->metrics)
+    , peers(this->metrics)
+    , ranking(ownPeer(this->settings))
+    , source(this->store, this->ranking, this->peers, this->metrics)
+    , sync(this->source, this->records, this->directory, this->metrics)
+    , relay(this->peers, this->source, this->sync, this->directory)
+    , registry(this->store, this->ranking, this->metrics)
     , rollout(rolloutSettings(this->settings), this->store, this->engines, this->directory, this->metrics)
     , forwarding(this->settings.forwarding.requests, this->directory, this->headers, this->metrics)
     , forwarder(this->forwarding)
@@ -54,8 +68,9 @@
             { "proof_validity_ms", std::to_string(this->settings.forwarding.proofValidity.count()) } });
     this->directory.onRoutesChanged = [this] { this->applyRoutes(); };
     this->directory.onWeightsChanged = [this] { this->rollout.noteChange(); };
-    this->sync.followedPrefix = weights::WeightsRollout::keyPrefix;
-    this->sync.onFollowed = [this](const std::string& key, bool exists) { this->rollout.noteKey(key, exists); };
+    this->sync.followedPrefix = ownKeys;
+    this->sync.onFollowed = [this](const store::KeyValue& record, bool exists) { this->onOwnRecord(record, exists); };
+    this->sync.onProgress = [this] { this->relay.answerWaiting(); };
     this->sync.onWholeRead = [this] {
         const auto* role = weights::WeightsRollout::roleKey;
         this->rollout.noteKey(role, this->sync.isFollowed(role));
@@ -69,7 +84,8 @@
     const auto listened = this->server.listenShared(this->settings.listen);
     if (const auto* error = errorOf(listened))
         return *error;
-    for (const auto& step : { &ForwardingDaemon::startAdmin, &ForwardingDaemon::startMetrics }) {
+    for (const auto& step :
+        { &ForwardingDaemon::startAdmin, &ForwardingDaemon::startMetrics, &ForwardingDaemon::startPeers }) {
         if (auto status = (this->*step)(); errorOf(status))
             return status;
     }
@@ -77,6 +93,7 @@
     connect(&this->settingsTimer, &QTimer::timeout, this, &ForwardingDaemon::reloadIfChanged);
     this->settingsTimer.start(settingsPeriod);
     this->sync.start();
+    this->registry.start();
     const auto listening = std::get<Endpoint>(listened).toString();
     logChange(LogLevel::Info, "serving", { { "listen", listening } });
     std::cout << "listen " << listening << "\nready" << std::endl;
@@ -113,6 +130,37 @@
     return Success {};
 }
 
+Status ForwardingDaemon::startPeers()
+{
+    const auto bound = this->peers.bind(this->settings.peers);
+    if (const auto* error = errorOf(bound))
+        return *error;
+    const auto& address = std::get<Endpoint>(bound);
+    if (!this->settings.peersAdvertised)
+        this->ranking.setOwnAddress(address.toString());
+    this->peers.onMessage = [this](const pb::PeerMessage& message) { this->onPeerMessage(message); };
+    std::cout << "peers " << address.toString() << std::endl;
+    return Success {};
+}
+
+void ForwardingDaemon::onPeerMessage(const pb::PeerMessage& message)
+{
+    if (message.has_follow_records())
+        this->relay.onQuestion(message.reply_to(), message.follow_records());
+    else if (message.has_records_reply())
+        this->source.onReply(message.records_reply());
+    else
+        this->metrics.peerMessagesRefused.Increment();
+}
+
+void ForwardingDaemon::onOwnRecord(const store::KeyValue& record, bool exists)
+{
+    if (record.key.starts_with(relay::InstanceRegistry::keyPrefix))
+        this->registry.onRecord(record, exists);
+    else
+        this->rollout.noteKey(record.key, exists);
+}
+
 void ForwardingDaemon::applyRoutes()
 {
     const auto& limits = this->directory.routes()->limits();
@@ -154,6 +202,8 @@
     status["instance"] = text(this->settings.instance);
     status["data_centre"] = text(this->settings.place.dataCentre);
     status["phase"] = this->phase == Phase::Serving ? "serving" : "draining";
+    status["records_from"] = text(this->source.followed().value_or("platform"));
+    status["known_instances"] = static_cast<qint64>(this->ranking.size());
     status["platform_reachable"] = this->sync.isReachable();
     const auto& routes = this->directory.routes();
     status["config_version"] = routes ? static_cast<qint64>(routes->version()) : 0;
@@ -203,6 +253,7 @@
     logChange(LogLevel::Info, "draining", { { "active_requests", std::to_string(this->forwarding.activeRequests) } });
     this->server.announceClosing();
     this->rollout.stop([] {});
+    this->registry.stop();
     // New work is still taken until the balancer has had time to see that /ready says no.
     QTimer::singleShot(this->settings.drainNotice, this, &ForwardingDaemon::finishRequests);
 }
--- a/src/daemon/ForwardingDaemon.h
+++ b/src/daemon/ForwardingDaemon.h
@@ -7,7 +7,9 @@
 #include "daemon/Settings.h"
 #include "directory/DirectorySync.h"
 #include "forward/Forward.h"
+#include "membership/ZmqTransport.h"
 #include "platform/Platform.h"
+#include "relay/Relay.h"
 #include "weights/Weights.h"
 
 #include <QDateTime>
@@ -36,6 +38,9 @@
 
     Status startAdmin();
     Status startMetrics();
+    Status startPeers();
+    void onPeerMessage(const pb::PeerMessage& message);
+    void onOwnRecord(const store::KeyValue& record, bool exists);
     void applyRoutes();
     bool isReady() const;
     void noteReadiness();
@@ -54,7 +59,12 @@
     platform::HeaderCodec headers;
     platform::EngineCodec engines;
     directory::Directory directory;
+    membership::ZmqTransport peers;
+    relay::PeerRanking ranking;
+    relay::RelayedSource source;
     directory::DirectorySync sync;
+    relay::RecordRelay relay;
+    relay::InstanceRegistry registry;
     weights::WeightsRollout rollout;
     forward::ForwardContext forwarding;
     forward::Forwarder forwarder;
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -120,6 +120,7 @@
         settings.peers = reader.endpoint("peers", anyPort);
         if (reader.child("peersAdvertised"))
             settings.peersAdvertised = reader.endpoint("peersAdvertised", anyPort);
+        settings.capacity = static_cast<uint32_t>(reader.fraction("processorShare", 0) * 1000);
         settings.seeds = reader.endpoints("seeds");
         settings.platform = reader.endpoints("platform");
         if (settings.platform.empty())
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -33,6 +33,7 @@
     Endpoint metrics;
     Endpoint peers;
     std::optional<Endpoint> peersAdvertised; ///< where peers reach this instance, when it is not where it listens
+    uint32_t capacity = 0; ///< processor time that the instance has, in thousandths of a core; 0: not known
     std::vector<Endpoint> seeds;
     std::vector<Endpoint> platform;
     uint64_t threads = 4;
--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -20,8 +20,11 @@
     constexpr std::chrono::milliseconds watchTime { 4000 };
     /// Added to the former before a watch counts as lost.
     constexpr std::chrono::milliseconds watchSlack { 700 };
-    /// Between two checks that the configuration is still the newest: several fit into a proof's validity.
-    constexpr std::chrono::milliseconds proofPeriod { 1500 };
+    /// Between the starts of two watches: changes in quick succession come in one answer, and are known soon enough.
+    constexpr std::chrono::milliseconds watchPause { 300 };
+    /// Between two checks that the configuration is still the newest. Peers that learn of proofs from here turn to
+    /// others after a bit more than that.
+    constexpr std::chrono::milliseconds proofPeriod { 1000 };
     /// The next check after one that failed.
     constexpr std::chrono::milliseconds proofRetry { 400 };
     /// Pauses after failed calls grow from the first to the last of these, with full jitter.
@@ -39,8 +42,8 @@
 }
 
 DirectorySync::DirectorySync(
-    store::WatchableStore& store, const RecordDecoder& decoder, Directory& directory, observe::Metrics& metrics)
-    : store(store)
+    store::RecordSource& records, const RecordDecoder& decoder, Directory& directory, observe::Metrics& metrics)
+    : records(records)
     , decoder(decoder)
     , directory(directory)
     , metrics(metrics)
@@ -48,6 +51,8 @@
     this->retryTimer.setSingleShot(true);
     this->proofTimer.setSingleShot(true);
     connect(&this->retryTimer, &QTimer::timeout, this, &DirectorySync::readAll);
+    this->watchTimer.setSingleShot(true);
+    connect(&this->watchTimer, &QTimer::timeout, this, &DirectorySync::watch);
     this->absenceTimer.setSingleShot(true);
     connect(&this->absenceTimer, &QTimer::timeout, this, &DirectorySync::removeAbsent);
     connect(&this->proofTimer, &QTimer::timeout, this, &DirectorySync::checkProof);
@@ -90,8 +95,7 @@
 void DirectorySync::readSection(Section section, const std::string& after)
 {
     const auto askedAt = BootClock::now();
-    this->metrics.platformCalls.Increment();
-    this->store.readPage(this->prefixOf(section), after, Clock::now() + callTime,
+    this->records.readPage(this->prefixOf(section), after, Clock::now() + callTime,
         [this, section, askedAt, number = this->readNumber](const store::PageResult& result) {
             if (number == this->readNumber)
                 this->onPage(section, askedAt, result);
@@ -104,15 +108,16 @@
     this->noteCall(page);
     if (!page) {
         ++this->readNumber;
-        this->restart("the platform's records could not be read");
+        this->retryTimer.start(this->pauseAfterFailure());
         return;
     }
     this->readRevision = std::min(this->readRevision, page->revision);
     for (const auto& pair : page->pairs) {
         this->listed.insert(pair.key);
-        if (section == Section::Deployment)
+        if (section == Section::Deployment) {
+            this->history.note({ pair, false });
             this->readDeployment.emplace(pair, askedAt);
-        else
+        } else
             this->take({ pair, false }, this->currentAt);
     }
     if (page->hasMore && !page->pairs.empty())
@@ -135,21 +140,24 @@
         this->takeTarget({ { key, {}, this->readRevision }, true });
     for (const auto& key : std::set(this->followed)) {
         if (!this->listed.contains(key))
-            this->takeFollowed(key, false);
+            this->takeFollowed({ key, {}, this->readRevision }, false);
     }
+    this->history.finishWholeRead(this->listed, this->readRevision);
     if (this->onWholeRead)
         this->onWholeRead();
     this->watchedRevision = this->readRevision;
     this->currentAt = Clock::now();
+    this->noteProgress();
     this->watch();
     this->scheduleProof();
 }
 
 void DirectorySync::watch()
 {
-    const auto until = Clock::now() + watchTime;
-    this->metrics.platformCalls.Increment();
-    this->store.watch("", this->watchedRevision, until, until + watchSlack,
+    const auto now = Clock::now();
+    const auto until = now + watchTime;
+    this->nextWatchAt = now + watchPause;
+    this->records.watch("", this->watchedRevision, until, until + watchSlack,
         [this](const store::WatchResult& result) { this->onWatch(result); });
 }
 
@@ -157,28 +165,46 @@
 {
     if (std::holds_alternative<store::HistoryGone>(result)) {
         this->noteCall(true);
+        logChange(LogLevel::Info, "reading the platform's records anew", { { "reason", "their history is gone" } });
         this->readAll();
         return;
     }
     const auto* changes = std::get_if<store::Changes>(&result);
     this->noteCall(changes);
     if (!changes) {
-        this->restart("the watch was cut");
+        // It goes on behind the last known revision; if that history is gone, the service says so.
+        this->watchTimer.start(this->pauseAfterFailure());
         return;
     }
     for (const auto& change : changes->changes)
         this->take(change, this->currentAt);
     this->currentAt = Clock::now();
     this->watchedRevision = std::max(this->watchedRevision, changes->revision);
-    this->watch();
+    this->history.advance(this->watchedRevision);
+    if (!changes->changes.empty())
+        this->noteProgress();
+    this->watchAgain();
+}
+
+void DirectorySync::watchAgain()
+{
+    const auto now = Clock::now();
+    if (now >= this->nextWatchAt)
+        this->watch();
+    else
+        this->watchTimer.start(remaining(this->nextWatchAt, now));
+}
+
+void DirectorySync::noteProgress()
+{
+    if (this->onProgress)
+        this->onProgress();
 }
 
-void DirectorySync::restart(const char* reason)
+std::chrono::milliseconds DirectorySync::pauseAfterFailure() const
 {
     const auto bound = std::min(longestPause, firstPause * (1 << std::min(this->failures, mostDoublings)));
-    logChange(LogLevel::Info, "reading the platform's records anew",
-        { { "reason", reason }, { "failures", std::to_string(this->failures) } });
-    this->retryTimer.start(this->failures > 1 ? bound / 2 + jitter(bound / 2) : jitter(bound));
+    return this->failures > 1 ? bound / 2 + jitter(bound / 2) : jitter(bound);
 }
 
 void DirectorySync::scheduleProof()
@@ -194,8 +220,7 @@
         return;
     }
     const auto askedAt = BootClock::now();
-    this->metrics.platformCalls.Increment();
-    this->store.checkRevision(this->decoder.deploymentKey(), this->deploymentRevision, Clock::now() + callTime,
+    this->records.checkRevision(this->decoder.deploymentKey(), this->deploymentRevision, Clock::now() + callTime,
         [this, askedAt](const store::CheckResult& result) { this->onChecked(result, askedAt); });
 }
 
@@ -203,16 +228,18 @@
 {
     const bool answered = !std::holds_alternative<store::StoreFailure>(result);
     this->noteCall(answered);
-    if (const auto* conflict = std::get_if<store::Conflict>(&result))
+    if (const auto* conflict = std::get_if<store::Conflict>(&result)) {
+        this->history.note({ conflict->current, false });
         this->takeDeployment(conflict->current, askedAt);
-    else if (answered)
-        this->directory.freshness.prove(askedAt);
+    } else if (const auto* unchanged = std::get_if<store::Unchanged>(&result))
+        this->directory.freshness.prove(askedAt - unchanged->age);
     this->proofTimer.start(answered ? proofPeriod : proofRetry + jitter(proofRetry));
 }
 
 void DirectorySync::take(const store::Change& change, Clock::time_point changedAt)
 {
     const auto& key = change.pair.key;
+    this->history.note(change);
     if (key == this->decoder.deploymentKey()) {
         if (!change.isRemoval)
             this->takeDeployment(change.pair, {});
@@ -222,7 +249,7 @@
         if (!change.isRemoval)
             this->takeWeights(change.pair, changedAt);
     } else if (!this->followedPrefix.empty() && key.starts_with(this->followedPrefix)) {
-        this->takeFollowed(key, !change.isRemoval);
+        this->takeFollowed(change.pair, !change.isRemoval);
     }
 }
 
@@ -281,14 +308,14 @@
     this->directory.registerTarget(std::move(std::get<Registration>(decoded)));
 }
 
-void DirectorySync::takeFollowed(const std::string& key, bool exists)
+void DirectorySync::takeFollowed(const store::KeyValue& record, bool exists)
 {
     if (exists)
-        this->followed.insert(key);
+        this->followed.insert(record.key);
     else
-        this->followed.erase(key);
+        this->followed.erase(record.key);
     if (this->onFollowed)
-        this->onFollowed(key, exists);
+        this->onFollowed(record, exists);
 }
 
 void DirectorySync::takeWeights(const store::KeyValue& pair, Clock::time_point namedAt)
@@ -321,6 +348,7 @@
         this->absenceDeadline = Clock::now() + lapseGrace;
     logChange(succeeded ? LogLevel::Info : LogLevel::Warning,
         succeeded ? "the platform's service answers" : "the platform's service does not answer");
+    this->noteProgress();
 }
 
 }
--- a/src/directory/DirectorySync.h
+++ b/src/directory/DirectorySync.h
@@ -1,12 +1,13 @@
 #pragma once
 // Keeps the directory up to date from the platform's service.
 //
-// A whole read of the deployment, the list of targets and the named weights is followed by watches. A
-// watch can miss changes without saying so, and a list can lose them in a gap; therefore the deployment's
-// revision is checked in short intervals, and everything is read anew whenever a watch is cut.
+// A whole read of the deployment, the list of targets and the named weights is followed by watches, each behind
+// the revision up to which everything is known. A watch that hears nothing proves nothing, so the deployment's
+// revision is checked in short intervals. Everything is read anew when the history of changes is gone.
 
 #include "directory/Directory.h"
 #include "directory/RecordDecoder.h"
+#include "directory/RecordHistory.h"
 #include "observe/Metrics.h"
 #include "store/KeyValueStore.h"
 
@@ -19,7 +20,7 @@
     Q_OBJECT
 public:
     DirectorySync(
-        store::WatchableStore& store, const RecordDecoder& decoder, Directory& directory, observe::Metrics& metrics);
+        store::RecordSource& records, const RecordDecoder& decoder, Directory& directory, observe::Metrics& metrics);
 
     void start();
 
@@ -28,9 +29,21 @@
     {
         return this->reachable;
     }
-    /// Keys of the product's own parts below this prefix: onFollowed tells whenever one was seen to exist or not.
+    /// Changes that were seen, for those that learn of them from here.
+    const RecordHistory& changes() const
+    {
+        return this->history;
+    }
+    /// Revision of the deployment that is in force; 0: none was read.
+    int64_t revisionInForce() const
+    {
+        return this->deploymentRevision;
+    }
+    /// Called when changes were seen, or the platform's service was lost or regained.
+    std::function<void()> onProgress;
+    /// Records of the product's own parts below this prefix: onFollowed tells whenever one was seen to exist or not.
     std::string followedPrefix;
-    std::function<void(const std::string& key, bool exists)> onFollowed;
+    std::function<void(const store::KeyValue& record, bool exists)> onFollowed;
     bool isFollowed(const std::string& key) const
     {
         return this->followed.contains(key);
@@ -49,8 +62,9 @@
     std::string prefixOf(Section section) const;
 
     void watch();
+    void watchAgain();
     void onWatch(const store::WatchResult& result);
-    void restart(const char* reason);
+    std::chrono::milliseconds pauseAfterFailure() const;
 
     void scheduleProof();
     void checkProof();
@@ -60,16 +74,19 @@
     void take(const store::Change& change, Clock::time_point changedAt);
     void takeDeployment(const store::KeyValue& pair, BootClock::time_point readAt);
     void takeTarget(const store::Change& change);
-    void takeFollowed(const std::string& key, bool exists);
+    void takeFollowed(const store::KeyValue& record, bool exists);
     void takeWeights(const store::KeyValue& pair, Clock::time_point namedAt);
     void removeAbsent();
     void noteCall(bool succeeded);
+    void noteProgress();
 
-    store::WatchableStore& store;
+    store::RecordSource& records;
     const RecordDecoder& decoder;
     Directory& directory;
     observe::Metrics& metrics;
+    RecordHistory history;
     QTimer retryTimer;
+    QTimer watchTimer;
     QTimer proofTimer;
     QTimer absenceTimer;
 
@@ -83,6 +100,7 @@
     std::set<std::string> followed; ///< followed keys that exist
     Clock::time_point currentAt; ///< all that had changed before was known; the epoch before the first whole read
     int64_t watchedRevision = 0; ///< changes up to here are known
+    Clock::time_point nextWatchAt; ///< not before, so that quick changes come in few answers
     int64_t deploymentRevision = 0; ///< of the record that is in force; 0: none was read
     std::map<std::string, int64_t> targetRevisions; ///< of each target's record, so that no older one is taken
     /// Records that were missing right after an outage. They may have lapsed during it although their targets
--- /dev/null
+++ b/src/directory/RecordHistory.cpp
@@ -0,0 +1,76 @@
+#include "directory/RecordHistory.h"
+
+#include <algorithm>
+
+namespace dragonfly::directory {
+
+namespace {
+
+    size_t sizeOf(const store::Change& change)
+    {
+        return change.pair.key.size() + change.pair.value.size() + sizeof(change);
+    }
+
+}
+
+void RecordHistory::note(const store::Change& change)
+{
+    const auto known = this->revisions.find(change.pair.key);
+    const bool exists = known != this->revisions.end();
+    if (exists ? change.pair.modRevision <= known->second : change.isRemoval)
+        return;
+    // Played again after its record was removed.
+    if (!exists && this->knownTo && change.pair.modRevision <= this->knownTo)
+        return;
+    if (change.isRemoval)
+        this->revisions.erase(known);
+    else
+        this->revisions[change.pair.key] = change.pair.modRevision;
+    if (this->knownTo)
+        this->append(change);
+}
+
+void RecordHistory::advance(int64_t revision)
+{
+    this->knownTo = std::max(this->knownTo, revision);
+}
+
+void RecordHistory::finishWholeRead(const std::set<std::string>& listed, int64_t revision)
+{
+    std::vector<std::string> gone;
+    for (const auto& [key, written] : this->revisions) {
+        if (!listed.contains(key) && written <= revision)
+            gone.push_back(key);
+    }
+    for (const auto& key : gone)
+        this->note({ { key, {}, revision }, true });
+    if (!this->knownTo)
+        this->knownFrom = revision;
+    this->advance(revision);
+}
+
+void RecordHistory::append(store::Change change)
+{
+    this->bytes += sizeOf(change);
+    this->changes.push_back(std::move(change));
+    while (this->bytes > this->mostBytes) {
+        const auto& oldest = this->changes.front();
+        this->knownFrom = std::max(this->knownFrom, oldest.pair.modRevision);
+        this->bytes -= sizeOf(oldest);
+        this->changes.pop_front();
+    }
+}
+
+std::optional<std::vector<store::Change>> RecordHistory::since(int64_t after) const
+{
+    if (!this->knownTo || after < this->knownFrom)
+        return std::nullopt;
+    std::vector<store::Change> found;
+    for (const auto& change : this->changes) {
+        if (change.pair.modRevision > after)
+            found.push_back(change);
+    }
+    return found;
+}
+
+}
--- a/src/membership/Fleet.cpp
+++ b/src/membership/Fleet.cpp
@@ -293,6 +293,9 @@
         if (this->onPlacements)
             this->onPlacements(message.placement_news());
         break;
+    case pb::PeerMessage::kFollowRecords:
+    case pb::PeerMessage::kRecordsReply:
+        break; // of instances that forward
     case pb::PeerMessage::BODY_NOT_SET:
         break; // from a later version of the protocol
     }
--- /dev/null
+++ b/src/relay/PeerRanking.cpp
@@ -0,0 +1,71 @@
+#include "relay/PeerRanking.h"
+
+#include <tuple>
+
+namespace dragonfly::relay {
+
+namespace {
+
+    /// Smaller is ahead.
+    auto rankOf(const Peer& peer)
+    {
+        return std::make_tuple(-static_cast<int64_t>(peer.capacity), fastHash(peer.instance), peer.instance);
+    }
+
+    /// Smaller is nearer.
+    int distance(const routing::Place& from, const routing::Place& to)
+    {
+        if (from.dataCentre == to.dataCentre)
+            return 0;
+        return from.region == to.region ? 1 : 2;
+    }
+
+}
+
+void PeerRanking::add(const Peer& peer)
+{
+    if (peer.instance != this->self.instance)
+        this->peers[peer.instance] = peer;
+}
+
+void PeerRanking::remove(const std::string& instance)
+{
+    this->peers.erase(instance);
+    this->distrusted.erase(instance);
+}
+
+void PeerRanking::distrust(const std::string& instance, Deadline until)
+{
+    this->distrusted[instance] = until;
+}
+
+bool PeerRanking::isTrusted(const std::string& instance, Clock::time_point now) const
+{
+    const auto found = this->distrusted.find(instance);
+    return found == this->distrusted.end() || found->second <= now;
+}
+
+std::optional<Peer> PeerRanking::findRelay(Clock::time_point now) const
+{
+    const Peer* first = &this->self;
+    for (const auto& [instance, peer] : this->peers) {
+        if (peer.place.dataCentre == this->self.place.dataCentre && this->isTrusted(instance, now)
+            && rankOf(peer) < rankOf(*first))
+            first = &peer;
+    }
+    return first == &this->self ? std::nullopt : std::optional(*first);
+}
+
+std::optional<Peer> PeerRanking::findSubstitute(Clock::time_point now) const
+{
+    const Peer* nearest = nullptr;
+    const auto orderOf
+        = [this](const Peer& peer) { return std::make_pair(distance(this->self.place, peer.place), rankOf(peer)); };
+    for (const auto& [instance, peer] : this->peers) {
+        if (this->isTrusted(instance, now) && (!nearest || orderOf(peer) < orderOf(*nearest)))
+            nearest = &peer;
+    }
+    return nearest ? std::optional(*nearest) : std::nullopt;
+}
+
+}
--- a/src/store/KeyValueStore.h
+++ b/src/store/KeyValueStore.h
@@ -88,17 +88,24 @@
 using PageResult = std::variant<Page, StoreFailure>;
 using WatchResult = std::variant<Changes, HistoryGone, StoreFailure>;
 using LeasedSwapResult = std::variant<Swapped, Conflict, LeaseLost, StoreFailure>;
+/// The key's revision is the expected one, or was so @p age before the check was asked for.
+struct Unchanged {
+    std::chrono::milliseconds age { 0 };
+};
+
 /// Unchanged, or what the key holds now.
-using CheckResult = std::variant<Success, Conflict, StoreFailure>;
+using CheckResult = std::variant<Unchanged, Conflict, StoreFailure>;
 
-/// A service that also tells of changes.
-class WatchableStore : public KeyValueStore {
+/// Where the records are read and followed: the service itself, or something that knows them.
+class RecordSource {
 public:
+    virtual ~RecordSource() = default;
+
     /// Reads pairs below @p prefix, in the order of their keys, behind the key @p after.
     virtual void readPage(
         const std::string& prefix, const std::string& after, Deadline deadline, std::function<void(PageResult)> done)
         = 0;
-    /// Waits until a key below @p prefix has changed behind revision @p after, or until @p waitUntil.
+    /// Waits until a key below @p prefix has changed behind revision @p after, or until @p waitUntil at the latest.
     virtual void watch(const std::string& prefix, int64_t after, Clock::time_point waitUntil, Deadline deadline,
         std::function<void(WatchResult)> done)
         = 0;
@@ -106,6 +113,11 @@
     virtual void checkRevision(
         const std::string& key, int64_t expected, Deadline deadline, std::function<void(CheckResult)> done)
         = 0;
+};
+
+/// A service that also tells of changes.
+class WatchableStore : public KeyValueStore, public RecordSource {
+public:
     /// As compareAndSwap(); the key goes when @p lease ends.
     virtual void compareAndSwapLeased(const std::string& key, int64_t expected, const std::string& value, int64_t lease,
         Deadline deadline, std::function<void(LeasedSwapResult)> done)
--- a/tests/DirectoryTest.cpp
+++ b/tests/DirectoryTest.cpp
@@ -116,7 +116,7 @@
     {
         const auto& record = this->records[key];
         if (record.revision == expected)
-            this->answer<store::CheckResult>(Success {}, std::move(done));
+            this->answer<store::CheckResult>(store::Unchanged {}, std::move(done));
         else
             this->answer<store::CheckResult>(
                 store::Conflict { { key, record.value, record.revision } }, std::move(done));
--- /dev/null
+++ b/tests/RelayTest.cpp
@@ -0,0 +1,440 @@
+// Instances that learn of the platform's records from each other: the history of changes, who follows whom, and
+// what is served while the platform's service turns some instances away.
+
+#include "relay/Relay.h"
+#include "tests/support/ForwardSite.h"
+
+#include <criterion/criterion.h>
+
+using namespace testing;
+using namespace dragonfly;
+using namespace dragonfly::relay;
+using namespace std::chrono_literals;
+
+namespace {
+
+store::Change written(const std::string& key, int64_t revision, const std::string& value = "v")
+{
+    return { { key, value, revision }, false };
+}
+
+store::Change removed(const std::string& key, int64_t revision)
+{
+    return { { key, {}, revision }, true };
+}
+
+std::vector<int64_t> revisionsOf(const std::optional<std::vector<store::Change>>& changes)
+{
+    std::vector<int64_t> revisions;
+    for (const auto& change : changes.value())
+        revisions.push_back(change.pair.modRevision);
+    return revisions;
+}
+
+/// A history after a whole read at revision 10.
+directory::RecordHistory historyAfterRead(size_t mostBytes = 1 << 20)
+{
+    directory::RecordHistory history(mostBytes);
+    history.note(written("a", 3));
+    history.note(written("b", 10));
+    history.finishWholeRead({ "a", "b" }, 10);
+    return history;
+}
+
+Peer peer(const std::string& instance, uint32_t capacity = 250, const std::string& dataCentre = "north-a")
+{
+    const auto region = dataCentre.substr(0, dataCentre.find('-'));
+    return { instance, "127.0.0.1:" + std::to_string(1000 + fastHash(instance) % 50000), { region, dataCentre },
+        capacity };
+}
+
+class FakeTransport : public membership::PeerTransport {
+public:
+    void send(const std::string& address, const pb::PeerMessage& message) override
+    {
+        this->sent.emplace_back(address, message);
+    }
+    void drop(const std::string& address) override
+    {
+        this->dropped.push_back(address);
+    }
+
+    std::vector<std::pair<std::string, pb::PeerMessage>> sent;
+    std::vector<std::string> dropped;
+};
+
+/// The platform's service; calls stay open until a test answers them.
+class FakeService : public store::RecordSource {
+public:
+    void readPage(const std::string&, const std::string&, Deadline, std::function<void(store::PageResult)>) override
+    {
+    }
+    void watch(
+        const std::string&, int64_t, Clock::time_point, Deadline, std::function<void(store::WatchResult)> done) override
+    {
+        this->watches.push_back(std::move(done));
+    }
+    void checkRevision(const std::string&, int64_t, Deadline, std::function<void(store::CheckResult)> done) override
+    {
+        this->checks.push_back(std::move(done));
+    }
+
+    std::vector<std::function<void(store::WatchResult)>> watches;
+    std::vector<std::function<void(store::CheckResult)>> checks;
+};
+
+int argumentCount = 0;
+
+/// An instance of little capacity beside two larger ones of its data centre and one of another.
+struct Follower {
+    QCoreApplication application { argumentCount, nullptr };
+    FakeService service;
+    FakeTransport transport;
+    observe::Metrics metrics;
+    PeerRanking ranking { peer("small", 120) };
+    RelayedSource source { service, ranking, transport, metrics };
+    std::optional<store::WatchResult> result;
+
+    Follower()
+    {
+        this->ranking.add(peer("large", 500));
+        this->ranking.add(peer("middle", 250));
+        this->ranking.add(peer("far", 500, "south-a"));
+    }
+    void watch(int64_t after = 20)
+    {
+        this->result.reset();
+        this->source.watch("", after, Clock::now() + 4s, Clock::now() + 5s,
+            [this](const store::WatchResult& given) { this->result = given; });
+    }
+    /// Instance that was asked last.
+    std::string asked() const
+    {
+        for (const auto* name : { "large", "middle", "far" }) {
+            if (!this->transport.sent.empty() && this->transport.sent.back().first == peer(name).address)
+                return name;
+        }
+        return "";
+    }
+    void reply(int64_t revision, std::chrono::milliseconds proofAge, bool firstHand = true)
+    {
+        pb::RecordsReply reply;
+        reply.set_question(this->transport.sent.back().second.follow_records().question());
+        reply.set_known(true);
+        reply.set_first_hand(firstHand);
+        reply.set_revision(revision);
+        reply.set_deployment_revision(7);
+        reply.set_proof_age_ms(static_cast<uint64_t>(proofAge.count()));
+        this->source.onReply(reply);
+    }
+    /// Age of the proof that a check of revision 7 is answered with; nothing when it went to the service.
+    std::optional<std::chrono::milliseconds> checkedAge()
+    {
+        std::optional<store::CheckResult> checked;
+        this->source.checkRevision(
+            "config", 7, Clock::now() + 1s, [&checked](const store::CheckResult& given) { checked = given; });
+        if (!checked)
+            return std::nullopt;
+        return std::get<store::Unchanged>(*checked).age;
+    }
+};
+
+}
+
+Test(recordHistory, tellsWhatChangedBehindARevision)
+{
+    auto history = historyAfterRead();
+    cr_assert(history.since(10)->empty());
+    cr_assert_not(history.since(9).has_value(), "what led to the whole read was not seen");
+    history.note(written("c", 11));
+    history.note(written("a", 13));
+    history.note(removed("c", 14));
+    history.advance(14);
+    cr_assert_eq(revisionsOf(history.since(10)), (std::vector<int64_t> { 11, 13, 14 }));
+    cr_assert_eq(revisionsOf(history.since(13)), (std::vector<int64_t> { 14 }));
+    cr_assert_eq(history.revision(), 14);
+}
+
+Test(recordHistory, ignoresWhatIsPlayedAgain)
+{
+    auto history = historyAfterRead();
+    history.note(written("c", 11));
+    history.note(removed("c", 12));
+    history.advance(12);
+    for (const auto& change : { written("c", 11), removed("c", 12), written("a", 3) })
+        history.note(change);
+    cr_assert_eq(revisionsOf(history.since(10)), (std::vector<int64_t> { 11, 12 }));
+}
+
+Test(recordHistory, goesOnThroughAFurtherWholeRead)
+{
+    auto history = historyAfterRead();
+    // The watch was cut at 12; the read at 20 finds a new record and a changed one, and misses another.
+    history.note(written("c", 12));
+    history.advance(12);
+    history.note(written("a", 15));
+    history.note(written("d", 18));
+    history.note(written("c", 12));
+    history.finishWholeRead({ "a", "c", "d" }, 20);
+    cr_assert_eq(revisionsOf(history.since(12)), (std::vector<int64_t> { 15, 18, 20 }));
+    const auto last = history.since(18)->back();
+    cr_assert(last.isRemoval);
+    cr_assert_eq(last.pair.key, "b");
+}
+
+Test(recordHistory, keepsABoundedAmount)
+{
+    auto history = historyAfterRead(2000);
+    for (int64_t revision = 11; revision <= 60; ++revision)
+        history.note(written("key", revision, std::string(100, 'x')));
+    history.advance(60);
+    cr_assert_not(history.since(11).has_value(), "it is no longer kept");
+    const auto kept = revisionsOf(history.since(55));
+    cr_assert_eq(kept.front(), 56);
+    cr_assert_eq(kept.size(), 5);
+}
+
+Test(peerRanking, allFollowTheLargestOfTheirDataCentre)
+{
+    const auto now = Clock::now();
+    const std::vector<Peer> peers { peer("a", 120), peer("b", 500), peer("c", 500), peer("d", 500, "south-a") };
+    std::set<std::string> followed;
+    int leaders = 0;
+    for (const auto& self : peers) {
+        PeerRanking ranking(self);
+        for (const auto& other : peers)
+            ranking.add(other);
+        const auto relay = ranking.findRelay(now);
+        leaders += !relay;
+        if (relay) {
+            cr_assert_eq(relay->place.dataCentre, self.place.dataCentre);
+            followed.insert(relay->instance);
+        }
+    }
+    cr_assert_eq(leaders, 2, "one in each data centre");
+    cr_assert_eq(followed.size(), 1);
+    cr_assert_neq(*followed.begin(), "a");
+}
+
+Test(peerRanking, leavesOutTheDistrustedForAWhile)
+{
+    const auto now = Clock::now();
+    PeerRanking ranking(peer("small", 120));
+    ranking.add(peer("large", 500));
+    ranking.add(peer("far", 500, "south-a"));
+    ranking.distrust("large", now + 3s);
+    cr_assert_not(ranking.findRelay(now).has_value());
+    cr_assert_eq(ranking.findSubstitute(now)->instance, "far");
+    cr_assert_eq(ranking.findRelay(now + 3s)->instance, "large");
+    ranking.remove("large");
+    cr_assert_not(ranking.findRelay(now + 3s).has_value());
+}
+
+Test(relayedSource, handsOnChangesAndTheAgeOfTheProof)
+{
+    Follower follower;
+    follower.watch();
+    cr_assert_eq(follower.asked(), "large");
+    runFor(200ms);
+    follower.reply(25, 900ms);
+    cr_assert_eq(std::get<store::Changes>(*follower.result).revision, 25);
+    // The time that the question was under way counts: the proof may have been told at its beginning.
+    const auto age = follower.checkedAge();
+    cr_assert(age.has_value());
+    cr_assert_geq(age->count(), 1100);
+    cr_assert(follower.service.watches.empty() && follower.service.checks.empty());
+}
+
+Test(relayedSource, asksTheNextWhenAPeerIsSilent)
+{
+    Follower follower;
+    follower.watch();
+    cr_assert(waitUntil([&] { return follower.asked() == "middle"; }, 2s));
+    cr_assert(waitUntil([&] { return follower.service.watches.size() == 1; }, 2s));
+    follower.service.watches.front()(store::Changes { {}, 30 });
+    cr_assert_eq(std::get<store::Changes>(*follower.result).revision, 30);
+    follower.watch(30);
+    cr_assert_eq(follower.service.watches.size(), 2, "neither is asked again for a while");
+}
+
+Test(relayedSource, doesNotRelyOnAPeerWhoseProofIsOld)
+{
+    Follower follower;
+    follower.watch();
+    follower.reply(25, 3s);
+    cr_assert_not(follower.result.has_value());
+    cr_assert_eq(follower.asked(), "middle");
+    follower.reply(19, 100ms);
+    cr_assert_not(follower.result.has_value(), "it is behind this instance");
+    cr_assert_eq(follower.service.watches.size(), 1);
+    cr_assert_not(follower.checkedAge().has_value());
+}
+
+Test(relayedSource, followsOnlyWhoAsksTheServiceItself)
+{
+    Follower follower;
+    follower.watch();
+    follower.reply(25, 100ms, false);
+    cr_assert_not(follower.result.has_value(), "two instances could follow each other");
+    cr_assert_eq(follower.asked(), "middle");
+    follower.reply(25, 100ms);
+    cr_assert(follower.result.has_value());
+    runFor(1100ms);
+    follower.watch(25);
+    cr_assert_eq(follower.asked(), "large", "it may have the service back");
+}
+
+Test(relayedSource, withoutTheServiceAnyKnowledgeIsTaken)
+{
+    Follower follower;
+    follower.ranking.remove("far");
+    cr_assert_not(follower.checkedAge().has_value());
+    follower.service.checks.front()(store::StoreFailure::NotDone);
+    follower.watch();
+    follower.reply(25, 3s, false);
+    cr_assert(follower.result.has_value());
+    const auto former = follower.asked();
+    follower.watch(25);
+    cr_assert_neq(follower.asked(), former, "another may have a younger proof");
+}
+
+Test(relayedSource, anOldProofIsNotUsedForLong)
+{
+    Follower follower;
+    follower.watch();
+    follower.reply(25, 1500ms);
+    cr_assert(follower.checkedAge().has_value());
+    runFor(1100ms);
+    cr_assert_not(follower.checkedAge().has_value());
+    cr_assert_eq(follower.service.checks.size(), 1);
+}
+
+Test(relayedSource, takesLateAnswersForNothing)
+{
+    Follower follower;
+    follower.watch();
+    const auto question = follower.transport.sent.back().second.follow_records().question();
+    cr_assert(waitUntil([&] { return follower.asked() == "middle"; }, 2s));
+    pb::RecordsReply late;
+    late.set_question(question);
+    late.set_known(true);
+    late.set_revision(40);
+    follower.source.onReply(late);
+    cr_assert_not(follower.result.has_value());
+    follower.reply(25, 100ms);
+    cr_assert_eq(std::get<store::Changes>(*follower.result).revision, 25);
+}
+
+Test(relayedSource, leavesAServiceThatFailsForAnyPeer)
+{
+    Follower follower;
+    for (const auto* name : { "large", "middle" })
+        follower.ranking.remove(name);
+    follower.watch();
+    cr_assert_eq(follower.service.watches.size(), 1, "the first of its data centre asks the service");
+    cr_assert_not(follower.checkedAge().has_value());
+    follower.service.checks.front()(store::StoreFailure::Unknown);
+    cr_assert_eq(follower.asked(), "far", "the watch at the service may hang as well");
+    follower.reply(25, 300ms);
+    cr_assert_eq(std::get<store::Changes>(*follower.result).revision, 25);
+    cr_assert(follower.checkedAge().has_value());
+    follower.service.watches.front()(store::Changes { {}, 24 }); // late, and taken for nothing
+    runFor(2100ms);
+    follower.watch(25);
+    follower.reply(26, 300ms);
+    cr_assert(follower.checkedAge().has_value());
+    cr_assert_eq(follower.service.checks.size(), 2, "it is tried again, and nothing waits for that");
+    follower.service.checks.back()(store::Unchanged {});
+    follower.watch(26);
+    cr_assert_eq(follower.service.watches.size(), 2);
+}
+
+namespace {
+
+/// The instance that the others follow loses the platform's service for nine seconds.
+void checkThatAllServeOn(const char* mode)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry(true, "processorShare: 0.2\n");
+    site.startEntry(true, "processorShare: 0.2\n");
+    Process proxy("standin-proxy", { "--to", QString::fromStdString(site.store->address().toString()) }, "control");
+    site.startEntry(true, "processorShare: 0.5\n", proxy.address());
+    const auto statusOf = [&](size_t entry) {
+        const auto status = get(site.entries[entry]->address("admin"), "/status");
+        require(waitFor(status), "no status");
+        return status->json();
+    };
+    for (size_t entry : { 0u, 1u })
+        cr_assert(waitUntil([&] { return statusOf(entry)["records_from"] == "entry-2"; }, 10s));
+    cr_assert(statusOf(2)["records_from"] == "platform", "the largest asks the platform itself");
+    control(proxy.address("control"), { { "mode", mode } });
+    int served = 0;
+    int asked = 0;
+    for (const auto end = Clock::now() + 9s; Clock::now() < end; runFor(100ms)) {
+        for (size_t entry : { 0u, 1u, 2u }) {
+            ++asked;
+            const auto answer = site.ask({ "r" + std::to_string(asked), "/book/x" }, entry);
+            served += answer->status == 200;
+        }
+    }
+    cr_assert_eq(served, asked, "%d of %d requests with keys were served", served, asked);
+    cr_assert(statusOf(2)["records_from"].toString().startsWith("entry-"));
+    // What is known by word of a peer is as new as what is read.
+    site.publish({ "new-key" });
+    for (size_t entry : { 0u, 1u, 2u })
+        cr_assert(waitUntil([&] { return site.ask({ "q", "/book/x" }, entry)->status == 401; }, 3s));
+    control(proxy.address("control"), { { "mode", "pass" } });
+    cr_assert(waitUntil([&] { return statusOf(2)["records_from"] == "platform"; }, 10s));
+}
+
+}
+
+Test(relay, instancesTurnedAwayByTheServiceServeOn, .timeout = 60)
+{
+    checkThatAllServeOn("cut");
+}
+
+Test(relay, instancesThatTheServiceDoesNotAnswerServeOn, .timeout = 60)
+{
+    checkThatAllServeOn("drop-answers");
+}
+
+Test(relay, callsToThePlatformDoNotGrowWithTheInstances, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site;
+    const auto callsIn = [&site](std::chrono::milliseconds time) {
+        const auto before = site.storeControl({})["calls"].toInt();
+        runFor(time);
+        return site.storeControl({})["calls"].toInt() - before;
+    };
+    site.startEntry(true, "processorShare: 0.5\n");
+    runFor(3s);
+    const auto alone = callsIn(4s);
+    for (int i = 0; i < 5; ++i)
+        site.startEntry(true, "processorShare: 0.1\n");
+    runFor(5s);
+    const auto together = callsIn(4s);
+    cr_assert_leq(together, alone + 2, "%d calls by six instances, %d by one", together, alone);
+}
+
+Test(relay, theLossOfTheFollowedInstanceIsMadeUpFor, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry(true, "processorShare: 0.1\n");
+    site.startEntry(true, "processorShare: 0.2\n");
+    auto& first = site.startEntry(true, "processorShare: 0.5\n");
+    runFor(3s);
+    first.freeze();
+    const auto published = Clock::now();
+    site.publish({ "new-key" });
+    for (size_t entry : { 0u, 1u })
+        cr_assert(waitUntil([&] { return site.ask({ "q", "/book/x" }, entry)->status == 401; }, 5s));
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - published);
+    cr_assert_lt(took.count(), 2500, "a configuration is in force within 3 s: %d ms", static_cast<int>(took.count()));
+    first.thaw();
+    const auto stale = site.ask({ "q", "/book/x" }, 2);
+    cr_assert_neq(stale->status, 200, "the thawed instance cannot prove its old configuration");
+}
--- a/tests/support/ForwardSite.cpp
+++ b/tests/support/ForwardSite.cpp
@@ -48,10 +48,11 @@
     return std::make_unique<Process>("standin-target", arguments);
 }
 
-Process& ForwardSite::startEntry(bool waitUntilReady, const std::string& extraSettings)
+Process& ForwardSite::startEntry(
+    bool waitUntilReady, const std::string& extraSettings, const std::optional<Endpoint>& storeAddress)
 {
     const auto number = this->entries.size();
-    this->changeSettings(number, extraSettings);
+    this->changeSettings(number, extraSettings, storeAddress);
     const auto file = this->settingsFile(number);
     this->entries.push_back(std::make_unique<Process>("dragonflyd", QStringList { "--settings", text(file) }, "ready"));
     auto& entry = *this->entries.back();
@@ -73,12 +74,13 @@
     return this->folder.filePath("entry-" + QString::number(entry) + ".yaml").toStdString();
 }
 
-void ForwardSite::changeSettings(size_t entry, const std::string& extraSettings)
+void ForwardSite::changeSettings(
+    size_t entry, const std::string& extraSettings, const std::optional<Endpoint>& storeAddress)
 {
     std::ofstream(this->settingsFile(entry))
         << "interface: forwarding\ninstance: entry-" << entry
         << "\nregion: north\ndataCentre: north-a\nregions: { north-a: north }\nplatform: ["
-        << this->store->address().toString()
+        << storeAddress.value_or(this->store->address()).toString()
         << "]\ndrain: { notice: 300ms, time: 3s }\nrouting: { policy: least-cost }\n"
         << extraSettings;
 }
--- a/tests/support/ForwardSite.h
+++ b/tests/support/ForwardSite.h
@@ -29,7 +29,9 @@
     ForwardSite();
 
     /// Starts an entry instance; waits until it knows every target when @p waitUntilReady.
-    Process& startEntry(bool waitUntilReady = true, const std::string& extraSettings = "");
+    /// @param storeAddress where it reaches the store, when that is through a proxy
+    Process& startEntry(bool waitUntilReady = true, const std::string& extraSettings = "",
+        const std::optional<dragonfly::Endpoint>& storeAddress = std::nullopt);
     AnswerPointer send(const ForwardRequestSpec& spec, size_t entry = 0);
     /// Sends and waits for the answer.
     AnswerPointer ask(const ForwardRequestSpec& spec, size_t entry = 0);
@@ -37,7 +39,8 @@
     /// Publishes the configuration with a new version, with the keys of the first organisation.
     void publish(const QStringList& firstKeys, int timeoutMs = 2000);
     /// Writes the settings file of an entry instance anew.
-    void changeSettings(size_t entry, const std::string& extraSettings);
+    void changeSettings(size_t entry, const std::string& extraSettings,
+        const std::optional<dragonfly::Endpoint>& storeAddress = std::nullopt);
     void nameWeights(int version);
     QJsonObject storeControl(const QJsonObject& order);
 
