Ask again for the refused page of a whole read, not for everything

Change: a whole read goes on at the refused page after the same pause with jitter. The test, in which each second page is refused, never ended before and now asks for 24 pages, of which twelve are served.

Also: both daemons share the code that serves metrics.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -163,16 +163,7 @@
 
 Status Daemon::startMetrics()
 {
-    const auto& at = this->settings.metrics;
-    try {
-        this->exposer = std::make_unique<prometheus::Exposer>(at.toString(), 1);
-    } catch (const std::exception& failure) {
-        return Error { ErrorKind::Internal, "cannot listen on " + at.toString() + ": " + failure.what(),
-            Execution::NotRun, {} };
-    }
-    this->exposer->RegisterCollectable(this->metrics.registry());
-    std::cout << "metrics " << at.host << ":" << this->exposer->GetListeningPorts().front() << std::endl;
-    return Success {};
+    return this->metricsEndpoint.start(this->settings.metrics, this->metrics.registry());
 }
 
 void Daemon::applyConfig(const config::Publication& publication, const pb::ConfigPart& objects)
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 // One entry instance: its workers, its control thread, and its orderly end.
 
+#include "daemon/MetricsEndpoint.h"
 #include "daemon/Settings.h"
 #include "entry/Worker.h"
 #include "membership/Membership.h"
@@ -9,7 +10,6 @@
 #include <QHttpServer>
 #include <QObject>
 #include <memory>
-#include <prometheus/exposer.h>
 
 namespace dragonfly::daemon {
 
@@ -50,7 +50,7 @@
 
     Settings settings;
     observe::Metrics metrics;
-    std::unique_ptr<prometheus::Exposer> exposer;
+    MetricsEndpoint metricsEndpoint;
     observe::SpanExporter spans;
     http::ClientPool pool;
     store::GatewayStore store;
--- a/src/daemon/ForwardingDaemon.h
+++ b/src/daemon/ForwardingDaemon.h
@@ -4,6 +4,7 @@
 // Everything runs in one event loop: these instances have a fraction of one core, and a second thread would
 // only add switches between the two.
 
+#include "daemon/MetricsEndpoint.h"
 #include "daemon/Settings.h"
 #include "directory/DirectorySync.h"
 #include "forward/Forward.h"
@@ -16,7 +17,6 @@
 #include <QHttpServer>
 #include <QObject>
 #include <memory>
-#include <prometheus/exposer.h>
 
 namespace dragonfly::daemon {
 
@@ -52,7 +52,7 @@
 
     Settings settings;
     observe::Metrics metrics;
-    std::unique_ptr<prometheus::Exposer> exposer;
+    MetricsEndpoint metricsEndpoint;
     http::ClientPool storeConnections;
     platform::StoreClient store;
     platform::RecordCodec records;
--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -50,7 +50,7 @@
 {
     this->retryTimer.setSingleShot(true);
     this->proofTimer.setSingleShot(true);
-    connect(&this->retryTimer, &QTimer::timeout, this, &DirectorySync::readAll);
+    connect(&this->retryTimer, &QTimer::timeout, this, &DirectorySync::readRefusedPages);
     this->watchTimer.setSingleShot(true);
     connect(&this->watchTimer, &QTimer::timeout, this, &DirectorySync::watch);
     this->absenceTimer.setSingleShot(true);
@@ -84,44 +84,52 @@
     this->readRevision = std::numeric_limits<int64_t>::max();
     this->readDeployment.reset();
     this->listed.clear();
+    this->refusedPages.clear();
     std::vector<Section> sections { Section::Targets, Section::Weights, Section::Deployment };
     if (!this->followedPrefix.empty())
         sections.push_back(Section::Followed);
     this->sectionsLeft = sections.size();
     for (const auto section : sections)
-        this->readSection(section, {});
+        this->readPage({ section, {} });
 }
 
-void DirectorySync::readSection(Section section, const std::string& after)
+void DirectorySync::readRefusedPages()
+{
+    for (const auto& place : std::exchange(this->refusedPages, {}))
+        this->readPage(place);
+}
+
+void DirectorySync::readPage(const PagePlace& place)
 {
     const auto askedAt = BootClock::now();
-    this->records.readPage(this->prefixOf(section), after, Clock::now() + callTime,
-        [this, section, askedAt, number = this->readNumber](const store::PageResult& result) {
+    this->records.readPage(this->prefixOf(place.section), place.after, Clock::now() + callTime,
+        [this, place, askedAt, number = this->readNumber](const store::PageResult& result) {
             if (number == this->readNumber)
-                this->onPage(section, askedAt, result);
+                this->onPage(place, askedAt, result);
         });
 }
 
-void DirectorySync::onPage(Section section, BootClock::time_point askedAt, const store::PageResult& result)
+void DirectorySync::onPage(const PagePlace& place, BootClock::time_point askedAt, const store::PageResult& result)
 {
     const auto* page = std::get_if<store::Page>(&result);
     this->noteCall(page);
     if (!page) {
-        ++this->readNumber;
-        this->retryTimer.start(this->pauseAfterFailure());
+        this->refusedPages.push_back(place);
+        if (!this->retryTimer.isActive())
+            this->retryTimer.start(this->pauseAfterFailure());
         return;
     }
     this->readRevision = std::min(this->readRevision, page->revision);
     for (const auto& pair : page->pairs) {
         this->listed.insert(pair.key);
-        if (section == Section::Deployment) {
+        if (place.section == Section::Deployment) {
             this->history.note({ pair, false });
             this->readDeployment.emplace(pair, askedAt);
         } else
             this->take({ pair, false }, this->currentAt);
     }
     if (page->hasMore && !page->pairs.empty())
-        this->readSection(section, page->pairs.back().key);
+        this->readPage({ place.section, page->pairs.back().key });
     else if (!--this->sectionsLeft)
         this->finishReading();
 }
--- a/src/directory/DirectorySync.h
+++ b/src/directory/DirectorySync.h
@@ -55,9 +55,16 @@
     /// What a whole read consists of; all of it is asked for at once.
     enum class Section { Targets, Weights, Followed, Deployment };
 
+    /// Where a page of a whole read begins.
+    struct PagePlace {
+        Section section;
+        std::string after; ///< key behind which it begins
+    };
+
     void readAll();
-    void readSection(Section section, const std::string& after);
-    void onPage(Section section, BootClock::time_point askedAt, const store::PageResult& result);
+    void readPage(const PagePlace& place);
+    void onPage(const PagePlace& place, BootClock::time_point askedAt, const store::PageResult& result);
+    void readRefusedPages();
     void finishReading();
     std::string prefixOf(Section section) const;
 
@@ -92,6 +99,7 @@
 
     uint64_t readNumber = 0; ///< of the whole read under way; answers to earlier ones are ignored
     size_t sectionsLeft = 0;
+    std::vector<PagePlace> refusedPages; ///< of the whole read under way, to be asked for again
     int64_t readRevision = 0; ///< the smallest of the whole read's pages
     /// The deployment that was read, and when it was asked for. Once one is in force requests are taken, so it
     /// waits until targets and weights are known.
--- a/tests/DirectoryTest.cpp
+++ b/tests/DirectoryTest.cpp
@@ -73,10 +73,17 @@
     bool isDown = false; ///< answers nothing but a refusal
     bool watchesAreDeaf = false; ///< watches end without the changes that were made
     bool historyIsGone = false;
+    int failEvery = 0; ///< each so many-th page is refused; 0: none
+    int pagesAsked = 0;
 
     void readPage(const std::string& prefix, const std::string& after, Deadline,
         std::function<void(store::PageResult)> done) override
     {
+        ++this->pagesAsked;
+        if (this->failEvery && this->pagesAsked % this->failEvery == 0) {
+            this->answer<store::PageResult>(store::StoreFailure::NotDone, std::move(done));
+            return;
+        }
         store::Page page;
         page.revision = this->revision;
         for (const auto& [key, record] : this->records) {
@@ -339,3 +346,17 @@
     cr_assert(waitUntil([&] { return !fixture.directory.targets().contains("a"); }, 1s));
     cr_assert_eq(fixture.directory.targets().size(), 2);
 }
+
+Test(directorySync, aWholeReadGoesOnWhereAPageWasRefused)
+{
+    Fixture fixture;
+    for (int i = 0; i < 20; ++i)
+        fixture.store.set("targets/t" + std::to_string(i), "ready");
+    fixture.store.failEvery = 2; // as when many instances start at once and the service turns some calls away
+    fixture.store.set("config", "4");
+    fixture.sync.start();
+    cr_assert(waitUntil([&] { return fixture.version() == 4; }, 10s));
+    cr_assert_eq(fixture.directory.targets().size(), 20);
+    // Ten pages of targets, one of the configuration, one of weights; as many again were refused.
+    cr_assert_leq(fixture.store.pagesAsked, 24);
+}
