Close connections to instances that left, and log each failed registration

And a failed registration was tried again without a word.

Change: the registry tells when an instance has left its address, and the connection is dropped. Failed registrations and renewals are logged. The loss of the platform's service and the loss of the records are two events now, since peers may stand in for the service. Test: connectionsToInstancesThatLeftAreDropped; it names a function that did not exist before, so it could not be shown red against the former code.

--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -70,6 +70,7 @@
     this->directory.onWeightsChanged = [this] { this->rollout.noteChange(); };
     this->sync.followedPrefix = ownKeys;
     this->sync.onFollowed = [this](const store::KeyValue& record, bool exists) { this->onOwnRecord(record, exists); };
+    this->registry.onAddressLeft = [this](const std::string& address) { this->peers.drop(address); };
     this->sync.onProgress = [this] { this->relay.answerWaiting(); };
     this->sync.onWholeRead = [this] {
         const auto* role = weights::WeightsRollout::roleKey;
--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -355,7 +355,7 @@
     if (isRegained)
         this->absenceDeadline = Clock::now() + lapseGrace;
     logChange(succeeded ? LogLevel::Info : LogLevel::Warning,
-        succeeded ? "the platform's service answers" : "the platform's service does not answer");
+        succeeded ? "the platform's records are followed" : "the platform's records are out of reach");
     this->noteProgress();
 }
 
--- a/src/directory/DirectorySync.h
+++ b/src/directory/DirectorySync.h
@@ -24,7 +24,7 @@
 
     void start();
 
-    /// Whether the last call to the platform's service succeeded.
+    /// Whether the last call for records succeeded, at the platform's service or at a peer.
     bool isReachable() const
     {
         return this->reachable;
--- a/src/relay/InstanceRegistry.cpp
+++ b/src/relay/InstanceRegistry.cpp
@@ -87,18 +87,28 @@
     }
     const auto instance = record.key.substr(std::string_view(keyPrefix).size());
     if (!exists) {
-        this->ranking.remove(instance);
+        this->forget(instance);
         return;
     }
     pb::PeerAddress decoded;
     if (!decoded.ParseFromString(record.value) || decoded.instance() != instance || !parseEndpoint(decoded.address())) {
         logChange(LogLevel::Warning, "record of an instance refused", { { "key", record.key } });
-        this->ranking.remove(instance);
+        this->forget(instance);
         return;
     }
+    if (this->ranking.findAddress(instance).value_or(decoded.address()) != decoded.address())
+        this->forget(instance);
     this->ranking.add({ instance, decoded.address(), { decoded.region(), decoded.data_centre() }, decoded.capacity() });
 }
 
+void InstanceRegistry::forget(const std::string& instance)
+{
+    const auto address = this->ranking.findAddress(instance);
+    this->ranking.remove(instance);
+    if (address && this->onAddressLeft)
+        this->onAddressLeft(*address);
+}
+
 void InstanceRegistry::registerOwn()
 {
     if (this->isWriting || this->stopping)
@@ -110,7 +120,7 @@
         if (const auto* granted = std::get_if<int64_t>(&result))
             this->writeRecord(*granted);
         else
-            this->retryLater();
+            this->retryLater("no lease was granted");
     });
 }
 
@@ -120,7 +130,7 @@
     this->store.put(this->ownKey(), encode(this->ranking.own()), granted, Clock::now() + callTime,
         [this, granted](const store::WriteResult& result) {
             if (!std::holds_alternative<Success>(result)) {
-                this->retryLater();
+                this->retryLater("the record was not written");
                 return;
             }
             this->isWriting = false;
@@ -130,8 +140,9 @@
         });
 }
 
-void InstanceRegistry::retryLater()
+void InstanceRegistry::retryLater(const char* reason)
 {
+    logChange(LogLevel::Warning, "not registered", { { "reason", reason } });
     this->isWriting = false;
     this->writeTimer.start(retryPause + spread());
 }
@@ -144,6 +155,8 @@
             return;
         // When the lease is lost, so is the record, which is noticed by following the records.
         const bool isRenewed = std::holds_alternative<int64_t>(result);
+        if (!isRenewed)
+            logChange(LogLevel::Warning, "own record not renewed", { { "lease", std::to_string(*this->lease) } });
         this->renewTimer.start(isRenewed ? renewalPeriod : retryPause + spread());
     });
 }
--- a/src/relay/InstanceRegistry.h
+++ b/src/relay/InstanceRegistry.h
@@ -24,13 +24,16 @@
     void stop();
     /// A record below keyPrefix was seen, or seen to be gone.
     void onRecord(const store::KeyValue& record, bool exists);
+    /// An instance is gone from @p address, which may be given to another one.
+    std::function<void(const std::string& address)> onAddressLeft;
 
 private:
+    void forget(const std::string& instance);
     std::string ownKey() const;
     void registerOwn();
     void writeRecord(int64_t lease);
     void renew();
-    void retryLater();
+    void retryLater(const char* reason);
 
     store::WatchableStore& store;
     PeerRanking& ranking;
--- a/src/relay/PeerRanking.cpp
+++ b/src/relay/PeerRanking.cpp
@@ -34,6 +34,12 @@
     this->distrusted.erase(instance);
 }
 
+std::optional<std::string> PeerRanking::findAddress(const std::string& instance) const
+{
+    const auto found = this->peers.find(instance);
+    return found == this->peers.end() ? std::nullopt : std::optional(found->second.address);
+}
+
 void PeerRanking::distrust(const std::string& instance, Deadline until)
 {
     this->distrusted[instance] = until;
--- a/src/relay/PeerRanking.h
+++ b/src/relay/PeerRanking.h
@@ -40,6 +40,8 @@
     /// Adds or replaces what is known of an instance. The own record is ignored.
     void add(const Peer& peer);
     void remove(const std::string& instance);
+    /// The address of a known instance.
+    std::optional<std::string> findAddress(const std::string& instance) const;
     /// Leaves @p instance out until @p until: it did not answer, or knows too little.
     void distrust(const std::string& instance, Deadline until);
 
--- a/src/relay/RelayedSource.cpp
+++ b/src/relay/RelayedSource.cpp
@@ -111,7 +111,7 @@
         if (this->current->peer)
             return; // it goes on at a peer
     } else {
-        this->serviceProbeAt.reset();
+        this->noteServiceAnswer();
     }
     this->finish(result);
 }
@@ -181,6 +181,9 @@
 /// A watch that waits at the service could go unanswered for long: it goes on at a peer where there is one.
 void RelayedSource::noteServiceFailure()
 {
+    if (!this->serviceProbeAt)
+        logChange(LogLevel::Warning, "the platform's service does not answer",
+            { { "known_instances", std::to_string(this->ranking.size()) } });
     this->serviceProbeAt = Clock::now() + serviceProbePeriod;
     const bool isAtService = this->current && !this->current->peer;
     if (isAtService && this->current->peersAsked < mostPeersAsked && this->ranking.findSubstitute(Clock::now()))
@@ -211,17 +214,30 @@
             if (std::holds_alternative<store::StoreFailure>(result))
                 this->noteServiceFailure();
             else
-                this->serviceProbeAt.reset();
+                this->noteServiceAnswer();
             if (done)
                 done(result);
         });
 }
 
+void RelayedSource::noteServiceAnswer()
+{
+    if (this->serviceProbeAt)
+        logChange(LogLevel::Info, "the platform's service answers");
+    this->serviceProbeAt.reset();
+}
+
 void RelayedSource::readPage(
     const std::string& prefix, const std::string& after, Deadline deadline, std::function<void(store::PageResult)> done)
 {
     this->metrics.platformCalls.Increment();
-    this->service.readPage(prefix, after, deadline, std::move(done));
+    this->service.readPage(prefix, after, deadline, [this, done = std::move(done)](const store::PageResult& result) {
+        if (std::holds_alternative<store::StoreFailure>(result))
+            this->noteServiceFailure();
+        else
+            this->noteServiceAnswer();
+        done(result);
+    });
 }
 
 }
--- a/src/relay/RelayedSource.h
+++ b/src/relay/RelayedSource.h
@@ -66,6 +66,7 @@
     void finish(const store::WatchResult& result);
     void noteFollowed(const std::optional<std::string>& peer);
     void noteServiceFailure();
+    void noteServiceAnswer();
     void askServiceToCheck(
         const std::string& key, int64_t expected, Deadline deadline, std::function<void(store::CheckResult)> done);
 
--- a/tests/RelayTest.cpp
+++ b/tests/RelayTest.cpp
@@ -2,6 +2,7 @@
 // what is served while the platform's service turns some instances away.
 
 #include "relay/Relay.h"
+#include "platform/Platform.h"
 #include "tests/support/ForwardSite.h"
 
 #include <criterion/criterion.h>
@@ -362,6 +363,33 @@
     cr_assert_eq(follower.service.watches.size(), 2);
 }
 
+Test(instanceRegistry, connectionsToInstancesThatLeftAreDropped)
+{
+    Follower follower;
+    http::ClientPool connections;
+    platform::StoreClient store({ "127.0.0.1", 1 }, &connections); // not called
+    InstanceRegistry registry(store, follower.ranking, follower.metrics);
+    std::vector<std::string> left;
+    registry.onAddressLeft = [&left](const std::string& address) { left.push_back(address); };
+    const auto recordOf = [](const std::string& instance, const std::string& address) {
+        pb::PeerAddress record;
+        record.set_instance(instance);
+        record.set_address(address);
+        record.set_data_centre("north-a");
+        return store::KeyValue { InstanceRegistry::keyPrefix + instance, record.SerializeAsString(), 5 };
+    };
+    registry.onRecord(recordOf("new", "10.0.0.1:7"), true);
+    cr_assert_eq(*follower.ranking.findAddress("new"), "10.0.0.1:7");
+    registry.onRecord(recordOf("new", "10.0.0.2:7"), true);
+    cr_assert_eq(left.back(), "10.0.0.1:7");
+    registry.onRecord({ InstanceRegistry::keyPrefix + std::string("new"), "no record", 6 }, true);
+    cr_assert_eq(left.back(), "10.0.0.2:7");
+    cr_assert_not(follower.ranking.findAddress("new").has_value());
+    registry.onRecord(recordOf("new", "no address"), true);
+    cr_assert_not(follower.ranking.findAddress("new").has_value());
+    cr_assert_eq(left.size(), 2);
+}
+
 namespace {
 
 /// The instance that the others follow loses the platform's service for nine seconds.
