Answer a check from a peer's proof on a path of its own

Cause: the linter found that the callback of a check was moved on one path and called on the other; the two excluded each other by the same condition, so nothing failed. Change: one path after the other.

--- a/src/relay/RelayedSource.cpp
+++ b/src/relay/RelayedSource.cpp
@@ -198,10 +198,13 @@
     const bool isProved = this->followedPeer && this->proof && this->proof->revision == expected
         && now - this->proof->provedAt <= oldestUsedProof;
     const bool isProbeDue = this->serviceProbeAt && Clock::now() >= *this->serviceProbeAt;
-    if (!isProved || isProbeDue)
-        this->askServiceToCheck(key, expected, deadline, isProved ? nullptr : std::move(done));
-    if (isProved)
-        done(store::Unchanged { std::chrono::ceil<std::chrono::milliseconds>(now - this->proof->provedAt) });
+    if (!isProved) {
+        this->askServiceToCheck(key, expected, deadline, std::move(done));
+        return;
+    }
+    if (isProbeDue)
+        this->askServiceToCheck(key, expected, deadline, nullptr);
+    done(store::Unchanged { std::chrono::ceil<std::chrono::milliseconds>(now - this->proof->provedAt) });
 }
 
 /// @param done null when only whether the service answers is of interest
