Let instances that lost the platform's service find a fresh proof in time

An instance that turned from a peer to the service renewed its proof only at the next interval, up to 1 s later. An instance that the service does not answer excluded each peer that was behind for 1 s and, when all were excluded, waited at the service that does not answer. And an instance whose answers were dropped before it had seen the records of its peers knew nobody at all, although they queried it twice a second.

Change: the proof is renewed as soon as the service is followed; stale peers are queried in turn rather than the failed service, and peers that were rejected as relays may serve as fallbacks; a query names its sender. A watch that was sent before an outage ends when the service answers again. Registrations that expire while peers stand in for the service keep their targets for the grace period, as after an outage that was seen.

Ruled out: load. The process tests for expired registrations pass on the former code too, since its calls fail in an outage; DirectoryTest directorySync/targetsMissingAfterABridgedOutageAreKeptForAGracePeriod fails without the change.

--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -51,7 +51,7 @@
     , ranking(ownPeer(this->settings))
     , source(this->store, this->ranking, this->peers, this->metrics)
     , sync(this->source, this->records, this->directory, this->metrics)
-    , relay(this->peers, this->source, this->sync, this->directory)
+    , relay(this->peers, this->source, this->sync, this->directory, this->ranking)
     , registry(this->store, this->ranking, this->metrics)
     , rollout(rolloutSettings(this->settings), this->store, this->engines, this->directory, this->metrics)
     , forwarding(this->settings.forwarding.requests, this->directory, this->headers, this->metrics)
@@ -71,6 +71,7 @@
     this->sync.followedPrefix = ownKeyPrefix;
     this->sync.onFollowedRecord
         = [this](const store::KeyValue& record, bool exists) { this->onOwnRecord(record, exists); };
+    this->source.onServiceFollowed = [this] { this->sync.checkRevisionNow(); };
     this->registry.onAddressReleased = [this](const std::string& address) { this->peers.drop(address); };
     this->sync.onProgress = [this] { this->relay.answerPendingQueries(); };
     this->sync.onWholeRead = [this] {
--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -225,6 +225,13 @@
         this->revisionCheckTimer.start(revisionCheckInterval);
 }
 
+void DirectorySync::checkRevisionNow()
+{
+    // The timer is stopped while a check is in progress.
+    if (this->revisionCheckTimer.isActive())
+        this->revisionCheckTimer.start(0);
+}
+
 void DirectorySync::sendRevisionCheck()
 {
     if (!this->deploymentRevision) {
@@ -298,9 +305,10 @@
     const auto id = key.substr(this->decoder.registrationPrefix().size());
     if (change.isRemoval) {
         const auto now = Clock::now();
-        if (now < this->gracePeriodEnd) {
-            this->absentTargets.insert(key);
-            this->gracePeriodTimer.start(remaining(this->gracePeriodEnd, now));
+        const auto deadline = this->gracePeriodDeadline();
+        if (now < deadline) {
+            this->absentTargets.emplace(key, deadline);
+            this->scheduleAbsentTargetRemoval();
             return;
         }
         this->targetRevisions.erase(key);
@@ -342,12 +350,35 @@
         this->directory.setWantedWeights(std::get<WantedWeights>(decoded), changedAt);
 }
 
+/// Until then, targets keep their place although their registrations are missing.
+Deadline DirectorySync::gracePeriodDeadline() const
+{
+    const auto bridged = this->records.lastOutageEnd();
+    const bool isOutage = bridged != Clock::time_point();
+    return std::max(this->gracePeriodEnd, isOutage ? bridged + registrationGracePeriod : Deadline());
+}
+
 void DirectorySync::removeAbsentTargets()
 {
-    for (const auto& key : std::exchange(this->absentTargets, {})) {
+    const auto now = Clock::now();
+    std::erase_if(this->absentTargets, [this, now](const auto& absent) {
+        const auto& [key, deadline] = absent;
+        if (deadline > now)
+            return false;
         this->targetRevisions.erase(key);
         this->directory.removeTarget(key.substr(this->decoder.registrationPrefix().size()));
-    }
+        return true;
+    });
+    this->scheduleAbsentTargetRemoval();
+}
+
+void DirectorySync::scheduleAbsentTargetRemoval()
+{
+    if (this->absentTargets.empty())
+        return;
+    const auto next = std::min_element(this->absentTargets.begin(), this->absentTargets.end(),
+        [](const auto& left, const auto& right) { return left.second < right.second; });
+    this->gracePeriodTimer.start(remaining(next->second, Clock::now()));
 }
 
 void DirectorySync::recordCall(bool succeeded)
--- a/src/directory/DirectorySync.h
+++ b/src/directory/DirectorySync.h
@@ -24,6 +24,8 @@
         store::RecordSource& records, const RecordDecoder& decoder, Directory& directory, observe::Metrics& metrics);
 
     void start();
+    /// Checks at once whether the configuration is still the newest, unless a check is in progress.
+    void checkRevisionNow();
 
     /// Whether the latest call for records succeeded, at the platform's service or at a peer.
     bool isReachable() const
@@ -85,7 +87,9 @@
     void applyTarget(const store::Change& change);
     void applyFollowed(const store::KeyValue& record, bool exists);
     void applyWeights(const store::KeyValue& pair, Clock::time_point changedAt);
+    Deadline gracePeriodDeadline() const;
     void removeAbsentTargets();
+    void scheduleAbsentTargetRemoval();
     void recordCall(bool succeeded);
     void notifyProgress();
 
@@ -113,10 +117,10 @@
     Clock::time_point nextWatchAt; ///< earliest start of the next watch, so that one answer collects several changes
     int64_t deploymentRevision = 0; ///< revision of the deployment record in force; 0: none
     std::map<std::string, int64_t> targetRevisions; ///< by key; older versions of a record are ignored
-    /// Keys of registrations that were missing right after an outage. They may have expired although the targets
-    /// still run; those register again before gracePeriodEnd.
-    std::set<std::string> absentTargets;
-    Deadline gracePeriodEnd;
+    /// Registrations that were missing right after an outage, by key, and when their targets count as gone. They may
+    /// have expired although the targets still run; those register again before.
+    std::map<std::string, Deadline> absentTargets;
+    Deadline gracePeriodEnd; ///< of the latest outage in which calls for records failed
     bool reachable = false;
     int failures = 0; ///< consecutive failed calls
 };
--- a/src/relay/InstanceRegistry.cpp
+++ b/src/relay/InstanceRegistry.cpp
@@ -1,7 +1,7 @@
 #include "relay/InstanceRegistry.h"
 
 #include "observe/Log.h"
-#include "peer.pb.h"
+#include "relay/PeerRecord.h"
 
 #include <QRandomGenerator>
 
@@ -28,17 +28,6 @@
             QRandomGenerator::global()->bounded(static_cast<int>(maxRegistrationJitter.count())));
     }
 
-    std::string encode(const Peer& peer)
-    {
-        pb::PeerAddress record;
-        record.set_instance(peer.instance);
-        record.set_address(peer.address);
-        record.set_region(peer.place.region);
-        record.set_data_centre(peer.place.dataCentre);
-        record.set_capacity(peer.capacity);
-        return record.SerializeAsString();
-    }
-
 }
 
 InstanceRegistry::InstanceRegistry(store::WatchableStore& store, PeerRanking& ranking, observe::Metrics& metrics)
@@ -91,14 +80,15 @@
         return;
     }
     pb::PeerAddress decoded;
-    if (!decoded.ParseFromString(record.value) || decoded.instance() != instance || !parseEndpoint(decoded.address())) {
+    const auto peer = decoded.ParseFromString(record.value) ? fromRecord(decoded) : std::nullopt;
+    if (!peer || peer->instance != instance) {
         logChange(LogLevel::Warning, "invalid instance record refused", { { "key", record.key } });
         this->removeInstance(instance);
         return;
     }
-    if (this->ranking.findAddress(instance).value_or(decoded.address()) != decoded.address())
+    if (this->ranking.findAddress(instance).value_or(peer->address) != peer->address)
         this->removeInstance(instance);
-    this->ranking.add({ instance, decoded.address(), { decoded.region(), decoded.data_centre() }, decoded.capacity() });
+    this->ranking.add(*peer);
 }
 
 void InstanceRegistry::removeInstance(const std::string& instance)
@@ -127,8 +117,8 @@
 void InstanceRegistry::writeRecord(int64_t granted)
 {
     this->metrics.platformCalls.Increment();
-    this->store.put(this->ownKey(), encode(this->ranking.own()), granted, Clock::now() + callTimeout,
-        [this, granted](const store::WriteResult& result) {
+    this->store.put(this->ownKey(), toRecord(this->ranking.own()).SerializeAsString(), granted,
+        Clock::now() + callTimeout, [this, granted](const store::WriteResult& result) {
             if (!std::holds_alternative<Success>(result)) {
                 this->scheduleRetry("writing the record failed");
                 return;
--- a/src/relay/PeerRanking.cpp
+++ b/src/relay/PeerRanking.cpp
@@ -24,14 +24,26 @@
 
 void PeerRanking::add(const Peer& peer)
 {
-    if (peer.instance != this->self.instance)
-        this->peers[peer.instance] = peer;
+    if (peer.instance == this->self.instance)
+        return;
+    this->peers[peer.instance] = peer;
+    this->unregistered.erase(peer.instance);
+}
+
+void PeerRanking::addUnregistered(const Peer& peer)
+{
+    const bool isKnown = this->peers.contains(peer.instance) && !this->unregistered.contains(peer.instance);
+    if (isKnown || peer.instance == this->self.instance)
+        return;
+    this->peers[peer.instance] = peer;
+    this->unregistered.insert(peer.instance);
 }
 
 void PeerRanking::remove(const std::string& instance)
 {
     this->peers.erase(instance);
-    this->excludedUntil.erase(instance);
+    this->unregistered.erase(instance);
+    this->exclusions.erase(instance);
 }
 
 std::optional<std::string> PeerRanking::findAddress(const std::string& instance) const
@@ -40,15 +52,35 @@
     return found == this->peers.end() ? std::nullopt : std::optional(found->second.address);
 }
 
-void PeerRanking::exclude(const std::string& instance, Deadline until)
+void PeerRanking::exclude(const std::string& instance, ExclusionReason reason, Deadline until)
 {
-    this->excludedUntil[instance] = until;
+    if (reason == ExclusionReason::Silent && this->unregistered.contains(instance)) {
+        this->remove(instance);
+        return;
+    }
+    this->exclusions[instance] = { reason, until };
 }
 
 bool PeerRanking::isEligible(const std::string& instance, Clock::time_point now) const
 {
-    const auto found = this->excludedUntil.find(instance);
-    return found == this->excludedUntil.end() || found->second <= now;
+    const auto found = this->exclusions.find(instance);
+    return found == this->exclusions.end() || found->second.until <= now;
+}
+
+const Peer* PeerRanking::findLeastRecentlyStale() const
+{
+    const Peer* result = nullptr;
+    Deadline earliest;
+    for (const auto& [instance, exclusion] : this->exclusions) {
+        const auto peer = this->peers.find(instance);
+        if (exclusion.reason != ExclusionReason::Stale || peer == this->peers.end())
+            continue;
+        if (result && exclusion.until >= earliest)
+            continue;
+        result = &peer->second;
+        earliest = exclusion.until;
+    }
+    return result;
 }
 
 std::optional<Peer> PeerRanking::findRelay(Clock::time_point now) const
@@ -71,6 +103,8 @@
         if (this->isEligible(instance, now) && (!nearest || orderOf(peer) < orderOf(*nearest)))
             nearest = &peer;
     }
+    if (!nearest)
+        nearest = this->findLeastRecentlyStale();
     return nearest ? std::optional(*nearest) : std::nullopt;
 }
 
--- a/src/relay/PeerRanking.h
+++ b/src/relay/PeerRanking.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace dragonfly::relay {
@@ -21,6 +22,12 @@
     uint32_t capacity = 0; ///< processor time available to the instance, in thousandths of a core
 };
 
+/// Why a peer is excluded from the choice.
+enum class ExclusionReason {
+    Silent, ///< it did not answer
+    Stale, ///< it answered, but its data was not usable
+};
+
 class PeerRanking {
 public:
     explicit PeerRanking(Peer self)
@@ -37,17 +44,21 @@
     {
         this->self.address = address;
     }
-    /// Adds or replaces a peer. A record of this instance itself is ignored.
+    /// Adds or replaces a registered peer. A record of this instance itself is ignored.
     void add(const Peer& peer);
+    /// Adds a peer that has sent a query and is not registered yet as far as this instance knows. It is removed when it
+    /// does not answer a query, because no removed record would tell that it is gone.
+    void addUnregistered(const Peer& peer);
     void remove(const std::string& instance);
     /// The address of a peer; nothing when the peer is unknown.
     std::optional<std::string> findAddress(const std::string& instance) const;
-    /// Excludes @p instance from the choice until @p until, because it did not answer or its data is stale.
-    void exclude(const std::string& instance, Deadline until);
+    /// Excludes @p instance from the choice until @p until.
+    void exclude(const std::string& instance, ExclusionReason reason, Deadline until);
 
     /// The highest-ranked eligible peer of this data centre; nothing when this instance ranks higher.
     std::optional<Peer> findRelay(Clock::time_point now) const;
     /// The nearest eligible peer of any data centre and rank, for use while the platform's service does not answer.
+    /// When all peers are excluded, the one with stale data whose exclusion ends first: its data may be current by now.
     std::optional<Peer> findFallback(Clock::time_point now) const;
     size_t size() const
     {
@@ -55,11 +66,18 @@
     }
 
 private:
+    struct Exclusion {
+        ExclusionReason reason = ExclusionReason::Silent;
+        Deadline until;
+    };
+
     bool isEligible(const std::string& instance, Clock::time_point now) const;
+    const Peer* findLeastRecentlyStale() const;
 
     Peer self;
     std::map<std::string, Peer> peers; ///< keyed by instance
-    std::map<std::string, Deadline> excludedUntil; ///< end of the exclusion, keyed by instance
+    std::set<std::string> unregistered; ///< the instances among the peers that were added by a query
+    std::map<std::string, Exclusion> exclusions; ///< keyed by instance
 };
 
 }
--- a/src/relay/RecordRelay.cpp
+++ b/src/relay/RecordRelay.cpp
@@ -1,5 +1,7 @@
 #include "relay/RecordRelay.h"
 
+#include "relay/PeerRecord.h"
+
 #include <algorithm>
 
 namespace dragonfly::relay {
@@ -24,11 +26,12 @@
 }
 
 RecordRelay::RecordRelay(membership::PeerTransport& transport, const RelayedSource& source,
-    const directory::DirectorySync& sync, const directory::Directory& directory)
+    const directory::DirectorySync& sync, const directory::Directory& directory, PeerRanking& ranking)
     : transport(transport)
     , source(source)
     , sync(sync)
     , directory(directory)
+    , ranking(ranking)
 {
     this->timer.setSingleShot(true);
     connect(&this->timer, &QTimer::timeout, this, &RecordRelay::answerPendingQueries);
@@ -36,6 +39,8 @@
 
 void RecordRelay::onQuery(const std::string& replyTo, const pb::FollowRecords& query)
 {
+    if (const auto follower = fromRecord(query.follower()))
+        this->ranking.addUnregistered(*follower);
     if (query.renew_connection())
         this->transport.drop(replyTo);
     const auto wait = std::min(maxWait, std::chrono::milliseconds(query.wait_ms()));
--- a/src/relay/RecordRelay.h
+++ b/src/relay/RecordRelay.h
@@ -15,7 +15,7 @@
     Q_OBJECT
 public:
     RecordRelay(membership::PeerTransport& transport, const RelayedSource& source, const directory::DirectorySync& sync,
-        const directory::Directory& directory);
+        const directory::Directory& directory, PeerRanking& ranking);
 
     /// Answers at once when there are changes or none can be supplied; otherwise waits for changes for as long as the
     /// query allows.
@@ -38,6 +38,7 @@
     const RelayedSource& source;
     const directory::DirectorySync& sync;
     const directory::Directory& directory;
+    PeerRanking& ranking;
     /// Keyed by reply address; a new query replaces the peer's former one.
     std::map<std::string, PendingQuery> pendingQueries;
     QTimer timer;
--- a/src/relay/Relay.h
+++ b/src/relay/Relay.h
@@ -5,5 +5,6 @@
 
 #include "relay/InstanceRegistry.h"
 #include "relay/PeerRanking.h"
+#include "relay/PeerRecord.h"
 #include "relay/RecordRelay.h"
 #include "relay/RelayedSource.h"
--- a/src/relay/RelayedSource.cpp
+++ b/src/relay/RelayedSource.cpp
@@ -1,6 +1,7 @@
 #include "relay/RelayedSource.h"
 
 #include "observe/Log.h"
+#include "relay/PeerRecord.h"
 
 namespace dragonfly::relay {
 
@@ -51,7 +52,7 @@
 {
     this->replyTimer.stop();
     this->currentWatch = Watch { ++this->lastQueryNumber, prefix, after, waitUntil, deadline, std::move(done), 0,
-        std::nullopt, false, {} };
+        std::nullopt, false, {}, {} };
     this->queryNextSource();
 }
 
@@ -80,6 +81,7 @@
     pb::PeerMessage message;
     message.set_reply_to(this->ranking.own().address);
     auto& query = *message.mutable_follow_records();
+    *query.mutable_follower() = toRecord(this->ranking.own());
     query.set_question(watch.queryNumber);
     query.set_after(watch.after);
     query.set_wait_ms(static_cast<uint32_t>(peerWaitTimeout.count()));
@@ -97,7 +99,11 @@
     auto& watch = *this->currentWatch;
     watch.queryNumber = ++this->lastQueryNumber;
     watch.peer.reset();
+    watch.sentToServiceAt = Clock::now();
+    const bool wasFollowingPeer = this->followedPeer.has_value();
     this->updateFollowedPeer(std::nullopt);
+    if (wasFollowingPeer && this->onServiceFollowed)
+        this->onServiceFollowed();
     this->metrics.platformCalls.Increment();
     this->service.watch(watch.prefix, watch.after, watch.waitUntil, watch.deadline,
         [this, number = watch.queryNumber](
@@ -126,17 +132,17 @@
     const auto& watch = *this->currentWatch;
     const std::chrono::milliseconds age(reply.proof_age_ms());
     if (!reply.known() || reply.revision() < watch.after) {
-        this->excludePeer("requested changes not available", stalePeerExclusion);
+        this->excludePeer("requested changes not available", ExclusionReason::Stale);
         return;
     }
     // While the service does not answer, stale or relayed data is accepted too: the age of the proof bounds its use.
     const bool isReliable = reply.first_hand() && age <= maxPeerProofAge;
     if (!isReliable && !watch.isFallback) {
-        this->excludePeer("no direct connection to the platform", stalePeerExclusion);
+        this->excludePeer("no direct connection to the platform", ExclusionReason::Stale);
         return;
     }
     if (age > maxPeerProofAge)
-        this->ranking.exclude(watch.peer->instance, Clock::now() + stalePeerExclusion);
+        this->ranking.exclude(watch.peer->instance, ExclusionReason::Stale, Clock::now() + stalePeerExclusion);
     // The peer replied after the query was sent, so this is a lower bound for the time of its proof.
     const Proof peerProof { reply.deployment_revision(), watch.queriedAt - age };
     if (!this->proof || peerProof.revision != this->proof->revision || peerProof.provedAt > this->proof->provedAt)
@@ -154,14 +160,15 @@
     if (!this->currentWatch || !this->currentWatch->peer)
         return;
     this->silentPeers.insert(this->currentWatch->peer->instance);
-    this->excludePeer("query timed out", silentPeerExclusion);
+    this->excludePeer("query timed out", ExclusionReason::Silent);
 }
 
-void RelayedSource::excludePeer(const char* reason, std::chrono::milliseconds duration)
+void RelayedSource::excludePeer(const char* detail, ExclusionReason reason)
 {
     const auto instance = this->currentWatch->peer->instance;
-    this->ranking.exclude(instance, Clock::now() + duration);
-    logChange(LogLevel::Info, "peer excluded", { { "peer", instance }, { "reason", reason } });
+    const auto duration = reason == ExclusionReason::Silent ? silentPeerExclusion : stalePeerExclusion;
+    this->ranking.exclude(instance, reason, Clock::now() + duration);
+    logChange(LogLevel::Info, "peer excluded", { { "peer", instance }, { "reason", detail } });
     this->queryNextSource();
 }
 
@@ -188,9 +195,11 @@
             { { "known_instances", std::to_string(this->ranking.size()) } });
     this->serviceProbeAt = Clock::now() + serviceProbeInterval;
     const bool isAtService = this->currentWatch && !this->currentWatch->peer;
-    if (isAtService && this->currentWatch->queriedPeerCount < maxQueriedPeers
-        && this->ranking.findFallback(Clock::now()))
-        this->queryNextSource();
+    if (!isAtService || !this->ranking.findFallback(Clock::now()))
+        return;
+    // Peers queried before this failure were candidates for a relay; as fallbacks they may be queried again.
+    this->currentWatch->queriedPeerCount = 0;
+    this->queryNextSource();
 }
 
 void RelayedSource::checkRevision(
@@ -223,14 +232,26 @@
                 this->recordServiceAnswer();
             if (done)
                 done(result);
+            this->endWatchFromBeforeOutage();
         });
 }
 
 void RelayedSource::recordServiceAnswer()
 {
-    if (this->serviceProbeAt)
-        logChange(LogLevel::Info, "the platform's service is available again");
+    if (!this->serviceProbeAt)
+        return;
+    logChange(LogLevel::Info, "the platform's service is available again");
     this->serviceProbeAt.reset();
+    this->serviceRecoveredAt = Clock::now();
+}
+
+/// Completes a watch that was sent to the service before it recovered from an outage: its answer may have been lost,
+/// and changes would be missed until it times out.
+void RelayedSource::endWatchFromBeforeOutage()
+{
+    const bool isAtService = this->currentWatch && !this->currentWatch->peer;
+    if (isAtService && !this->serviceProbeAt && this->currentWatch->sentToServiceAt < this->serviceRecoveredAt)
+        this->completeWatch(store::Changes { {}, this->currentWatch->after });
 }
 
 void RelayedSource::readPage(
--- a/src/relay/RelayedSource.h
+++ b/src/relay/RelayedSource.h
@@ -23,6 +23,9 @@
         observe::Metrics& metrics);
 
     void onReply(const pb::RecordsReply& reply);
+    /// Called when this instance begins to follow the service instead of a peer. Peers may rely on its freshness proof
+    /// from then on, so it is to be renewed at once.
+    std::function<void()> onServiceFollowed;
     /// Name of the peer that this instance follows; nothing while it follows the platform's service.
     const std::optional<std::string>& followedInstance() const
     {
@@ -37,6 +40,10 @@
     /// Answers from the followed peer's proof while it is recent, otherwise from the service.
     void checkRevision(const std::string& key, int64_t expected, Deadline deadline,
         std::function<void(store::CheckResult)> done) override;
+    Clock::time_point lastOutageEnd() const override
+    {
+        return this->serviceProbeAt ? Clock::now() : this->serviceRecoveredAt;
+    }
 
 private:
     /// The watch in progress.
@@ -50,7 +57,8 @@
         int queriedPeerCount = 0;
         std::optional<Peer> peer; ///< the peer queried last; empty when the service was queried last
         bool isFallback = false; ///< the peer was queried because the service does not answer
-        BootClock::time_point queriedAt;
+        BootClock::time_point queriedAt; ///< when the peer was queried
+        Clock::time_point sentToServiceAt; ///< when the service was queried last
     };
     /// Freshness proof of a peer: this revision of the deployment was the newest at that moment.
     struct Proof {
@@ -64,11 +72,12 @@
     void onServiceAnswer(uint64_t queryNumber, const store::WatchResult& result);
     void onReplyTimeout();
     /// Excludes the queried peer from the choice for a while and continues at the next source.
-    void excludePeer(const char* reason, std::chrono::milliseconds duration);
+    void excludePeer(const char* detail, ExclusionReason reason);
     void completeWatch(const store::WatchResult& result);
     void updateFollowedPeer(const std::optional<std::string>& peer);
     void recordServiceFailure();
     void recordServiceAnswer();
+    void endWatchFromBeforeOutage();
     void checkAtService(
         const std::string& key, int64_t expected, Deadline deadline, std::function<void(store::CheckResult)> done);
 
@@ -83,6 +92,8 @@
     std::optional<Proof> proof;
     std::optional<std::string> followedPeer;
     std::optional<Deadline> serviceProbeAt; ///< earliest next probe of the service; empty while the service answers
+    Clock::time_point
+        serviceRecoveredAt; ///< when the service last answered after a failure; the epoch if it never failed
 };
 
 }
--- a/src/store/KeyValueStore.h
+++ b/src/store/KeyValueStore.h
@@ -118,6 +118,12 @@
     virtual void checkRevision(
         const std::string& key, int64_t expected, Deadline deadline, std::function<void(CheckResult)> done)
         = 0;
+    /// End of the latest outage that the source bridged, so that its callers saw no failed call: now while it lasts,
+    /// the epoch if there was none.
+    virtual Clock::time_point lastOutageEnd() const
+    {
+        return {};
+    }
 };
 
 /// A key-value store that can be watched for changes and can attach keys to leases on compare-and-swap.
--- a/tests/DirectoryTest.cpp
+++ b/tests/DirectoryTest.cpp
@@ -75,6 +75,7 @@
     bool historyIsGone = false; ///< the next watch returns HistoryGone
     int failEveryNthPage = 0; ///< fails every n-th page request; 0: none
     int pageRequests = 0;
+    Clock::time_point bridgedOutageEnd; ///< reported by lastOutageEnd()
 
     void readPage(const std::string& prefix, const std::string& after, Deadline,
         std::function<void(store::PageResult)> done) override
@@ -129,6 +130,11 @@
                 store::Conflict { { key, record.value, record.revision } }, std::move(done));
     }
 
+    Clock::time_point lastOutageEnd() const override
+    {
+        return this->bridgedOutageEnd;
+    }
+
     void compareAndSwapLeased(const std::string&, int64_t, const std::string&, int64_t, Deadline,
         std::function<void(store::LeasedSwapResult)>) override
     {
@@ -338,6 +344,25 @@
     cr_assert(fixture.directory.targets().contains("a"));
 }
 
+Test(directorySync, targetsMissingAfterABridgedOutageAreKeptForAGracePeriod)
+{
+    Fixture fixture;
+    fixture.start();
+    fixture.store.bridgedOutageEnd = Clock::now(); // peers stood in for the service, so no call failed
+    fixture.store.erase("targets/a");
+    runFor(300ms);
+    fixture.store.erase("targets/b");
+    runFor(700ms);
+    cr_assert(fixture.sync.isReachable());
+    cr_assert_eq(fixture.directory.targets().size(), 3, "missing targets are kept during the grace period");
+    fixture.store.set("targets/a", "ready");
+    cr_assert(waitUntil([&] { return fixture.directory.targets().size() == 2; }, 3s),
+        "only target b has not registered again");
+    cr_assert(fixture.directory.targets().contains("a"));
+    fixture.store.erase("targets/a");
+    cr_assert(waitUntil([&] { return fixture.directory.targets().size() == 1; }, 1s), "the grace period is over");
+}
+
 Test(directorySync, invalidRecordAddsNoTargetAndRemovesExistingOne)
 {
     Fixture fixture;
--- a/tests/RelayTest.cpp
+++ b/tests/RelayTest.cpp
@@ -223,7 +223,7 @@
     PeerRanking ranking(peer("small", 120));
     ranking.add(peer("large", 500));
     ranking.add(peer("far", 500, "south-a"));
-    ranking.exclude("large", now + 3s);
+    ranking.exclude("large", ExclusionReason::Silent, now + 3s);
     cr_assert_not(ranking.findRelay(now).has_value());
     cr_assert_eq(ranking.findFallback(now)->instance, "far");
     cr_assert_eq(ranking.findRelay(now + 3s)->instance, "large");
@@ -231,6 +231,41 @@
     cr_assert_not(ranking.findRelay(now + 3s).has_value());
 }
 
+Test(peerRanking, stalePeerIsAFallbackWhenAllPeersAreExcluded)
+{
+    const auto now = Clock::now();
+    PeerRanking ranking(peer("small", 120));
+    for (const auto* name : { "large", "middle", "silent" })
+        ranking.add(peer(name, 250));
+    ranking.exclude("large", ExclusionReason::Stale, now + 1000ms);
+    ranking.exclude("middle", ExclusionReason::Stale, now + 700ms);
+    ranking.exclude("silent", ExclusionReason::Silent, now + 100ms);
+    cr_assert_not(ranking.findRelay(now).has_value());
+    cr_assert_eq(ranking.findFallback(now)->instance, "middle", "its exclusion ends first");
+    cr_assert_eq(ranking.findFallback(now + 100ms)->instance, "silent");
+    ranking.remove("large");
+    ranking.remove("middle");
+    cr_assert_not(ranking.findFallback(now).has_value(), "a silent peer is not queried while it is excluded");
+}
+
+Test(peerRanking, unregisteredPeerIsRemovedWhenSilent)
+{
+    const auto now = Clock::now();
+    PeerRanking ranking(peer("small", 120));
+    ranking.addUnregistered(peer("new"));
+    ranking.exclude("new", ExclusionReason::Stale, now);
+    cr_assert_eq(ranking.findRelay(now)->instance, "new");
+    ranking.exclude("new", ExclusionReason::Silent, now + 3s);
+    cr_assert_eq(ranking.size(), 0);
+    ranking.add(peer("new"));
+    auto moved = peer("new");
+    moved.address = "127.0.0.1:1";
+    ranking.addUnregistered(moved);
+    cr_assert_eq(*ranking.findAddress("new"), peer("new").address, "the platform's record takes precedence");
+    ranking.exclude("new", ExclusionReason::Silent, now + 3s);
+    cr_assert_eq(ranking.size(), 1);
+}
+
 Test(relayedSource, peerReplyDeliversChangesAndProofAge)
 {
     Follower follower;
@@ -365,6 +400,92 @@
     cr_assert_eq(follower.service.watches.size(), 2);
 }
 
+Test(relayedSource, watchFromBeforeAnOutageEndsOnRecovery)
+{
+    Follower follower;
+    for (const auto* name : { "large", "middle", "far" })
+        follower.ranking.remove(name);
+    cr_assert_eq(follower.source.lastOutageEnd(), Clock::time_point(), "no outage yet");
+    follower.watch();
+    cr_assert_eq(follower.service.watches.size(), 1);
+    cr_assert_not(follower.checkedProofAge().has_value());
+    follower.service.checks.back()(store::StoreFailure::Unknown);
+    cr_assert_not(follower.result.has_value(), "no peer can replace the service");
+    cr_assert_geq(follower.source.lastOutageEnd(), Clock::now() - 10ms, "the outage lasts");
+    cr_assert_not(follower.checkedProofAge().has_value());
+    follower.service.checks.back()(store::Unchanged {});
+    cr_assert_eq(std::get<store::Changes>(*follower.result).revision, 20);
+    const auto end = follower.source.lastOutageEnd();
+    runFor(20ms);
+    cr_assert_eq(follower.source.lastOutageEnd(), end);
+    follower.watch();
+    follower.service.watches.front()(store::StoreFailure::Unknown);
+    cr_assert_not(follower.result.has_value(), "the late answer to the former watch is ignored");
+}
+
+Test(relayedSource, rejectedPeersAreQueriedAgainWhenServiceFails)
+{
+    Follower follower;
+    follower.ranking.remove("far");
+    int proofRenewals = 0;
+    follower.source.onServiceFollowed = [&proofRenewals] { ++proofRenewals; };
+    follower.watch(20);
+    follower.reply(25, 100ms);
+    cr_assert_eq(proofRenewals, 0);
+    follower.watch(25);
+    follower.reply(25, 3s);
+    follower.reply(25, 3s);
+    cr_assert_eq(follower.service.watches.size(), 1, "neither peer has a recent proof");
+    cr_assert_eq(proofRenewals, 1, "peers may rely on the proof of this instance now");
+    const auto queries = follower.transport.sent.size();
+    runFor(3s); // the last proof is too old to answer a check
+    cr_assert_not(follower.checkedProofAge().has_value());
+    follower.service.checks.back()(store::StoreFailure::Unknown);
+    cr_assert_eq(follower.transport.sent.size(), queries + 1, "the watch at the service may stay unanswered");
+    follower.reply(26, 100ms);
+    cr_assert_eq(std::get<store::Changes>(*follower.result).revision, 26);
+}
+
+Test(relayedSource, stalePeersAreQueriedRatherThanAFailedService)
+{
+    Follower follower;
+    follower.ranking.remove("far");
+    cr_assert_not(follower.checkedProofAge().has_value());
+    follower.service.checks.front()(store::StoreFailure::Unknown);
+    for (int i = 0; i < 6; ++i) {
+        follower.watch(25);
+        follower.reply(25, 3s, false);
+        cr_assert(follower.result.has_value());
+    }
+    cr_assert(follower.service.watches.empty());
+    follower.watch(25);
+    follower.reply(26, 100ms);
+    cr_assert(follower.checkedProofAge().has_value(), "one of them has reached the service meanwhile");
+}
+
+Test(recordRelay, followerIsKnownBeforeItsRecord)
+{
+    Follower follower;
+    const platform::RecordCodec records;
+    directory::Directory directory(4s);
+    directory::DirectorySync sync(follower.source, records, directory, follower.metrics);
+    RecordRelay relay(follower.transport, follower.source, sync, directory, follower.ranking);
+    pb::FollowRecords query;
+    query.set_question(9);
+    query.set_wait_ms(500);
+    *query.mutable_follower() = toRecord(peer("new"));
+    relay.onQuery(peer("new").address, query);
+    cr_assert_eq(follower.ranking.findAddress("new").value(), peer("new").address);
+    const auto& [address, reply] = follower.transport.sent.back();
+    cr_assert_eq(address, peer("new").address);
+    cr_assert_eq(reply.records_reply().question(), 9);
+    cr_assert_not(reply.records_reply().known(), "this instance has read no records yet");
+    query.mutable_follower()->set_instance("broken");
+    query.mutable_follower()->set_address("no address");
+    relay.onQuery(peer("new").address, query);
+    cr_assert_not(follower.ranking.findAddress("broken").has_value());
+}
+
 Test(instanceRegistry, formerAddressIsReportedOnAddressChangeAndInvalidRecord)
 {
     Follower follower;
@@ -488,3 +609,87 @@
     const auto stale = site.sendAndWait({ "q", "/book/x" }, 2);
     cr_assert_neq(stale->status, 200, "the thawed instance cannot prove its old configuration");
 }
+
+Test(relay, followedInstanceFreezesWhileServiceAnswersAreDropped, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry(true, "processorShare: 0.5\n");
+    site.startEntry(true, "processorShare: 0.2\n");
+    Process proxy("standin-proxy", { "--to", QString::fromStdString(site.store->address().toString()) }, "control");
+    site.startEntry(true, "processorShare: 0.1\n", proxy.address());
+    runFor(3s);
+    control(proxy.address("control"), { { "mode", "drop-answers" } });
+    site.entries[0]->freeze();
+    int sent = 0;
+    for (const auto end = Clock::now() + 8s; Clock::now() < end; runFor(100ms)) {
+        const auto answer = site.sendAndWait({ "r" + std::to_string(++sent), "/book/x" }, 2);
+        cr_assert_eq(answer->status, 200, "request %d: %d %s", sent, answer->status, answer->body.c_str());
+    }
+    site.entries[0]->thaw();
+}
+
+Test(relay, instanceWithoutRepliesOfPeersFollowsTheService, .timeout = 60)
+{
+    // One-way cut between peers: queries arrive, replies do not. Without the service nothing can be proved then.
+    const Application application;
+    ForwardSite site;
+    site.startEntry(true, "processorShare: 0.5\n");
+    Process storeProxy("standin-proxy", { "--to", site.store->address().toString().c_str() }, "control");
+    Process peerProxy("standin-proxy", { "--to", "127.0.0.1:1" }, "control"); // nothing listens there
+    site.startEntry(
+        true, "processorShare: 0.1\npeersAdvertised: " + peerProxy.address().toString() + "\n", storeProxy.address());
+    int sent = 0;
+    for (const auto end = Clock::now() + 6s; Clock::now() < end; runFor(100ms)) {
+        const auto answer = site.sendAndWait({ "r" + std::to_string(++sent), "/book/x" }, 1);
+        cr_assert_eq(answer->status, 200, "request %d: %d %s", sent, answer->status, answer->body.c_str());
+    }
+    control(storeProxy.address("control"), { { "mode", "cut" } });
+    runFor(5s);
+    const auto answer = site.sendAndWait({ "q", "/book/x" }, 1);
+    cr_assert_eq(answer->status, 503);
+    cr_assert_eq(answer->execution(), "not-run");
+}
+
+namespace {
+
+/// Registrations expire while the service answers nobody. Targets keep their place for a moment after the service is
+/// back, since running ones register again, and then count as gone.
+void checkExpiredTargetsAreKept(std::chrono::milliseconds outage)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry(true, "processorShare: 0.5\n");
+    for (int i = 0; i < 3; ++i)
+        site.startEntry(true, "processorShare: 0.1\n");
+    runFor(3s);
+    const auto targetsAt = [&site](size_t entry) {
+        const auto status = get(site.entries[entry]->address("admin"), "/status");
+        require(waitFor(status), "no status");
+        return status->json()["targets"].toArray().size();
+    };
+    site.controlStore({ { "mode", "silent" } });
+    for (const auto* id : { "service-0", "service-1" })
+        site.controlStore({ { "remove", QString("servers/") + id } });
+    runFor(outage);
+    site.controlStore({ { "mode", "up" } });
+    runFor(1s);
+    for (size_t entry = 0; entry < 4; ++entry)
+        cr_assert_eq(targetsAt(entry), 4, "instance %zu", entry);
+    // A call in progress fails after 1 s and is repeated within 0.8 s; the grace period is 2.2 s.
+    for (size_t entry = 0; entry < 4; ++entry)
+        cr_assert(waitUntil([&] { return targetsAt(entry) == 2; }, 4s), "instance %zu", entry);
+}
+
+}
+
+// Registrations are renewed each 1.2 s and expire after three missed renewals, so none expires in a shorter outage.
+Test(relay, targetsKeepTheirPlaceAfterAShortOutage, .timeout = 60)
+{
+    checkExpiredTargetsAreKept(2400ms);
+}
+
+Test(relay, targetsKeepTheirPlaceAfterALongOutage, .timeout = 60)
+{
+    checkExpiredTargetsAreKept(5500ms);
+}
--- a/tests/support/Process.cpp
+++ b/tests/support/Process.cpp
@@ -16,6 +16,17 @@
 
 using namespace dragonfly;
 
+namespace {
+
+    /// Appends the output of programs to the file named by DRAGONFLY_TEST_LOG, for tracing a failed test.
+    void logOutput(qint64 processId, const std::string& line)
+    {
+        if (const char* file = std::getenv("DRAGONFLY_TEST_LOG"))
+            std::ofstream(file, std::ios::app) << processId << ' ' << line << '\n';
+    }
+
+}
+
 void require(bool condition, const std::string& message)
 {
     if (condition)
@@ -70,6 +81,7 @@
 {
     while (this->process.canReadLine()) {
         const auto line = this->process.readLine().trimmed().toStdString();
+        logOutput(this->process.processId(), line);
         const auto space = line.find(' ');
         this->printed[line.substr(0, space)] = space == std::string::npos ? "" : line.substr(space + 1);
     }
