Withdraw requests before they begin on expired weights, and finish rollouts in time

The margin of 2 s is no bound. An instance that watches the platform itself also took replacements for up to 4 s older than they were, because a watch that ends without changes lasted that long.

Change: a request that waits at an engine when its weights expire is withdrawn 400 ms before: at another target if it may run again, else with an error that says its outcome is unknown. Delayed engines are left out earlier. The number of parallel loads follows from the observed time of a load and the time until replaced weights expire, at least the configured share and at most 0.4 of the engines. Watches last 2 s.

ForwardTest forward/requestIsWithdrawnBeforeItBeginsOnExpiredWeights gets 200 on the former code.

Watches of 2 s cost about 0.25 calls a second for each instance that follows the platform.

--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -67,7 +67,10 @@
             { "platform", this->settings.platform.front().toString() },
             { "proof_validity_ms", std::to_string(this->settings.forwarding.proofValidity.count()) } });
     this->directory.onRoutesChanged = [this] { this->applyRoutes(); };
-    this->directory.onWeightsChanged = [this] { this->rollout.scheduleRollout(); };
+    this->directory.onWeightsChanged = [this] {
+        this->forwarder.onWeightsChanged();
+        this->rollout.scheduleRollout();
+    };
     this->sync.followedPrefix = ownKeyPrefix;
     this->sync.onFollowedRecord
         = [this](const store::KeyValue& record, bool exists) { this->onOwnRecord(record, exists); };
--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -16,8 +16,9 @@
 
     /// Timeout of a read or a revision check.
     constexpr std::chrono::milliseconds callTimeout { 1000 };
-    /// Changes are missed for up to about this time when a watch stops receiving without an error.
-    constexpr std::chrono::milliseconds maxWatchDuration { 4000 };
+    /// Changes are missed for up to about this time when a watch stops receiving without an error. It also bounds by
+    /// how much the time of a replacement of weights is underestimated.
+    constexpr std::chrono::milliseconds maxWatchDuration { 2000 };
     /// Added to maxWatchDuration for the timeout of the call, which then counts as failed.
     constexpr std::chrono::milliseconds watchTimeoutMargin { 700 };
     /// Minimum interval between the starts of two watches: one answer collects changes in quick succession, at an
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -34,6 +34,9 @@
     /// A repeatable request is retried after this multiple of the route's target latency without a response.
     constexpr int responseTimeoutFactor = 2;
     constexpr milliseconds minProgressTimeout { 350 };
+    /// A request that waits at an engine is withdrawn this long before the engine's replaced weights may no longer
+    /// answer. Covers the way to an engine in another region, which may be busy.
+    constexpr milliseconds withdrawalMargin { 400 };
     /// A resumable stream is resumed at another target after this multiple of the route's longest pause without an
     /// event.
     constexpr int stallTimeoutFactor = 4;
@@ -74,6 +77,7 @@
 ForwardCall::~ForwardCall()
 {
     --this->context.activeRequests;
+    this->context.awaitingEngines.erase(this);
 }
 
 bool ForwardCall::isRepeatable() const
@@ -150,8 +154,39 @@
     return dispatch;
 }
 
-/// When the attempt is abandoned for a retry; the request's own deadline if no retry is allowed.
+/// When the attempt is abandoned.
 Deadline ForwardCall::progressDeadline() const
+{
+    const auto deadline = this->responseDeadline();
+    return this->isAwaitingEngine() ? std::min(deadline, this->beginDeadline()) : deadline;
+}
+
+bool ForwardCall::isAwaitingEngine() const
+{
+    return this->attempt && this->attempt->choice.weightsVersion && !this->attempt->head.status;
+}
+
+/// When an engine must have begun to answer, because its weights were replaced and may not answer for longer.
+Deadline ForwardCall::beginDeadline() const
+{
+    const auto& directory = this->context.directory;
+    const auto replacedAt = directory.replacedAt(this->request.metadata.model, this->attempt->choice.weightsVersion);
+    if (!replacedAt)
+        return Deadline::max();
+    // For a replacement before this instance started, the choice of the target included the margin for waiting.
+    const auto end = *replacedAt == Clock::time_point() ? this->attempt->sentAt + directory::replacedWeightsMargin
+                                                        : *replacedAt + this->context.settings.replacedWeightsTtl;
+    return end - withdrawalMargin;
+}
+
+void ForwardCall::onWeightsChanged()
+{
+    if (this->isAwaitingEngine() && this->attempt->call)
+        this->attempt->call->setDeadline(this->progressDeadline());
+}
+
+/// When the attempt is abandoned for a retry; the request's own deadline if no retry is allowed.
+Deadline ForwardCall::responseDeadline() const
 {
     const bool mayRetry = this->isRepeatable() && this->runs < this->request.route->maxTargets;
     if (!mayRetry)
@@ -184,6 +219,8 @@
     const auto endpoint = registration.endpoint;
     this->attempt->choice = std::move(choice);
     ++this->runs;
+    if (this->isAwaitingEngine())
+        this->context.awaitingEngines.insert(this);
     http::CallOptions options { now + connectTimeout, this->progressDeadline() };
     if (!this->isRepeatable())
         options.minIdleSince = now - (this->isStream() ? maxIdleTimeForStreams : maxIdleTime);
@@ -199,6 +236,7 @@
 void ForwardCall::onHead(const http::ResponseHead& head)
 {
     this->attempt->head = head;
+    this->context.awaitingEngines.erase(this);
     this->attempt->answerMetadata = this->context.dialect.parseAnswer(head);
     this->updateTarget();
     const bool isSuccess = head.status >= statusOk && head.status < firstRedirect;
@@ -390,7 +428,9 @@
 
 void ForwardCall::onFailure(const http::CallFailure& failure)
 {
-    routing::recordFailure(*this->attempt->choice.target->state, Clock::now());
+    const bool isWithdrawn = failure.requestSent && this->isAwaitingEngine() && Clock::now() >= this->beginDeadline();
+    if (!isWithdrawn)
+        routing::recordFailure(*this->attempt->choice.target->state, Clock::now());
     if (failure.requestSent) {
         ++this->sends;
         this->mayHaveRun = true;
@@ -399,7 +439,8 @@
     }
     const bool isPastDeadline = Clock::now() >= this->request.deadline;
     const auto kind = isPastDeadline ? ErrorKind::DeadlineExceeded : ErrorKind::TargetFailed;
-    this->attemptFailed(failure.detail, { kind, failure.detail, this->execution(), retryAfterRefusal });
+    const auto detail = isWithdrawn ? "withdrawn: the target's weights may no longer answer" : failure.detail;
+    this->attemptFailed(detail, { kind, detail, this->execution(), retryAfterRefusal });
 }
 
 void ForwardCall::attemptFailed(const std::string& outcome, const Error& error)
@@ -431,6 +472,7 @@
         + (firstEvent ? "first event after " + std::to_string(firstEvent->count()) + " of " : "")
         + std::to_string(took.count()) + " ms): " + outcome;
     this->attempt.reset();
+    this->context.awaitingEngines.erase(this);
 }
 
 void ForwardCall::fail(const Error& error)
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -31,6 +31,8 @@
 
     /// Starts the first attempt. The callbacks of an attempt keep the object alive until the request has ended.
     void start();
+    /// Limits the wait for the engine to begin if its weights have been replaced since the request was sent.
+    void onWeightsChanged();
 
 private:
     struct Attempt {
@@ -48,6 +50,9 @@
     bool mayTryAnotherTarget();
     void send(TargetChoice choice);
     Deadline progressDeadline() const;
+    Deadline responseDeadline() const;
+    Deadline beginDeadline() const;
+    bool isAwaitingEngine() const;
     Dispatch dispatchFor(const TargetChoice& choice) const;
 
     void onHead(const http::ResponseHead& head);
--- a/src/forward/ForwardContext.h
+++ b/src/forward/ForwardContext.h
@@ -9,6 +9,8 @@
 #include "observe/Observe.h"
 #include "routing/Routing.h"
 
+#include <set>
+
 namespace dragonfly::forward {
 
 struct ForwardSettings {
@@ -21,6 +23,8 @@
     size_t prefixSlots = 1u << 14; ///< capacity of the prefix index
 };
 
+class ForwardCall;
+
 struct ForwardContext {
     ForwardContext(const ForwardSettings& settings, directory::Directory& directory, const Dialect& dialect,
         observe::Metrics& metrics)
@@ -46,6 +50,7 @@
     http::ClientPool targets;
     QObject loop; ///< context object of deferred calls, which are dropped when it is destroyed
     int activeRequests = 0;
+    std::set<ForwardCall*> awaitingEngines; ///< calls sent to an engine that has not begun to answer
 
 private:
     std::map<std::string, RetryWindow> retryWindows; ///< by service
--- a/src/forward/Forwarder.cpp
+++ b/src/forward/Forwarder.cpp
@@ -65,6 +65,12 @@
     std::make_shared<ForwardCall>(this->context, std::move(request))->start();
 }
 
+void Forwarder::onWeightsChanged()
+{
+    for (auto* call : this->context.awaitingEngines)
+        call->onWeightsChanged();
+}
+
 void Forwarder::refuse(const http::ExchangePointer& exchange, const RequestMetadata& metadata, const Error& error)
 {
     this->context.metrics.failed(error.kind).Increment();
--- a/src/forward/TargetChooser.cpp
+++ b/src/forward/TargetChooser.cpp
@@ -146,15 +146,17 @@
     }
 
     /// Whether weights of @p version may still answer, which ends some time after their replacement. A margin covers
-    /// the time that a request waits in the engine's queue.
-    bool isVersionAllowed(const ChoiceQuery& query, uint64_t version, uint64_t newest)
+    /// the time that a request waits in the engine's queue, which is longer if @p expectedDelay is.
+    bool isVersionAllowed(
+        const ChoiceQuery& query, uint64_t version, uint64_t newest, std::chrono::microseconds expectedDelay)
     {
         const auto replacedAt = query.directory.replacedAt(query.metadata.model, version);
         if (!replacedAt)
             return true;
         const bool isTimeKnown = *replacedAt != Clock::time_point();
         if (isTimeKnown)
-            return query.now - *replacedAt < query.replacedWeightsTtl - directory::replacedWeightsMargin;
+            return query.now - *replacedAt + expectedDelay
+                < query.replacedWeightsTtl - directory::replacedWeightsMargin;
         // The time of a replacement before this instance started is unknown. Such weights may answer only if no engine
         // runs newer ones, or if another instance confirms that they may.
         return version >= newest || query.directory.isReplacedVersionConfirmed(query.metadata.model, version);
@@ -195,10 +197,10 @@
             if (!target->isUsable(query.now) || isExcluded(query, *target))
                 continue;
             const auto version = needsWeights ? target->weightsOf(model) : 0;
-            if (needsWeights && (!version || !isVersionAllowed(query, version, newest)))
+            auto candidate = candidateOf(query, *target, seed);
+            if (needsWeights && (!version || !isVersionAllowed(query, version, newest, candidate.delay)))
                 continue;
             const auto index = indexOfVersion(set, query, version);
-            auto candidate = candidateOf(query, *target, seed);
             candidate.surcharge = staleWeightsSurcharge(query, version);
             candidate.target = static_cast<uint32_t>(set.targets.size());
             set.candidates.push_back(candidate);
--- a/src/weights/RolloutPlan.cpp
+++ b/src/weights/RolloutPlan.cpp
@@ -7,7 +7,26 @@
 
 namespace dragonfly::weights {
 
-std::vector<std::string> chooseNextLoads(std::span<const EngineState> engines, uint64_t wantedVersion, double maxShare)
+namespace {
+
+    /// Upper bound of the engines that load at the same time, because the others have to serve all requests.
+    constexpr double maxLoadingShare = 0.4;
+
+}
+
+size_t maxParallelLoads(size_t engines, const RolloutPace& pace)
+{
+    const auto total = static_cast<double>(engines);
+    auto needed = pace.share * total;
+    if (pace.timeToComplete.count() > 0) {
+        const auto rounds = std::chrono::duration<double>(pace.timeToComplete) / pace.loadTime;
+        needed = std::max(needed, std::min(total / std::max(rounds, 1.0), maxLoadingShare * total));
+    }
+    return std::max<size_t>(1, static_cast<size_t>(std::lround(needed)));
+}
+
+std::vector<std::string> chooseNextLoads(
+    std::span<const EngineState> engines, uint64_t wantedVersion, size_t maxLoading)
 {
     std::map<std::string, size_t> loadingByDataCentre;
     std::map<std::string, size_t> updatedByDataCentre;
@@ -20,8 +39,6 @@
         if (engine.version < wantedVersion && !engine.isLoading)
             waiting.push_back(&engine);
     }
-    const auto maxLoading
-        = std::max<size_t>(1, static_cast<size_t>(std::lround(maxShare * static_cast<double>(engines.size()))));
     std::vector<std::string> chosen;
     while (loading < maxLoading && !waiting.empty()) {
         const auto rank = [&](const EngineState* engine) {
--- a/src/weights/RolloutPlan.h
+++ b/src/weights/RolloutPlan.h
@@ -18,10 +18,24 @@
     uint32_t inFlight = 0; ///< requests that this instance has in flight at the engine
 };
 
+/// What decides how many engines load at the same time.
+struct RolloutPace {
+    double share = 0; ///< share of the engines that may always load at the same time, 0 to 1
+    std::chrono::milliseconds loadTime { 0 }; ///< from an order until the engine answers with the new weights
+    std::chrono::milliseconds timeToComplete { 0 }; ///< from the first order until no replaced weights may answer
+};
+
+/// How many of @p engines may load at the same time: the configured share, or as many as it takes to complete the
+/// rollout before replaced weights may no longer answer. An engine finishes its running requests before it loads, so
+/// engines with short loads and long requests need more than a fixed share. At least one; at most a bounded part of the
+/// engines, because the others have to serve.
+size_t maxParallelLoads(size_t engines, const RolloutPace& pace);
+
 /// Ids of the engines that should be ordered to load @p wantedVersion now, in order of preference.
 ///
-/// At most @p maxShare (0 to 1) of @p engines load at the same time, rounded, but at least one. They are distributed
-/// over data centres, so that none loses all its engines at once.
-std::vector<std::string> chooseNextLoads(std::span<const EngineState> engines, uint64_t wantedVersion, double maxShare);
+/// At most @p maxLoading of @p engines load at the same time. They are distributed over data centres, so that none
+/// loses all its engines at once.
+std::vector<std::string> chooseNextLoads(
+    std::span<const EngineState> engines, uint64_t wantedVersion, size_t maxLoading);
 
 }
--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -1,7 +1,6 @@
 #include "weights/WeightsRollout.h"
 
 #include "observe/Log.h"
-#include "weights/RolloutPlan.h"
 
 #include <QRandomGenerator>
 #include <algorithm>
@@ -31,6 +30,11 @@
     /// An engine whose new weights have not been seen this long after an accepted order is queried for a report:
     /// its registration may show them one heartbeat late, while other engines wait for their turn.
     constexpr std::chrono::milliseconds loadCheckDelay { 1100 };
+    /// Time of a load until one has been observed: running requests finish, the weights load, and the engine's
+    /// registration or report shows them.
+    constexpr std::chrono::milliseconds initialLoadTime { 1500 };
+    /// A sample has the weight 1/4 in the moving average of load times.
+    constexpr int loadTimeSmoothingDivisor = 4;
     /// Before the next report query to an engine that was busy or did not answer.
     constexpr std::chrono::milliseconds reportRetryInterval { 400 };
 
@@ -44,6 +48,7 @@
     , directory(directory)
     , metrics(metrics)
     , leadership(settings.leaderLease)
+    , loadTime(initialLoadTime)
 {
     for (auto* timer : { &this->acquireTimer, &this->renewTimer, &this->rolloutTimer })
         timer->setSingleShot(true);
@@ -220,6 +225,20 @@
         this->rolloutTimer.start(rolloutInterval);
 }
 
+RolloutPace WeightsRollout::pace() const
+{
+    return { this->settings.parallelShare, this->loadTime,
+        this->settings.replacedWeightsGracePeriod - directory::replacedWeightsMargin };
+}
+
+void WeightsRollout::recordLoadTime(const Load& load)
+{
+    if (!load.orderedAt)
+        return;
+    const auto sample = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - *load.orderedAt);
+    this->loadTime += (sample - this->loadTime) / loadTimeSmoothingDivisor;
+}
+
 void WeightsRollout::planModel(const std::string& model, uint64_t wanted)
 {
     const auto now = Clock::now();
@@ -230,6 +249,7 @@
             continue;
         auto load = this->loads.find(id);
         if (load != this->loads.end() && version >= load->second.version) {
+            this->recordLoadTime(load->second);
             this->loads.erase(load);
             load = this->loads.end();
         }
@@ -239,7 +259,7 @@
         states.push_back({ id, target->registration.dataCentre, version, isLoading,
             target->state->inFlight.load(std::memory_order_relaxed) });
     }
-    for (const auto& id : chooseNextLoads(states, wanted, this->settings.maxParallelShare))
+    for (const auto& id : chooseNextLoads(states, wanted, maxParallelLoads(states.size(), this->pace())))
         this->queryReport(this->directory.targets().at(id), model, wanted);
 }
 
@@ -264,7 +284,12 @@
 void WeightsRollout::queryReport(const directory::TargetPointer& target, const std::string& model, uint64_t version)
 {
     const auto& id = target->registration.id;
-    this->loads[id] = { version, Clock::now() + reportRetryInterval, true };
+    auto& queried = this->loads[id];
+    if (queried.version != version)
+        queried = Load {};
+    queried.version = version;
+    queried.checkAt = Clock::now() + reportRetryInterval;
+    queried.isCallInFlight = true;
     this->metrics.probes.Increment();
     this->callEngine(*target, this->api.reportRequest(id),
         [this, target, model, version](const http::ResponseHead* head, std::string_view body) {
@@ -291,7 +316,10 @@
     const auto running = report.weights.find(model);
     if (running != report.weights.end() && running->second >= version) {
         target->registration.weights[model] = running->second;
-        this->loads.erase(id);
+        if (const auto load = this->loads.find(id); load != this->loads.end()) {
+            this->recordLoadTime(load->second);
+            this->loads.erase(load);
+        }
         this->scheduleRollout();
         return;
     }
@@ -322,7 +350,8 @@
     load->second.isCallInFlight = false;
     switch (outcome) {
     case OrderOutcome::Accepted:
-        load->second.checkAt = Clock::now() + loadCheckDelay;
+        load->second.orderedAt = Clock::now();
+        load->second.checkAt = *load->second.orderedAt + loadCheckDelay;
         break;
     case OrderOutcome::AlreadyDone:
         target->registration.weights[order.model] = order.version;
--- a/src/weights/WeightsRollout.h
+++ b/src/weights/WeightsRollout.h
@@ -11,6 +11,7 @@
 #include "store/KeyValueStore.h"
 #include "weights/EngineApi.h"
 #include "weights/LeaderLease.h"
+#include "weights/RolloutPlan.h"
 
 #include <QObject>
 #include <QTimer>
@@ -21,8 +22,8 @@
     std::string instance; ///< id of this instance
     LeaderLeaseTimings leaderLease;
     std::chrono::milliseconds replacedWeightsGracePeriod { 15000 }; ///< replaced weights may answer for this long
-    /// Share of a model's engines that may load at the same time; more would slow each other down.
-    double maxParallelShare = 0.2;
+    /// Share of a model's engines that may always load at the same time.
+    double parallelShare = 0.2;
 };
 
 class WeightsRollout : public QObject {
@@ -49,6 +50,7 @@
     /// A load of new weights by one engine, from before its order is sent until the weights are seen.
     struct Load {
         uint64_t version = 0;
+        std::optional<Clock::time_point> orderedAt; ///< when an order was accepted
         Deadline checkAt; ///< query the engine again if its new weights have not been seen by then
         bool isCallInFlight = false; ///< a report query or an order is in flight
     };
@@ -74,6 +76,8 @@
     void callEngine(const directory::Target& target, const http::Request& request,
         std::function<void(const http::ResponseHead*, std::string_view)> done);
     bool hasOutdatedEngines() const;
+    RolloutPace pace() const;
+    void recordLoadTime(const Load& load);
 
     RolloutSettings settings;
     store::WatchableStore& store;
@@ -86,6 +90,7 @@
     QTimer renewTimer;
     QTimer rolloutTimer;
     std::map<std::string, Load> loads; ///< by target id
+    std::chrono::milliseconds loadTime; ///< moving average of the time from an order until its weights are seen
     std::map<std::string, Deadline> confirmedKeys; ///< expiry by key written below mayStillAnswerPrefix
     bool leaderExists = true; ///< whether the leader key exists, as last observed; true until it is known
     bool isAcquiring = false;
--- a/tests/ForwardPartsTest.cpp
+++ b/tests/ForwardPartsTest.cpp
@@ -200,6 +200,19 @@
     cr_assert_eq(pool.choose()->target->registration.id, "e1");
 }
 
+Test(targetChooser, slowEnginesWithReplacedWeightsAreExcludedEarlier)
+{
+    Pool pool;
+    pool.directory.setWantedWeights({ "m", 2 }, pool.now);
+    pool.now += 10s;
+    for (const auto& [id, target] : pool.directory.targets()) {
+        if (id != "e3")
+            target->state->delayUs = 4000000;
+        target->state->delayAt = pool.now.time_since_epoch().count();
+    }
+    cr_assert_eq(pool.choose()->target->registration.id, "e3", "a request would begin too late at the others");
+}
+
 Test(targetChooser, weightsReplacedBeforeStartNeedConfirmationOrNoNewerEngine)
 {
     Pool pool;
--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -301,6 +301,31 @@
     cr_assert_eq(site.sendAndWait({ "s1", "/ask/x" }, holder == "entry-0" ? 1 : 0)->status, 200);
 }
 
+Test(forward, requestIsWithdrawnBeforeItBeginsOnExpiredWeights, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site;
+    site.publish({ forwardKey }, 12000);
+    site.startEntry(true, "forwarding: { weightsTime: 6s }\n");
+    runFor(4s); // until it holds the lease and may send orders
+    setAll(site.engines, { { "work_ms", 9000 } });
+    const auto once = site.send({ .id = "r1", .path = "/once/x", .deadlineMs = 12000 });
+    const auto resumable = site.send({ .id = "r2", .path = "/ask/x", .deadlineMs = 12000 });
+    runFor(300ms);
+    setAll(site.engines, { { "work_ms", 5 } });
+    site.setWantedWeights(2);
+    const auto replacedAt = Clock::now();
+    cr_assert(waitFor(once, 10s));
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - replacedAt);
+    cr_assert_eq(once->status, 502, "status %d", once->status);
+    cr_assert_eq(once->execution(), "unknown");
+    cr_assert_lt(took.count(), 6000, "withdrawn after %d ms", static_cast<int>(took.count()));
+    cr_assert_gt(took.count(), 1000, "withdrawn after %d ms", static_cast<int>(took.count()));
+    cr_assert(waitFor(resumable, 2s), "the other request continues at an engine with the new weights");
+    cr_assert_eq(resumable->status, 200);
+    cr_assert_eq(resumable->headers.valueOr("X-Dragonflyarch-Weight-Versions", ""), "2");
+}
+
 Test(forward, instanceStartedDuringRolloutServes)
 {
     const Application application;
--- a/tests/WeightsPartsTest.cpp
+++ b/tests/WeightsPartsTest.cpp
@@ -96,14 +96,14 @@
 Test(rolloutPlan, limitsParallelLoadsAndSpreadsThemOverDataCentres)
 {
     auto states = engines(9, 1);
-    const auto first = chooseNextLoads(states, 2, 0.2);
+    const auto first = chooseNextLoads(states, 2, 2);
     cr_assert_eq(first.size(), 2);
     states[0].isLoading = true;
     states[1].isLoading = true;
-    cr_assert(chooseNextLoads(states, 2, 0.2).empty());
+    cr_assert(chooseNextLoads(states, 2, 2).empty());
     states[1].isLoading = false;
     states[1].version = 2;
-    const auto next = chooseNextLoads(states, 2, 0.2);
+    const auto next = chooseNextLoads(states, 2, 2);
     cr_assert_eq(next.size(), 1);
     cr_assert_eq(next.front(), "e2", "the third data centre has neither a loading nor an updated engine");
 }
@@ -112,7 +112,17 @@
 {
     auto states = engines(9, 2);
     states[5].version = 1;
-    cr_assert_eq(chooseNextLoads(states, 3, 0.2).front(), "e5");
-    cr_assert(chooseNextLoads(engines(9, 3), 3, 0.2).empty());
-    cr_assert_eq(chooseNextLoads(engines(2, 1), 2, 0.2).size(), 1, "at least one engine");
+    cr_assert_eq(chooseNextLoads(states, 3, 2).front(), "e5");
+    cr_assert(chooseNextLoads(engines(9, 3), 3, 2).empty());
+}
+
+Test(rolloutPlan, loadsAsManyEnginesAsTheTimeOfReplacedWeightsNeeds)
+{
+    // Engines finish their running requests before they load.
+    cr_assert_eq(maxParallelLoads(9, { 0.2, 2800ms, 13s }), 2, "the configured share completes in time");
+    cr_assert_eq(maxParallelLoads(128, { 0.2, 2800ms, 18s }), 26);
+    cr_assert_eq(maxParallelLoads(12, { 0.2, 1400ms, 4s }), 4, "three rounds of loads fit into the time");
+    cr_assert_eq(maxParallelLoads(12, { 0.2, 6s, 4s }), 5, "the other engines have to serve");
+    cr_assert_eq(maxParallelLoads(12, { 0.2, 1400ms, 0s }), 2);
+    cr_assert_eq(maxParallelLoads(2, { 0.2, 1400ms, 4s }), 1, "at least one engine");
 }
