Do not renew the lease of an instance's record that is lost

Cause: after its record was removed an instance waits up to 1.5 s before it registers again, while the renewal timer went on and read the empty lease. A stop during a registration wrote the record after all, so peers queried an instance that was gone until its lease expired a minute later.

Change: the renewal timer stops with the record; a registration that ends after the stop is undone by ending its lease. The times of the registry are a parameter, so that tests need not wait for them.

Ruled out: nothing else reads the lease without a check. Figures: RelayTest instanceRegistry/renewalThatIsDueWhileTheRecordIsLostIsSkipped fails without the change (mutation lost-record-renewed).

--- a/src/relay/InstanceRegistry.cpp
+++ b/src/relay/InstanceRegistry.cpp
@@ -13,27 +13,17 @@
 namespace {
 
     constexpr std::chrono::milliseconds callTimeout { 1000 };
-    /// Time to live of an instance's record after the instance is lost. Peers detect a silent instance by themselves,
-    /// so a long value with rare renewals is enough.
-    constexpr std::chrono::seconds leaseTtl { 60 };
-    constexpr std::chrono::milliseconds renewalInterval { 20000 };
-    /// Spreads out the registrations of instances that start, or lose their records, at the same time.
-    constexpr std::chrono::milliseconds maxRegistrationJitter { 1500 };
     /// Added to the jitter after a failed registration or renewal.
     constexpr std::chrono::milliseconds retryBackoff { 1500 };
 
-    std::chrono::milliseconds randomJitter()
-    {
-        return std::chrono::milliseconds(
-            QRandomGenerator::global()->bounded(static_cast<int>(maxRegistrationJitter.count())));
-    }
-
 }
 
-InstanceRegistry::InstanceRegistry(store::WatchableStore& store, PeerRanking& ranking, observe::Metrics& metrics)
+InstanceRegistry::InstanceRegistry(
+    store::WatchableStore& store, PeerRanking& ranking, observe::Metrics& metrics, const RegistrationTimings& timings)
     : store(store)
     , ranking(ranking)
     , metrics(metrics)
+    , timings(timings)
 {
     for (auto* timer : { &this->registerTimer, &this->renewalTimer })
         timer->setSingleShot(true);
@@ -41,6 +31,12 @@
     connect(&this->renewalTimer, &QTimer::timeout, this, &InstanceRegistry::renewLease);
 }
 
+std::chrono::milliseconds InstanceRegistry::randomJitter() const
+{
+    return std::chrono::milliseconds(
+        QRandomGenerator::global()->bounded(static_cast<int>(this->timings.maxJitter.count()) + 1));
+}
+
 std::string InstanceRegistry::ownKey() const
 {
     return keyPrefix + this->ranking.own().instance;
@@ -48,7 +44,7 @@
 
 void InstanceRegistry::start()
 {
-    this->registerTimer.start(randomJitter());
+    this->registerTimer.start(this->randomJitter());
 }
 
 void InstanceRegistry::stop()
@@ -56,10 +52,14 @@
     this->isStopping = true;
     this->registerTimer.stop();
     this->renewalTimer.stop();
-    if (!this->lease)
-        return;
+    if (this->lease)
+        this->endLease(*this->lease);
+}
+
+void InstanceRegistry::endLease(int64_t ended)
+{
     this->metrics.platformCalls.Increment();
-    this->store.endLease(*this->lease, Clock::now() + callTimeout, [](const store::WriteResult&) {
+    this->store.endLease(ended, Clock::now() + callTimeout, [](const store::WriteResult&) {
         // The result does not matter: if the call fails, the record is removed when its lease expires.
     });
 }
@@ -70,7 +70,8 @@
         if (!exists && this->lease && !this->isRegistering && !this->isStopping) {
             logChange(LogLevel::Warning, "instance registration lost");
             this->lease.reset();
-            this->registerTimer.start(randomJitter());
+            this->renewalTimer.stop();
+            this->registerTimer.start(this->randomJitter());
         }
         return;
     }
@@ -106,12 +107,18 @@
     this->isRegistering = true;
     this->renewalTimer.stop();
     this->metrics.platformCalls.Increment();
-    this->store.grantLease(leaseTtl, Clock::now() + callTimeout, [this](const store::LeaseResult& result) {
-        if (const auto* granted = std::get_if<int64_t>(&result))
-            this->writeRecord(*granted);
-        else
-            this->scheduleRetry("lease request failed");
-    });
+    this->store.grantLease(
+        this->timings.leaseTtl, Clock::now() + callTimeout, [this](const store::LeaseResult& result) {
+            const auto* granted = std::get_if<int64_t>(&result);
+            if (this->isStopping) {
+                if (granted)
+                    this->endLease(*granted);
+            } else if (granted) {
+                this->writeRecord(*granted);
+            } else {
+                this->scheduleRetry("lease request failed");
+            }
+        });
 }
 
 void InstanceRegistry::writeRecord(int64_t granted)
@@ -119,13 +126,17 @@
     this->metrics.platformCalls.Increment();
     this->store.put(this->ownKey(), toRecord(this->ranking.own()).SerializeAsString(), granted,
         Clock::now() + callTimeout, [this, granted](const store::WriteResult& result) {
+            if (this->isStopping) {
+                this->endLease(granted); // the record was written after stop(), or may have been
+                return;
+            }
             if (!std::holds_alternative<Success>(result)) {
                 this->scheduleRetry("writing the record failed");
                 return;
             }
             this->isRegistering = false;
             this->lease = granted;
-            this->renewalTimer.start(renewalInterval);
+            this->renewalTimer.start(this->timings.renewalInterval);
             logChange(LogLevel::Info, "instance registered", { { "address", this->ranking.own().address } });
         });
 }
@@ -134,11 +145,13 @@
 {
     logChange(LogLevel::Warning, "instance registration failed", { { "reason", reason } });
     this->isRegistering = false;
-    this->registerTimer.start(retryBackoff + randomJitter());
+    this->registerTimer.start(retryBackoff + this->randomJitter());
 }
 
 void InstanceRegistry::renewLease()
 {
+    if (!this->lease)
+        return;
     this->metrics.platformCalls.Increment();
     this->store.renewLease(*this->lease, Clock::now() + callTimeout, [this](const store::LeaseResult& result) {
         if (this->isStopping || !this->lease)
@@ -148,7 +161,7 @@
         if (!isRenewed)
             logChange(LogLevel::Warning, "lease renewal of instance registration failed",
                 { { "lease", std::to_string(*this->lease) } });
-        this->renewalTimer.start(isRenewed ? renewalInterval : retryBackoff + randomJitter());
+        this->renewalTimer.start(isRenewed ? this->timings.renewalInterval : retryBackoff + this->randomJitter());
     });
 }
 
--- a/src/relay/InstanceRegistry.h
+++ b/src/relay/InstanceRegistry.h
@@ -11,13 +11,23 @@
 
 namespace dragonfly::relay {
 
+struct RegistrationTimings {
+    /// Time to live of an instance's record after the instance is lost. Peers detect a silent instance by themselves,
+    /// so a long value with rare renewals is enough.
+    std::chrono::seconds leaseTtl { 60 };
+    std::chrono::milliseconds renewalInterval { 20000 };
+    /// Spreads out the registrations of instances that start, or lose their records, at the same time.
+    std::chrono::milliseconds maxJitter { 1500 };
+};
+
 class InstanceRegistry : public QObject {
     Q_OBJECT
 public:
     /// Key prefix of all instance records; the instance's name follows it.
     static constexpr const char* keyPrefix = "dragonfly/instances/";
 
-    InstanceRegistry(store::WatchableStore& store, PeerRanking& ranking, observe::Metrics& metrics);
+    InstanceRegistry(store::WatchableStore& store, PeerRanking& ranking, observe::Metrics& metrics,
+        const RegistrationTimings& timings = {});
 
     /// Registers this instance, and registers it again whenever its record is lost.
     void start();
@@ -35,10 +45,13 @@
     void writeRecord(int64_t lease);
     void renewLease();
     void scheduleRetry(const char* reason);
+    void endLease(int64_t ended);
+    std::chrono::milliseconds randomJitter() const;
 
     store::WatchableStore& store;
     PeerRanking& ranking;
     observe::Metrics& metrics;
+    RegistrationTimings timings;
     std::optional<int64_t> lease; ///< lease of this instance's record; empty while it is not registered
     bool isRegistering = false;
     bool isStopping = false;
--- a/tests/RelayTest.cpp
+++ b/tests/RelayTest.cpp
@@ -84,6 +84,57 @@
     std::vector<std::function<void(store::CheckResult)>> checks;
 };
 
+/// A store for the registry of instances; calls stay pending until a test answers them.
+class FakeRegistryStore : public store::WatchableStore {
+public:
+    void grantLease(std::chrono::seconds, Deadline, std::function<void(store::LeaseResult)> done) override
+    {
+        this->grants.push_back(std::move(done));
+    }
+    void put(const std::string&, const std::string&, int64_t, Deadline,
+        std::function<void(store::WriteResult)> done) override
+    {
+        this->puts.push_back(std::move(done));
+    }
+    void renewLease(int64_t, Deadline, std::function<void(store::LeaseResult)> done) override
+    {
+        this->renewals.push_back(std::move(done));
+    }
+    void endLease(int64_t lease, Deadline, std::function<void(store::WriteResult)>) override
+    {
+        this->endedLeases.push_back(lease);
+    }
+    void read(const std::vector<store::ReadRequest>&, Deadline, std::function<void(store::ReadResult)>) override
+    {
+    }
+    void compareAndSwap(
+        const std::string&, int64_t, const std::string&, Deadline, std::function<void(store::SwapResult)>) override
+    {
+    }
+    void compareAndSwapLeased(const std::string&, int64_t, const std::string&, int64_t, Deadline,
+        std::function<void(store::LeasedSwapResult)>) override
+    {
+    }
+    void remove(const std::string&, Deadline, std::function<void(store::WriteResult)>) override
+    {
+    }
+    void readPage(const std::string&, const std::string&, Deadline, std::function<void(store::PageResult)>) override
+    {
+    }
+    void watch(
+        const std::string&, int64_t, Clock::time_point, Deadline, std::function<void(store::WatchResult)>) override
+    {
+    }
+    void checkRevision(const std::string&, int64_t, Deadline, std::function<void(store::CheckResult)>) override
+    {
+    }
+
+    std::vector<std::function<void(store::LeaseResult)>> grants;
+    std::vector<std::function<void(store::WriteResult)>> puts;
+    std::vector<std::function<void(store::LeaseResult)>> renewals;
+    std::vector<int64_t> endedLeases;
+};
+
 int argumentCount = 0;
 
 /// An instance of low capacity with two larger peers in its data centre and one in another.
@@ -513,6 +564,61 @@
     cr_assert_eq(formerAddresses.size(), 2);
 }
 
+Test(instanceRegistry, lostRecordIsWrittenAgainAndItsLeaseNotRenewed)
+{
+    Follower follower;
+    FakeRegistryStore store;
+    InstanceRegistry registry(store, follower.ranking, follower.metrics, { 60s, 30ms, 0ms });
+    registry.start();
+    cr_assert(waitUntil([&] { return store.grants.size() == 1; }, 1s));
+    store.grants.front()(int64_t { 7 });
+    store.puts.front()(Success {});
+    cr_assert(waitUntil([&] { return store.renewals.size() == 1; }, 1s));
+    store.renewals.front()(int64_t { 7 });
+    registry.onRecord({ InstanceRegistry::keyPrefix + follower.ranking.own().instance, {}, 9 }, false);
+    cr_assert(waitUntil([&] { return store.grants.size() == 2; }, 1s));
+    runFor(100ms);
+    cr_assert_eq(store.renewals.size(), 1, "the lease of the lost record is not renewed");
+    store.grants.back()(int64_t { 8 });
+    store.puts.back()(Success {});
+    cr_assert(waitUntil([&] { return store.renewals.size() == 2; }, 1s));
+}
+
+Test(instanceRegistry, renewalThatIsDueWhileTheRecordIsLostIsSkipped)
+{
+    Follower follower;
+    FakeRegistryStore store;
+    InstanceRegistry registry(store, follower.ranking, follower.metrics, { 60s, 30ms, 1500ms });
+    registry.start();
+    cr_assert(waitUntil([&] { return store.grants.size() == 1; }, 3s));
+    store.grants.front()(int64_t { 7 });
+    store.puts.front()(Success {});
+    // Registers again after a random delay of up to 1.5 s, while the renewal would be due after 30 ms.
+    registry.onRecord({ InstanceRegistry::keyPrefix + follower.ranking.own().instance, {}, 9 }, false);
+    cr_assert(waitUntil([&] { return store.grants.size() == 2; }, 3s));
+    cr_assert(store.renewals.empty());
+}
+
+Test(instanceRegistry, registrationInProgressIsUndoneOnStop)
+{
+    Follower follower;
+    for (const bool isWriting : { false, true }) {
+        FakeRegistryStore store;
+        InstanceRegistry registry(store, follower.ranking, follower.metrics, { 60s, 30ms, 0ms });
+        registry.start();
+        cr_assert(waitUntil([&] { return store.grants.size() == 1; }, 1s));
+        if (isWriting)
+            store.grants.front()(int64_t { 7 });
+        registry.stop();
+        if (isWriting)
+            store.puts.front()(store::StoreFailure::Unknown);
+        else
+            store.grants.front()(int64_t { 7 });
+        cr_assert_eq(store.puts.size(), isWriting ? 1 : 0);
+        cr_assert_eq(store.endedLeases, (std::vector<int64_t> { 7 }));
+    }
+}
+
 namespace {
 
 /// The instance that the others follow is cut off from the platform's service for nine seconds. All instances must
