Show that leaders take no turns before engines that check no fencing tokens

Cause: engines of the desk sites carry out an order with any fencing token, so only the time between leaders keeps their orders apart; no test showed that with real processes.

Change: the stand-in can ignore fencing tokens and records when orders came. Two tests replace the leader in a rollout that goes on: one freezes and thaws it, one drops the store's answers to it. No source changed.

Ruled out: a fault in the present code; both tests pass on it. Conclusion: shown for freezes and one-way cuts; orders held up on the way to an engine are not shown.

--- a/standins/target.cpp
+++ b/standins/target.cpp
@@ -3,10 +3,11 @@
 // It registers itself in the metadata store through the store's control interface. POST /control accepts
 // {"answer": "good" | "close" | "reset" | "error" | "busy" | "silent" | "foreign" | "unstamped" | "short" |
 // "close-in-stream"}, {"draining": bool}, {"work_ms": N}, {"load_ms": N}, {"events": N}, {"event_ms": N} and
-// {"replaced_by": id}. GET /control returns counts, the received orders and the last request.
+// {"replaced_by": id}, {"checks_fencing": bool}. GET /control returns counts, the received orders and the last request.
 
 #include "standins/Program.h"
 
+#include <QDateTime>
 #include <QJsonArray>
 #include <QTimer>
 #include <map>
@@ -183,8 +184,8 @@
     {
         const auto body = parseJson(exchange.request().body);
         const auto fencingToken = body["fencing_token"].toInteger();
-        this->orders.append(QJsonObject {
-            { "holder", body["holder"] }, { "fencing_token", body["fencing_token"] }, { "version", body["version"] } });
+        this->orders.append(QJsonObject { { "holder", body["holder"] }, { "fencing_token", body["fencing_token"] },
+            { "version", body["version"] }, { "at_ms", QDateTime::currentMSecsSinceEpoch() } });
         if (this->settings.checksFencing && fencingToken < this->highestFencingToken) {
             exchange.respond(412, {}, "");
             return;
@@ -212,6 +213,7 @@
             this->mode = body["answer"].toString().toStdString();
         if (body.contains("replaced_by"))
             this->replacedBy = body["replaced_by"].toString().toStdString();
+        this->settings.checksFencing = body["checks_fencing"].toBool(this->settings.checksFencing);
         this->workMs = body["work_ms"].toInt(this->workMs);
         this->events = body["events"].toInt(this->events);
         this->eventMs = body["event_ms"].toInt(this->eventMs);
--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -326,6 +326,83 @@
     cr_assert_eq(resumable->headers.valueOr("X-Dragonflyarch-Weight-Versions", ""), "2");
 }
 
+namespace {
+
+/// Checks that orders of two leaders to one engine are at least a lease apart, and that no token decreases. Engines
+/// that check no fencing tokens carry out every order, so nothing but the time between leaders protects them.
+void checkLeadersTakeNoTurns(const ForwardSite& site)
+{
+    constexpr qint64 leaseMs = 3000;
+    for (const auto& engine : site.engines) {
+        QJsonObject former;
+        const auto orders = control(engine->address())["orders"].toArray();
+        for (const auto& each : orders) {
+            const auto order = each.toObject();
+            const auto apart = order["at_ms"].toInteger() - former["at_ms"].toInteger();
+            cr_assert_geq(order["fencing_token"].toInteger(), former["fencing_token"].toInteger());
+            if (!former.isEmpty() && order["holder"] != former["holder"])
+                cr_assert_geq(apart, leaseMs, "orders of two leaders %d ms apart", static_cast<int>(apart));
+            former = order;
+        }
+    }
+}
+
+/// The first of two instances is the leader and loses touch with the store while it rolls out weights, so that the
+/// second one takes over. It is back before the rollout has ended.
+void checkLeaderChangeWithoutFencing(const std::function<void(Process& leader, const Endpoint& storeProxy)>& disrupt,
+    const std::function<void(Process& leader, const Endpoint& storeProxy)>& restore)
+{
+    const Application application;
+    ForwardSite site;
+    Process proxy("standin-proxy", { "--to", QString::fromStdString(site.store->address().toString()) }, "control");
+    auto& leader = site.startEntry(true, "", proxy.address());
+    cr_assert(waitUntil([&] { return site.controlStore({})["role"].toString() == "entry-0"; }, 5s));
+    site.startEntry();
+    runFor(4s); // until it may send orders
+    setAll(site.engines, { { "checks_fencing", false }, { "load_ms", 700 } });
+    site.setWantedWeights(2);
+    const auto orderCount = [&site] {
+        qsizetype count = 0;
+        for (const auto& engine : site.engines)
+            count += control(engine->address())["orders"].toArray().size();
+        return count;
+    };
+    cr_assert(waitUntil([&] { return orderCount() > 0; }, 3s));
+    disrupt(leader, proxy.address("control"));
+    for (int version = 3; version <= 8; ++version) {
+        runFor(1500ms);
+        site.setWantedWeights(version);
+        if (version == 6)
+            restore(leader, proxy.address("control"));
+    }
+    const auto allRun = [&site](int version) {
+        return std::all_of(site.engines.begin(), site.engines.end(),
+            [version](const auto& engine) { return control(engine->address())["version"].toInt() == version; });
+    };
+    cr_assert(waitUntil([&] { return allRun(8); }, 15s));
+    cr_assert_eq(site.controlStore({})["role"].toString(), "entry-1");
+    checkLeadersTakeNoTurns(site);
+}
+
+}
+
+Test(forward, thawedLeaderSendsNoOrdersToEnginesWithoutFencing, .timeout = 60)
+{
+    checkLeaderChangeWithoutFencing([](Process& leader, const Endpoint&) { leader.freeze(); },
+        [](Process& leader, const Endpoint&) { leader.thaw(); });
+}
+
+Test(forward, leaderWithoutAnswersOfTheStoreSendsNoOrdersToEnginesWithoutFencing, .timeout = 60)
+{
+    checkLeaderChangeWithoutFencing(
+        [](Process&, const Endpoint& storeProxy) {
+            control(storeProxy, { { "mode", "drop-answers" } });
+        },
+        [](Process&, const Endpoint& storeProxy) {
+            control(storeProxy, { { "mode", "pass" } });
+        });
+}
+
 Test(forward, instanceStartedDuringRolloutServes)
 {
     const Application application;
