Let requests of restarted instances wait at engines whose weights are confirmed

Cause: found when reading the withdrawal of requests again. An instance that started after a replacement does not know its time, so it withdrew each request that an engine had not begun 1.6 s after it was sent, although the engine's weights might answer for many seconds more. Callers of requests that run at most once lost them.

Change: such a request waits while another instance's confirmation lasts, and is withdrawn shortly after the confirmation ends. The end of a confirmation is announced like a change of weights.

Ruled out: no limit at all, which is what let requests begin on expired weights. Figures: ForwardTest forward/instanceStartedDuringRolloutServes with engines that take 2.3 s gets an error on the former code and 200 now.

--- a/src/directory/Directory.cpp
+++ b/src/directory/Directory.cpp
@@ -118,8 +118,8 @@
 {
     if (mayStillAnswer)
         this->confirmedReplacedVersions[model].insert(version);
-    else
-        this->confirmedReplacedVersions[model].erase(version);
+    else if (this->confirmedReplacedVersions[model].erase(version) && this->onWeightsChanged)
+        this->onWeightsChanged();
 }
 
 bool Directory::isReplacedVersionConfirmed(const std::string& model, uint64_t version) const
--- a/src/directory/Directory.h
+++ b/src/directory/Directory.h
@@ -61,7 +61,8 @@
     }
 
     std::function<void()> onRoutesChanged; ///< called when a configuration comes into force
-    std::function<void()> onWeightsChanged; ///< called when wanted weights or those of a target change
+    /// Called when wanted weights or those of a target change, or when the confirmation of a replaced version ends.
+    std::function<void()> onWeightsChanged;
 
 private:
     RouteTablePointer table;
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -166,6 +166,12 @@
     return this->attempt && this->attempt->choice.weightsVersion && !this->attempt->head.status;
 }
 
+bool ForwardCall::isConfirmed() const
+{
+    return this->context.directory.isReplacedVersionConfirmed(
+        this->request.metadata.model, this->attempt->choice.weightsVersion);
+}
+
 /// When an engine must have begun to answer, because its weights were replaced and may not answer for longer.
 Deadline ForwardCall::beginDeadline() const
 {
@@ -173,16 +179,22 @@
     const auto replacedAt = directory.replacedAt(this->request.metadata.model, this->attempt->choice.weightsVersion);
     if (!replacedAt)
         return Deadline::max();
-    // For a replacement before this instance started, the choice of the target included the margin for waiting.
-    const auto end = *replacedAt == Clock::time_point() ? this->attempt->sentAt + directory::replacedWeightsMargin
-                                                        : *replacedAt + this->context.settings.replacedWeightsTtl;
-    return end - withdrawalMargin;
+    if (*replacedAt != Clock::time_point())
+        return *replacedAt + this->context.settings.replacedWeightsTtl - withdrawalMargin;
+    // The time of a replacement before this instance started is unknown, but a confirmation by another instance ends
+    // a margin before the weights may no longer answer. Learning of that end takes up to half of the margin.
+    const auto confirmationEndedAt = this->attempt->confirmationEndedAt;
+    return confirmationEndedAt ? *confirmationEndedAt + directory::replacedWeightsMargin / 2 - withdrawalMargin
+                               : Deadline::max();
 }
 
 void ForwardCall::onWeightsChanged()
 {
-    if (this->isAwaitingEngine() && this->attempt->call)
-        this->attempt->call->setDeadline(this->progressDeadline());
+    if (!this->isAwaitingEngine() || !this->attempt->call)
+        return;
+    if (this->attempt->isConfirmed && !this->attempt->confirmationEndedAt && !this->isConfirmed())
+        this->attempt->confirmationEndedAt = Clock::now();
+    this->attempt->call->setDeadline(this->progressDeadline());
 }
 
 /// When the attempt is abandoned for a retry; the request's own deadline if no retry is allowed.
@@ -219,8 +231,10 @@
     const auto endpoint = registration.endpoint;
     this->attempt->choice = std::move(choice);
     ++this->runs;
-    if (this->isAwaitingEngine())
+    if (this->isAwaitingEngine()) {
+        this->attempt->isConfirmed = this->isConfirmed();
         this->context.awaitingEngines.insert(this);
+    }
     http::CallOptions options { now + connectTimeout, this->progressDeadline() };
     if (!this->isRepeatable())
         options.minIdleSince = now - (this->isStream() ? maxIdleTimeForStreams : maxIdleTime);
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -43,6 +43,8 @@
         http::ResponseHead head;
         AnswerMetadata answerMetadata;
         std::string body;
+        bool isConfirmed = false; ///< another instance confirmed that its replaced weights may still answer
+        std::optional<Clock::time_point> confirmationEndedAt;
         std::optional<std::chrono::milliseconds> firstEventAfter; ///< unset before a stream's first event
     };
 
@@ -53,6 +55,7 @@
     Deadline responseDeadline() const;
     Deadline beginDeadline() const;
     bool isAwaitingEngine() const;
+    bool isConfirmed() const;
     Dispatch dispatchFor(const TargetChoice& choice) const;
 
     void onHead(const http::ResponseHead& head);
--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -407,6 +407,7 @@
 {
     const Application application;
     ForwardSite site;
+    site.publish({ forwardKey }, 4000);
     site.startEntry();
     runFor(4s); // until it holds the lease and may send orders
     setAll(site.engines, { { "load_ms", 6000 } });
@@ -420,6 +421,9 @@
         3s));
     site.startEntry();
     cr_assert_eq(site.sendAndWait({ "s1", "/ask/x" }, 1)->status, 200);
+    // The new instance does not know when the weights were replaced, but not so long ago that it may not wait.
+    setAll(site.engines, { { "work_ms", 2300 } });
+    cr_assert_eq(site.sendAndWait({ .id = "s2", .path = "/once/x", .deadlineMs = 4000 }, 1)->status, 200);
 }
 
 Test(forward, gracefulStopCompletesRequestsInFlight)
