Add tests of the time of a replacement of weights, which fail

Cause: an engine with replaced weights may begin requests for a limited time after the replacement. The instance takes the time of the replacement from when it processed the answer before the one that reports the change, which is meant as a lower bound and is none.

Ruled out: the queue of the engine as the only cause; no request of the third test waits at an engine.

--- a/tests/DirectoryTest.cpp
+++ b/tests/DirectoryTest.cpp
@@ -76,6 +76,8 @@
     int failEveryNthPage = 0; ///< fails every n-th page request; 0: none
     int pageRequests = 0;
     Clock::time_point bridgedOutageEnd; ///< reported by lastOutageEnd()
+    std::chrono::milliseconds answerDelay { 1 }; ///< from a call's execution until its answer arrives
+    std::function<void()> onPageRead; ///< called after a page was read, before its answer arrives
 
     void readPage(const std::string& prefix, const std::string& after, Deadline,
         std::function<void(store::PageResult)> done) override
@@ -95,6 +97,8 @@
                 break;
             page.pairs.push_back({ key, record.value, record.revision });
         }
+        if (this->onPageRead)
+            this->onPageRead();
         this->answer<store::PageResult>(std::move(page), std::move(done));
     }
 
@@ -168,7 +172,7 @@
     {
         if (this->isDown)
             outcome = store::StoreFailure::NotExecuted;
-        QTimer::singleShot(1ms, &this->loop, [outcome, done] { done(outcome); });
+        QTimer::singleShot(this->answerDelay, &this->loop, [outcome, done] { done(outcome); });
     }
 
     std::map<std::string, Record> records;
@@ -386,3 +390,37 @@
     // Ten pages of targets, one of the configuration and one of weights, plus as many failed requests.
     cr_assert_leq(fixture.store.pageRequests, 24);
 }
+
+Test(directorySync, replacementIsNotTakenForLaterThanItWasWhenAnswersAreDelayed)
+{
+    Fixture fixture;
+    fixture.start();
+    fixture.store.answerDelay = 700ms;
+    fixture.store.set("targets/a", "draining"); // its answer is on the way when the weights are replaced
+    runFor(300ms);
+    fixture.store.set("weights/m", "2");
+    const auto replacedAt = Clock::now();
+    cr_assert(waitUntil([&] { return fixture.directory.wantedWeights("m") == 2; }, 5s));
+    cr_assert_leq(fixture.directory.replacedAt("m", 1).value(), replacedAt);
+}
+
+Test(directorySync, replacementIsNotTakenForLaterThanItWasAfterASlowFirstRead)
+{
+    Fixture fixture;
+    fixture.store.set("config", "4");
+    fixture.store.set("weights/m", "1");
+    for (int i = 0; i < 6; ++i)
+        fixture.store.set("targets/t" + std::to_string(i), "ready");
+    fixture.store.answerDelay = 300ms;
+    Clock::time_point replacedAt;
+    fixture.store.onPageRead = [&] {
+        const bool isWeightsRead = fixture.directory.wantedWeights("m") == 1;
+        if (isWeightsRead && replacedAt == Clock::time_point()) {
+            replacedAt = Clock::now();
+            fixture.store.set("weights/m", "2");
+        }
+    };
+    fixture.sync.start();
+    cr_assert(waitUntil([&] { return fixture.directory.wantedWeights("m") == 2; }, 5s));
+    cr_assert_leq(fixture.directory.replacedAt("m", 1).value(), replacedAt);
+}
--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -326,6 +326,28 @@
     cr_assert_eq(resumable->headers.valueOr("X-Dragonflyarch-Weight-Versions", ""), "2");
 }
 
+Test(forward, replacedWeightsExpireInTimeAfterAFreeze, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site;
+    auto& entry = site.startEntry(true, "forwarding: { weightsTime: 6s }\n");
+    setAll(site.engines, { { "load_ms", 60000 } });
+    entry.freeze();
+    runFor(2500ms); // until the watch in progress has ended, so that its answer waits for the instance
+    site.setWantedWeights(2);
+    const auto replacedAt = Clock::now();
+    runFor(4s);
+    entry.thaw();
+    while (Clock::now() < replacedAt + 6100ms)
+        runFor(50ms);
+    cr_assert_eq(site.sendAndWait({ "r1", "/book/x" })->status, 200, "the instance serves again");
+    for (int i = 0; i < 10; ++i) {
+        const auto answer = site.sendAndWait({ "s" + std::to_string(i), "/once/x" });
+        cr_assert_neq(answer->status, 200, "answered with weights that were replaced too long ago");
+        runFor(200ms);
+    }
+}
+
 namespace {
 
 /// Checks that orders of two leaders to one engine are at least a lease apart, and that no token decreases. Engines
