Log for how long requested weights have been replaced

Cause: the logs name the version that was requested from an engine, but not when the instance takes it to have been replaced. A request that waited too long cannot be told from one that was sent with a wrong time.

Change: the line of a request says for each attempt how long before it the weights were replaced, and "wanted weights changed" says how long ago they were named at most (max_age_ms).

Ruled out: a metric; the question is asked about single requests. Conclusion: with these fields the two causes differ in one line of the log.

--- a/src/directory/Directory.cpp
+++ b/src/directory/Directory.cpp
@@ -135,8 +135,11 @@
         return;
     version = weights.version;
     this->wantedSince[weights.model].emplace(weights.version, since);
+    const bool isTimeKnown = since != Clock::time_point();
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - since);
     logChange(LogLevel::Info, "wanted weights changed",
-        { { "model", weights.model }, { "version", std::to_string(weights.version) } });
+        { { "model", weights.model }, { "version", std::to_string(weights.version) },
+            { "max_age_ms", isTimeKnown ? std::to_string(age.count()) : "unknown" } });
     if (this->onWeightsChanged)
         this->onWeightsChanged();
 }
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -188,6 +188,19 @@
                                : Deadline::max();
 }
 
+/// The version, and for replaced weights how long ago this instance takes them to have been replaced.
+std::string ForwardCall::describeWeights(uint64_t version) const
+{
+    const auto replacedAt = this->context.directory.replacedAt(this->request.metadata.model, version);
+    const auto text = std::to_string(version);
+    if (!version || !replacedAt)
+        return text;
+    if (*replacedAt == Clock::time_point())
+        return text + " replaced before the start";
+    const auto age = std::chrono::duration_cast<milliseconds>(Clock::now() - *replacedAt);
+    return text + " replaced " + std::to_string(age.count()) + " ms ago";
+}
+
 void ForwardCall::onWeightsChanged()
 {
     if (!this->isAwaitingEngine() || !this->attempt->call)
@@ -228,6 +241,7 @@
     this->attempt = Attempt {};
     this->attempt->load = entry::TargetLoad(choice.target->state, uncachedTokens);
     this->attempt->sentAt = now;
+    this->attempt->weights = this->describeWeights(choice.weightsVersion);
     const auto endpoint = registration.endpoint;
     this->attempt->choice = std::move(choice);
     ++this->runs;
@@ -480,7 +494,7 @@
         this->attemptLog += ';';
     this->attemptLog += choice.target->registration.id + " ("
         + std::string(routing::toString(choice.policyChoice.reason)) + ", " + std::to_string(choice.candidates)
-        + " candidates, weights " + std::to_string(choice.weightsVersion) + ", cached "
+        + " candidates, weights " + this->attempt->weights + ", cached "
         + std::to_string(choice.policyChoice.cachedTokens) + "/" + std::to_string(this->request.metadata.promptTokens)
         + (choice.fetchCacheFrom ? ", fetched" : "") + ", "
         + (firstEvent ? "first event after " + std::to_string(firstEvent->count()) + " of " : "")
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -40,6 +40,7 @@
         std::optional<http::Call> call;
         entry::TargetLoad load;
         Clock::time_point sentAt;
+        std::string weights; ///< description of the requested weights for the log line of the request
         http::ResponseHead head;
         AnswerMetadata answerMetadata;
         std::string body;
@@ -56,6 +57,7 @@
     Deadline beginDeadline() const;
     bool isAwaitingEngine() const;
     bool isConfirmed() const;
+    std::string describeWeights(uint64_t version) const;
     Dispatch dispatchFor(const TargetChoice& choice) const;
 
     void onHead(const http::ResponseHead& head);
