Let the time of replaced weights include suspensions of the machine

Cause: the time for which replaced weights may still answer was measured on the steady clock, which stops while a machine is suspended. After a suspension of some seconds an instance sent requests to engines with weights that had expired for as long. Freshness proofs and the leader's lease use the boot clock for the same reason.

Change: the time of a replacement is a time of the boot clock, in the directory, in the choice of a target, in the leader's confirmations and in the deadline until which a request may wait at an engine. Timers run on the steady clock, so an instance looks for a suspension every 250 ms, logs it and renews these deadlines.

Ruled out: the same fault for freshness proofs and leases (they use the boot clock); for the deadlines of requests, which the caller counts too and the engine gets as what is left when it is sent. Conclusion: one of the causes by which the age of a replacement is underestimated.

--- a/src/base/BootClock.h
+++ b/src/base/BootClock.h
@@ -4,6 +4,8 @@
 // Use it for the expiry of leases and proofs: other processes may take decisions while this machine is
 // suspended, and the steady clock does not advance during that time.
 
+#include "base/Time.h"
+
 #include <chrono>
 #include <ctime>
 
@@ -24,4 +26,18 @@
     }
 };
 
+/// The steady clock's deadline for @p time, not before it. Later than @p time by as long as the machine is suspended
+/// meanwhile.
+inline Deadline toDeadline(BootClock::time_point time)
+{
+    const auto left = time - BootClock::now();
+    return Clock::now() + std::chrono::ceil<Clock::duration>(left);
+}
+
+/// For how long the machine has been suspended since it was started.
+inline std::chrono::nanoseconds suspendedTime()
+{
+    return BootClock::now().time_since_epoch() - Clock::now().time_since_epoch();
+}
+
 }
--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -20,6 +20,12 @@
     /// How often the settings file is checked for a change that no SIGHUP announced.
     constexpr std::chrono::milliseconds settingsCheckInterval { 5000 };
 
+    /// How often a suspension of the machine is looked for, which delays the deadlines of the steady clock. Shorter
+    /// than the margin by which requests are withdrawn before their weights expire.
+    constexpr std::chrono::milliseconds suspensionCheckInterval { 250 };
+    /// The two clocks are not read at the same moment; the process may lose the processor in between.
+    constexpr std::chrono::milliseconds minSuspension { 20 };
+
     QString toQString(const std::string& value)
     {
         return QString::fromStdString(value);
@@ -68,7 +74,7 @@
             { "proof_validity_ms", std::to_string(this->settings.forwarding.proofValidity.count()) } });
     this->directory.onRoutesChanged = [this] { this->applyRoutes(); };
     this->directory.onWeightsChanged = [this] {
-        this->forwarder.onWeightsChanged();
+        this->forwarder.updateBeginDeadlines();
         this->rollout.scheduleRollout();
     };
     this->sync.followedPrefix = ownKeyPrefix;
@@ -98,6 +104,9 @@
     this->settingsModifiedAt = QFileInfo(toQString(this->settings.file)).lastModified();
     connect(&this->settingsTimer, &QTimer::timeout, this, &ForwardingDaemon::reloadIfChanged);
     this->settingsTimer.start(settingsCheckInterval);
+    this->observedSuspension = suspendedTime();
+    connect(&this->suspensionTimer, &QTimer::timeout, this, &ForwardingDaemon::checkSuspension);
+    this->suspensionTimer.start(suspensionCheckInterval);
     this->sync.start();
     this->registry.start();
     const auto listening = std::get<Endpoint>(listened).toString();
@@ -217,6 +226,17 @@
     return QJsonDocument(status).toJson(QJsonDocument::Compact);
 }
 
+void ForwardingDaemon::checkSuspension()
+{
+    const auto suspension = suspendedTime() - this->observedSuspension;
+    if (suspension < minSuspension)
+        return;
+    this->observedSuspension += suspension;
+    const auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(suspension);
+    logChange(LogLevel::Warning, "machine was suspended", { { "duration_ms", std::to_string(duration.count()) } });
+    this->forwarder.updateBeginDeadlines();
+}
+
 void ForwardingDaemon::reloadIfChanged()
 {
     if (QFileInfo(toQString(this->settings.file)).lastModified() != this->settingsModifiedAt)
--- a/src/daemon/ForwardingDaemon.h
+++ b/src/daemon/ForwardingDaemon.h
@@ -53,6 +53,7 @@
     void waitForRequests(Deadline deadline);
     void stop();
     void reloadIfChanged();
+    void checkSuspension();
 
     Settings settings;
     observe::Metrics metrics;
@@ -75,6 +76,8 @@
     http::Server server;
     QHttpServer admin;
     QTimer settingsTimer;
+    QTimer suspensionTimer;
+    std::chrono::nanoseconds observedSuspension { 0 }; ///< suspendedTime() when the deadlines were last updated
     QDateTime settingsModifiedAt; ///< modification time of the settings file when it was last read
     Phase phase = Phase::Serving;
     bool wasReady = false;
--- a/src/directory/Directory.cpp
+++ b/src/directory/Directory.cpp
@@ -103,7 +103,7 @@
     return found == this->wanted.end() ? 0 : found->second;
 }
 
-std::optional<Clock::time_point> Directory::replacedAt(const std::string& model, uint64_t version) const
+std::optional<BootClock::time_point> Directory::replacedAt(const std::string& model, uint64_t version) const
 {
     const auto versions = this->wantedSince.find(model);
     if (versions == this->wantedSince.end())
@@ -128,15 +128,15 @@
     return versions != this->confirmedReplacedVersions.end() && versions->second.contains(version);
 }
 
-void Directory::setWantedWeights(const WantedWeights& weights, Clock::time_point since)
+void Directory::setWantedWeights(const WantedWeights& weights, BootClock::time_point since)
 {
     auto& version = this->wanted[weights.model];
     if (weights.version <= version)
         return;
     version = weights.version;
     this->wantedSince[weights.model].emplace(weights.version, since);
-    const bool isTimeKnown = since != Clock::time_point();
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - since);
+    const bool isTimeKnown = since != BootClock::time_point();
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - since);
     logChange(LogLevel::Info, "wanted weights changed",
         { { "model", weights.model }, { "version", std::to_string(weights.version) },
             { "max_age_ms", isTimeKnown ? std::to_string(age.count()) : "unknown" } });
--- a/src/directory/Directory.h
+++ b/src/directory/Directory.h
@@ -48,9 +48,9 @@
     uint64_t wantedWeights(const std::string& model) const;
     /// Lower bound of the time at which a higher version replaced @p version; nullopt if none did, and the epoch if
     /// that happened before this instance started.
-    std::optional<Clock::time_point> replacedAt(const std::string& model, uint64_t version) const;
+    std::optional<BootClock::time_point> replacedAt(const std::string& model, uint64_t version) const;
     /// @param since lower bound of the moment from which the version is wanted; the epoch if unknown
-    void setWantedWeights(const WantedWeights& weights, Clock::time_point since);
+    void setWantedWeights(const WantedWeights& weights, BootClock::time_point since);
     /// Records whether another instance confirms that @p version was replaced recently enough to still answer. Used
     /// by instances that started after the replacement and do not know its time.
     void confirmReplacedVersion(const std::string& model, uint64_t version, bool mayStillAnswer);
@@ -69,7 +69,7 @@
     std::map<std::string, TargetPointer> byId;
     std::map<std::string, uint64_t> wanted;
     /// Since when each version is wanted, by model; the epoch for versions from before this instance started.
-    std::map<std::string, std::map<uint64_t, Clock::time_point>> wantedSince;
+    std::map<std::string, std::map<uint64_t, BootClock::time_point>> wantedSince;
     std::map<std::string, std::set<uint64_t>> confirmedReplacedVersions; ///< by model
 };
 
--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -158,7 +158,7 @@
     if (this->onWholeRead)
         this->onWholeRead();
     this->watchedRevision = this->readRevision;
-    this->upToDateAt = Clock::now();
+    this->upToDateAt = BootClock::now();
     this->notifyProgress();
     this->watch();
     this->scheduleRevisionCheck();
@@ -191,7 +191,7 @@
     }
     for (const auto& change : changes->changes)
         this->applyChange(change, this->upToDateAt);
-    this->upToDateAt = Clock::now();
+    this->upToDateAt = BootClock::now();
     this->watchedRevision = std::max(this->watchedRevision, changes->revision);
     this->history.advance(this->watchedRevision);
     if (!changes->changes.empty())
@@ -257,7 +257,7 @@
         answered ? revisionCheckInterval : revisionCheckRetryDelay + jitter(revisionCheckRetryDelay));
 }
 
-void DirectorySync::applyChange(const store::Change& change, Clock::time_point changedAt)
+void DirectorySync::applyChange(const store::Change& change, BootClock::time_point changedAt)
 {
     const auto& key = change.pair.key;
     this->history.record(change);
@@ -341,7 +341,7 @@
         this->onFollowedRecord(record, exists);
 }
 
-void DirectorySync::applyWeights(const store::KeyValue& pair, Clock::time_point changedAt)
+void DirectorySync::applyWeights(const store::KeyValue& pair, BootClock::time_point changedAt)
 {
     const auto decoded = this->decoder.decodeWeights(pair.key, pair.value);
     if (const auto* error = errorOf(decoded))
@@ -390,7 +390,7 @@
     if (succeeded == this->reachable)
         return;
     this->reachable = succeeded;
-    const bool isRecovered = succeeded && this->upToDateAt != Clock::time_point();
+    const bool isRecovered = succeeded && this->upToDateAt != BootClock::time_point();
     if (isRecovered)
         this->gracePeriodEnd = Clock::now() + registrationGracePeriod;
     logChange(succeeded ? LogLevel::Info : LogLevel::Warning,
--- a/src/directory/DirectorySync.h
+++ b/src/directory/DirectorySync.h
@@ -82,11 +82,11 @@
     void onRevisionChecked(const store::CheckResult& result, BootClock::time_point queriedAt);
 
     /// @param changedAt lower bound of the time of the change; the epoch if unknown
-    void applyChange(const store::Change& change, Clock::time_point changedAt);
+    void applyChange(const store::Change& change, BootClock::time_point changedAt);
     void applyDeployment(const store::KeyValue& pair, BootClock::time_point readAt);
     void applyTarget(const store::Change& change);
     void applyFollowed(const store::KeyValue& record, bool exists);
-    void applyWeights(const store::KeyValue& pair, Clock::time_point changedAt);
+    void applyWeights(const store::KeyValue& pair, BootClock::time_point changedAt);
     Deadline gracePeriodDeadline() const;
     void removeAbsentTargets();
     void scheduleAbsentTargetRemoval();
@@ -112,7 +112,7 @@
     std::optional<std::pair<store::KeyValue, BootClock::time_point>> readDeployment;
     std::set<std::string> listed; ///< keys returned by the current whole read
     std::set<std::string> followed; ///< existing keys below followedPrefix
-    Clock::time_point upToDateAt; ///< all changes made before are applied; the epoch before the first whole read
+    BootClock::time_point upToDateAt; ///< all changes made before are applied; the epoch before the first whole read
     int64_t watchedRevision = 0; ///< all changes up to this revision are applied
     Clock::time_point nextWatchAt; ///< earliest start of the next watch, so that one answer collects several changes
     int64_t deploymentRevision = 0; ///< revision of the deployment record in force; 0: none
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -119,7 +119,7 @@
     const ChoiceQuery query { this->context.directory, *this->request.routes, *this->request.route,
         this->request.metadata, this->request.organisation, this->context.settings.place,
         this->context.settings.regions, this->context.prefixIndex, this->triedTargets,
-        this->context.settings.replacedWeightsTtl, QRandomGenerator::global()->generate64(), now };
+        this->context.settings.replacedWeightsTtl, QRandomGenerator::global()->generate64(), now, BootClock::now() };
     auto choice = chooseTarget(this->context.settings.policy, query);
     if (!choice) {
         this->fail({ ErrorKind::NoTarget, "no usable target for this request", this->execution(), retryAfterRefusal });
@@ -179,13 +179,14 @@
     const auto replacedAt = directory.replacedAt(this->request.metadata.model, this->attempt->choice.weightsVersion);
     if (!replacedAt)
         return Deadline::max();
-    if (*replacedAt != Clock::time_point())
-        return *replacedAt + this->context.settings.replacedWeightsTtl - withdrawalMargin;
+    if (*replacedAt != BootClock::time_point())
+        return toDeadline(*replacedAt + this->context.settings.replacedWeightsTtl - withdrawalMargin);
     // The time of a replacement before this instance started is unknown, but a confirmation by another instance ends
     // a margin before the weights may no longer answer. Learning of that end takes up to half of the margin.
     const auto confirmationEndedAt = this->attempt->confirmationEndedAt;
-    return confirmationEndedAt ? *confirmationEndedAt + directory::replacedWeightsMargin / 2 - withdrawalMargin
-                               : Deadline::max();
+    if (!confirmationEndedAt)
+        return Deadline::max();
+    return toDeadline(*confirmationEndedAt + directory::replacedWeightsMargin / 2 - withdrawalMargin);
 }
 
 /// The version, and for replaced weights how long ago this instance takes them to have been replaced.
@@ -195,18 +196,18 @@
     const auto text = std::to_string(version);
     if (!version || !replacedAt)
         return text;
-    if (*replacedAt == Clock::time_point())
+    if (*replacedAt == BootClock::time_point())
         return text + " replaced before the start";
-    const auto age = std::chrono::duration_cast<milliseconds>(Clock::now() - *replacedAt);
+    const auto age = std::chrono::duration_cast<milliseconds>(BootClock::now() - *replacedAt);
     return text + " replaced " + std::to_string(age.count()) + " ms ago";
 }
 
-void ForwardCall::onWeightsChanged()
+void ForwardCall::updateBeginDeadline()
 {
     if (!this->isAwaitingEngine() || !this->attempt->call)
         return;
     if (this->attempt->isConfirmed && !this->attempt->confirmationEndedAt && !this->isConfirmed())
-        this->attempt->confirmationEndedAt = Clock::now();
+        this->attempt->confirmationEndedAt = BootClock::now();
     this->attempt->call->setDeadline(this->progressDeadline());
 }
 
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -32,7 +32,7 @@
     /// Starts the first attempt. The callbacks of an attempt keep the object alive until the request has ended.
     void start();
     /// Limits the wait for the engine to begin if its weights have been replaced since the request was sent.
-    void onWeightsChanged();
+    void updateBeginDeadline();
 
 private:
     struct Attempt {
@@ -45,7 +45,7 @@
         AnswerMetadata answerMetadata;
         std::string body;
         bool isConfirmed = false; ///< another instance confirmed that its replaced weights may still answer
-        std::optional<Clock::time_point> confirmationEndedAt;
+        std::optional<BootClock::time_point> confirmationEndedAt;
         std::optional<std::chrono::milliseconds> firstEventAfter; ///< unset before a stream's first event
     };
 
--- a/src/forward/Forwarder.cpp
+++ b/src/forward/Forwarder.cpp
@@ -65,10 +65,10 @@
     std::make_shared<ForwardCall>(this->context, std::move(request))->start();
 }
 
-void Forwarder::onWeightsChanged()
+void Forwarder::updateBeginDeadlines()
 {
     for (auto* call : this->context.awaitingEngines)
-        call->onWeightsChanged();
+        call->updateBeginDeadline();
 }
 
 void Forwarder::refuse(const http::ExchangePointer& exchange, const RequestMetadata& metadata, const Error& error)
--- a/src/forward/Forwarder.h
+++ b/src/forward/Forwarder.h
@@ -14,8 +14,8 @@
 
     /// Forwards the request of @p exchange, or answers it with an error.
     void handle(const http::ExchangePointer& exchange);
-    /// To be called when the wanted weights or those of a target have changed.
-    void onWeightsChanged();
+    /// To be called when the wanted weights or those of a target have changed, or when the machine was suspended.
+    void updateBeginDeadlines();
 
 private:
     /// Sets the organisation of @p request from its API key; an error when the key is unknown or cannot be verified.
--- a/src/forward/TargetChooser.cpp
+++ b/src/forward/TargetChooser.cpp
@@ -139,10 +139,11 @@
         const auto& model = query.metadata.model;
         if (!version || version >= query.directory.wantedWeights(model))
             return std::chrono::nanoseconds(0);
-        const auto age = query.now - *query.directory.replacedAt(model, version);
+        const auto age = query.bootNow - *query.directory.replacedAt(model, version);
         if (age < staleWeightsGracePeriod)
             return std::chrono::nanoseconds(0);
-        return initialStaleSurcharge + std::min<Clock::duration>(age, query.replacedWeightsTtl) / staleSurchargeDivisor;
+        return initialStaleSurcharge
+            + std::min<BootClock::duration>(age, query.replacedWeightsTtl) / staleSurchargeDivisor;
     }
 
     /// Whether weights of @p version may still answer, which ends some time after their replacement. A margin covers
@@ -153,9 +154,9 @@
         const auto replacedAt = query.directory.replacedAt(query.metadata.model, version);
         if (!replacedAt)
             return true;
-        const bool isTimeKnown = *replacedAt != Clock::time_point();
+        const bool isTimeKnown = *replacedAt != BootClock::time_point();
         if (isTimeKnown)
-            return query.now - *replacedAt + expectedDelay
+            return query.bootNow - *replacedAt + expectedDelay
                 < query.replacedWeightsTtl - directory::replacedWeightsMargin;
         // The time of a replacement before this instance started is unknown. Such weights may answer only if no engine
         // runs newer ones, or if another instance confirms that they may.
--- a/src/forward/TargetChooser.h
+++ b/src/forward/TargetChooser.h
@@ -21,6 +21,7 @@
     std::chrono::milliseconds replacedWeightsTtl { 0 }; ///< how long replaced weights may still answer
     uint64_t random = 0; ///< a new random number for each attempt
     Clock::time_point now;
+    BootClock::time_point bootNow; ///< the same moment; ages of weights include suspensions of the machine
 };
 
 /// The selected target and the metadata of the attempt.
--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -72,12 +72,12 @@
 
 void WeightsRollout::confirmReplacedWeights()
 {
-    const auto now = Clock::now();
+    const auto now = BootClock::now();
     std::erase_if(this->confirmedKeys, [now](const auto& entry) { return entry.second <= now; });
     for (const auto& [id, target] : this->directory.targets()) {
         for (const auto& [model, version] : target->registration.weights) {
             const auto replacedAt = this->directory.replacedAt(model, version);
-            if (!replacedAt || *replacedAt == Clock::time_point())
+            if (!replacedAt || *replacedAt == BootClock::time_point())
                 continue;
             const auto end = *replacedAt + this->settings.replacedWeightsGracePeriod - directory::replacedWeightsMargin;
             // Rounded down, because the key must not exist longer than the weights may answer.
@@ -91,7 +91,7 @@
 void WeightsRollout::confirmMayStillAnswer(const std::string& model, uint64_t version, std::chrono::seconds timeToLive)
 {
     const auto key = std::string(mayStillAnswerPrefix) + model + "/" + std::to_string(version);
-    if (!this->confirmedKeys.emplace(key, Clock::now() + timeToLive).second)
+    if (!this->confirmedKeys.emplace(key, BootClock::now() + timeToLive).second)
         return;
     this->metrics.platformCalls.Increment();
     this->store.grantLease(timeToLive, Clock::now() + callTimeout, [this, key](const store::LeaseResult& result) {
--- a/src/weights/WeightsRollout.h
+++ b/src/weights/WeightsRollout.h
@@ -91,7 +91,7 @@
     QTimer rolloutTimer;
     std::map<std::string, Load> loads; ///< by target id
     std::chrono::milliseconds loadTime; ///< moving average of the time from an order until its weights are seen
-    std::map<std::string, Deadline> confirmedKeys; ///< expiry by key written below mayStillAnswerPrefix
+    std::map<std::string, BootClock::time_point> confirmedKeys; ///< expiry by key written below mayStillAnswerPrefix
     bool leaderExists = true; ///< whether the leader key exists, as last observed; true until it is known
     bool isAcquiring = false;
     bool stopping = false;
--- a/tests/DirectoryTest.cpp
+++ b/tests/DirectoryTest.cpp
@@ -399,7 +399,7 @@
     fixture.store.set("targets/a", "draining"); // its answer is on the way when the weights are replaced
     runFor(300ms);
     fixture.store.set("weights/m", "2");
-    const auto replacedAt = Clock::now();
+    const auto replacedAt = BootClock::now();
     cr_assert(waitUntil([&] { return fixture.directory.wantedWeights("m") == 2; }, 5s));
     cr_assert_leq(fixture.directory.replacedAt("m", 1).value(), replacedAt);
 }
@@ -412,11 +412,11 @@
     for (int i = 0; i < 6; ++i)
         fixture.store.set("targets/t" + std::to_string(i), "ready");
     fixture.store.answerDelay = 300ms;
-    Clock::time_point replacedAt;
+    BootClock::time_point replacedAt;
     fixture.store.onPageRead = [&] {
         const bool isWeightsRead = fixture.directory.wantedWeights("m") == 1;
-        if (isWeightsRead && replacedAt == Clock::time_point()) {
-            replacedAt = Clock::now();
+        if (isWeightsRead && replacedAt == BootClock::time_point()) {
+            replacedAt = BootClock::now();
             fixture.store.set("weights/m", "2");
         }
     };
--- a/tests/ForwardPartsTest.cpp
+++ b/tests/ForwardPartsTest.cpp
@@ -21,6 +21,7 @@
     std::vector<std::string> excluded;
     RequestMetadata metadata;
     Clock::time_point now = Clock::now();
+    BootClock::time_point bootNow = BootClock::now();
 
     Pool()
     {
@@ -70,10 +71,17 @@
     {
         const auto& routes = *this->directory.routes();
         const ChoiceQuery query { this->directory, routes, *routes.findRoute("a.example", path), this->metadata,
-            this->organisation, this->place, this->regions, this->prefixIndex, this->excluded, 15s, random, this->now };
+            this->organisation, this->place, this->regions, this->prefixIndex, this->excluded, 15s, random, this->now,
+            this->bootNow };
         return chooseTarget(routing::LeastCost {}, query);
     }
 
+    void advance(std::chrono::seconds duration)
+    {
+        this->now += duration;
+        this->bootNow += duration;
+    }
+
     const directory::Organisation* organisation = nullptr;
 };
 
@@ -191,20 +199,29 @@
 Test(targetChooser, replacedWeightsAreExcludedAfterTimeToLive)
 {
     Pool pool;
-    pool.directory.setWantedWeights({ "m", 2 }, pool.now);
-    pool.now += 5s;
+    pool.directory.setWantedWeights({ "m", 2 }, pool.bootNow);
+    pool.advance(5s);
     cr_assert(pool.choose().has_value());
-    pool.now += 9s;
+    pool.advance(9s);
     cr_assert_not(pool.choose().has_value(), "no engine runs weights that may still answer");
     pool.add("e1", "north-a", 2);
     cr_assert_eq(pool.choose()->target->registration.id, "e1");
 }
 
+Test(targetChooser, replacedWeightsExpireWhileTheMachineIsSuspended)
+{
+    Pool pool;
+    pool.directory.setWantedWeights({ "m", 2 }, pool.bootNow);
+    pool.advance(5s);
+    pool.bootNow += 9s; // the steady clock stands still
+    cr_assert_not(pool.choose().has_value(), "the weights were replaced 14 s ago");
+}
+
 Test(targetChooser, slowEnginesWithReplacedWeightsAreExcludedEarlier)
 {
     Pool pool;
-    pool.directory.setWantedWeights({ "m", 2 }, pool.now);
-    pool.now += 10s;
+    pool.directory.setWantedWeights({ "m", 2 }, pool.bootNow);
+    pool.advance(10s);
     for (const auto& [id, target] : pool.directory.targets()) {
         if (id != "e3")
             target->state->delayUs = 4000000;
@@ -216,7 +233,7 @@
 Test(targetChooser, weightsReplacedBeforeStartNeedConfirmationOrNoNewerEngine)
 {
     Pool pool;
-    pool.directory.setWantedWeights({ "m", 2 }, Clock::time_point());
+    pool.directory.setWantedWeights({ "m", 2 }, BootClock::time_point());
     cr_assert(pool.choose().has_value(), "no engine has loaded the new version yet");
     pool.add("e4", "south-a", 2);
     for (int i = 0; i < 10; ++i) {
@@ -225,7 +242,7 @@
     }
     pool.directory.targets().at("e4")->refusingUntil = pool.now + 1s;
     cr_assert_not(pool.choose().has_value(), "the engine with newer weights is only temporarily refusing");
-    pool.directory.setWantedWeights({ "m", 3 }, pool.now);
+    pool.directory.setWantedWeights({ "m", 3 }, pool.bootNow);
     cr_assert_not(pool.choose().has_value(), "naming another version does not extend the time of the oldest one");
     pool.directory.confirmReplacedVersion("m", 1, true);
     cr_assert(pool.choose().has_value(), "another instance confirmed that the replacement is recent");
@@ -244,7 +261,7 @@
     cr_assert_eq(pool.choose()->target->registration.id, "e5");
     pool.excluded.push_back("e5");
     cr_assert_not(pool.choose().has_value());
-    pool.now += 2s;
+    pool.advance(2s);
     cr_assert_eq(pool.choose()->target->registration.id, "e1");
 }
 
@@ -267,9 +284,9 @@
 {
     Pool pool;
     pool.add("d7", "desk", "north-a", {});
-    pool.directory.setWantedWeights({ "m", 2 }, pool.now);
-    pool.directory.setWantedWeights({ "m", 3 }, pool.now);
-    pool.now += 60s;
+    pool.directory.setWantedWeights({ "m", 2 }, pool.bootNow);
+    pool.directory.setWantedWeights({ "m", 3 }, pool.bootNow);
+    pool.advance(60s);
     const auto choice = pool.choose(1, "/desk/x");
     cr_assert(choice.has_value());
     cr_assert_eq(choice->target->registration.id, "d7");
