Take the replacement of weights for no later than it was

Cause: callers got answers from weights that had been replaced for longer than allowed. The records carry no times, so an instance dated a replacement by the processing of the answer before the one that reported it. That is too late by the time for which the former answer was on its way or waited for a busy or frozen instance; at a start, by the duration of the first read, which refused pages prolong; and behind a followed instance, by that one's lag.

Change: RevisionTimes keeps for which revision the records were known to be complete at which moment: when the query was sent, or the end of a watch that returned no changes. A change is dated by the last such moment of a lower revision. Peers report the age of theirs in their replies; a peer of an older version reports none, and what it delivers then counts as of unknown time.

Ruled out: the queue of the engine as the only cause (the test with a frozen instance sends after the time is over); the revision of the periodic check, whose meaning for a transaction without writes the platform does not state. Conclusion: the bound is now early by up to a watch and a peer's wait, never late.

--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -124,13 +124,14 @@
         return;
     }
     this->readRevision = std::min(this->readRevision, page->revision);
+    this->revisionTimes.observe(page->revision, queriedAt);
     for (const auto& pair : page->pairs) {
         this->listed.insert(pair.key);
         if (position.section == Section::Deployment) {
             this->history.record({ pair, false });
             this->readDeployment.emplace(pair, queriedAt);
         } else
-            this->applyChange({ pair, false }, this->upToDateAt);
+            this->applyChange({ pair, false });
     }
     if (page->hasMore && !page->pairs.empty())
         this->readPage({ position.section, page->pairs.back().key });
@@ -158,7 +159,6 @@
     if (this->onWholeRead)
         this->onWholeRead();
     this->watchedRevision = this->readRevision;
-    this->upToDateAt = BootClock::now();
     this->notifyProgress();
     this->watch();
     this->scheduleRevisionCheck();
@@ -190,8 +190,8 @@
         return;
     }
     for (const auto& change : changes->changes)
-        this->applyChange(change, this->upToDateAt);
-    this->upToDateAt = BootClock::now();
+        this->applyChange(change);
+    this->revisionTimes.observe(changes->revision, changes->asOf);
     this->watchedRevision = std::max(this->watchedRevision, changes->revision);
     this->history.advance(this->watchedRevision);
     if (!changes->changes.empty())
@@ -257,7 +257,7 @@
         answered ? revisionCheckInterval : revisionCheckRetryDelay + jitter(revisionCheckRetryDelay));
 }
 
-void DirectorySync::applyChange(const store::Change& change, BootClock::time_point changedAt)
+void DirectorySync::applyChange(const store::Change& change)
 {
     const auto& key = change.pair.key;
     this->history.record(change);
@@ -268,7 +268,7 @@
         this->applyTarget(change);
     } else if (key.starts_with(this->decoder.weightsPrefix())) {
         if (!change.isRemoval)
-            this->applyWeights(change.pair, changedAt);
+            this->applyWeights(change.pair);
     } else if (!this->followedPrefix.empty() && key.starts_with(this->followedPrefix)) {
         this->applyFollowed(change.pair, !change.isRemoval);
     }
@@ -341,14 +341,15 @@
         this->onFollowedRecord(record, exists);
 }
 
-void DirectorySync::applyWeights(const store::KeyValue& pair, BootClock::time_point changedAt)
+void DirectorySync::applyWeights(const store::KeyValue& pair)
 {
     const auto decoded = this->decoder.decodeWeights(pair.key, pair.value);
     if (const auto* error = errorOf(decoded))
         logChange(
             LogLevel::Error, "invalid weights record refused", { { "key", pair.key }, { "reason", error->detail } });
     else
-        this->directory.setWantedWeights(std::get<WantedWeights>(decoded), changedAt);
+        this->directory.setWantedWeights(
+            std::get<WantedWeights>(decoded), this->revisionTimes.lowerBound(pair.modRevision));
 }
 
 /// Until then, targets keep their place although their registrations are missing.
@@ -390,7 +391,7 @@
     if (succeeded == this->reachable)
         return;
     this->reachable = succeeded;
-    const bool isRecovered = succeeded && this->upToDateAt != BootClock::time_point();
+    const bool isRecovered = succeeded && this->watchedRevision;
     if (isRecovered)
         this->gracePeriodEnd = Clock::now() + registrationGracePeriod;
     logChange(succeeded ? LogLevel::Info : LogLevel::Warning,
--- a/src/directory/DirectorySync.h
+++ b/src/directory/DirectorySync.h
@@ -9,6 +9,7 @@
 #include "directory/Directory.h"
 #include "directory/RecordDecoder.h"
 #include "directory/RecordHistory.h"
+#include "directory/RevisionTimes.h"
 #include "observe/Metrics.h"
 #include "store/KeyValueStore.h"
 
@@ -37,6 +38,11 @@
     {
         return this->history;
     }
+    /// A moment at which the records had no higher revision than that of changes(); the epoch if none is known.
+    BootClock::time_point changesAsOf() const
+    {
+        return this->revisionTimes.lowerBound(this->history.revision() + 1);
+    }
     /// Revision of the deployment record in force; 0: none.
     int64_t revisionInForce() const
     {
@@ -81,12 +87,11 @@
     void sendRevisionCheck();
     void onRevisionChecked(const store::CheckResult& result, BootClock::time_point queriedAt);
 
-    /// @param changedAt lower bound of the time of the change; the epoch if unknown
-    void applyChange(const store::Change& change, BootClock::time_point changedAt);
+    void applyChange(const store::Change& change);
     void applyDeployment(const store::KeyValue& pair, BootClock::time_point readAt);
     void applyTarget(const store::Change& change);
     void applyFollowed(const store::KeyValue& record, bool exists);
-    void applyWeights(const store::KeyValue& pair, BootClock::time_point changedAt);
+    void applyWeights(const store::KeyValue& pair);
     Deadline gracePeriodDeadline() const;
     void removeAbsentTargets();
     void scheduleAbsentTargetRemoval();
@@ -112,8 +117,8 @@
     std::optional<std::pair<store::KeyValue, BootClock::time_point>> readDeployment;
     std::set<std::string> listed; ///< keys returned by the current whole read
     std::set<std::string> followed; ///< existing keys below followedPrefix
-    BootClock::time_point upToDateAt; ///< all changes made before are applied; the epoch before the first whole read
-    int64_t watchedRevision = 0; ///< all changes up to this revision are applied
+    int64_t watchedRevision = 0; ///< all changes up to this revision are applied; 0 before the first whole read
+    RevisionTimes revisionTimes;
     Clock::time_point nextWatchAt; ///< earliest start of the next watch, so that one answer collects several changes
     int64_t deploymentRevision = 0; ///< revision of the deployment record in force; 0: none
     std::map<std::string, int64_t> targetRevisions; ///< by key; older versions of a record are ignored
--- a/src/relay/RecordRelay.cpp
+++ b/src/relay/RecordRelay.cpp
@@ -14,6 +14,12 @@
     /// number of instances in one data centre.
     constexpr size_t maxPendingQueries = 512;
 
+    uint64_t roundedUpAge(BootClock::time_point moment)
+    {
+        const auto age = std::chrono::ceil<std::chrono::milliseconds>(BootClock::now() - moment);
+        return static_cast<uint64_t>(age.count());
+    }
+
     void addChange(pb::RecordsReply& reply, const store::Change& change)
     {
         auto& added = *reply.add_changes();
@@ -76,6 +82,8 @@
         for (const auto& change : *changes)
             addChange(reply, change);
         reply.set_revision(this->sync.changes().revision());
+        if (const auto asOf = this->sync.changesAsOf(); asOf != BootClock::time_point())
+            reply.set_revision_age_ms(roundedUpAge(asOf));
         reply.set_deployment_revision(this->sync.revisionInForce());
         reply.set_first_hand(!this->source.followedInstance());
         // Rounded up, because the age must not be understated.
--- a/src/relay/RelayedSource.cpp
+++ b/src/relay/RelayedSource.cpp
@@ -150,6 +150,8 @@
     this->updateFollowedPeer(watch.peer->instance);
     store::Changes changes;
     changes.revision = reply.revision();
+    if (reply.has_revision_age_ms())
+        changes.asOf = watch.queriedAt - std::chrono::milliseconds(reply.revision_age_ms());
     for (const auto& change : reply.changes())
         changes.changes.push_back(decodeChange(change));
     this->completeWatch(changes);
@@ -251,7 +253,7 @@
 {
     const bool isAtService = this->currentWatch && !this->currentWatch->peer;
     if (isAtService && !this->serviceProbeAt && this->currentWatch->sentToServiceAt < this->serviceRecoveredAt)
-        this->completeWatch(store::Changes { {}, this->currentWatch->after });
+        this->completeWatch(store::Changes { {}, this->currentWatch->after, {} });
 }
 
 void RelayedSource::readPage(
--- a/src/store/KeyValueStore.h
+++ b/src/store/KeyValueStore.h
@@ -81,6 +81,9 @@
 struct Changes {
     std::vector<Change> changes;
     int64_t revision = 0; ///< of the store; the next watch starts after it
+    /// The store had no higher revision at this moment; the epoch if no such moment is known. Not the time at which
+    /// the answer was received: changes may have been made while it was on its way.
+    BootClock::time_point asOf;
 };
 
 /// The store has discarded the requested changes; the caller must read all records again.
--- a/tests/DirectoryTest.cpp
+++ b/tests/DirectoryTest.cpp
@@ -5,7 +5,9 @@
 
 #include <QCoreApplication>
 #include <QTimer>
+#include <algorithm>
 #include <criterion/criterion.h>
+#include <random>
 
 using namespace testing;
 using namespace dragonfly;
@@ -111,6 +113,7 @@
         }
         store::Changes changes;
         changes.revision = this->revision;
+        changes.asOf = BootClock::now();
         for (const auto& change : this->history) {
             if (change.pair.modRevision > after && !this->watchesOmitChanges)
                 changes.changes.push_back(change);
@@ -225,6 +228,53 @@
     cr_assert_not(freshness.isProved(start + 3s));
 }
 
+Test(revisionTimes, lowerBoundIsTheLatestObservationOfALowerRevision)
+{
+    RevisionTimes times;
+    const BootClock::time_point start { 1000s };
+    cr_assert_eq(times.lowerBound(5), BootClock::time_point());
+    times.observe(10, start);
+    times.observe(10, start + 2s);
+    times.observe(14, start + 5s);
+    times.observe(12, start + 1s); // an answer that was overtaken
+    times.observe(20, {}); // of unknown time
+    cr_assert_eq(times.lowerBound(10), BootClock::time_point());
+    cr_assert_eq(times.lowerBound(11), start + 2s);
+    cr_assert_eq(times.lowerBound(14), start + 2s);
+    cr_assert_eq(times.lowerBound(15), start + 5s);
+    cr_assert_eq(times.lowerBound(30), start + 5s);
+    times.observe(12, start + 6s); // a source that lags behind
+    cr_assert_eq(times.lowerBound(13), start + 6s);
+    cr_assert_eq(times.lowerBound(30), start + 6s);
+}
+
+Test(revisionTimes, boundsHoldForRandomOrdersOfAnswers)
+{
+    for (uint32_t seed = 1; seed <= 50; ++seed) {
+        std::mt19937 random(seed);
+        RevisionTimes times;
+        const BootClock::time_point start { 1000s };
+        std::map<int64_t, BootClock::time_point> madeAt;
+        std::vector<std::pair<int64_t, BootClock::time_point>> answers;
+        int64_t revision = 0;
+        for (int second = 1; second < 40; ++second) {
+            const auto now = start + std::chrono::seconds(second);
+            if (random() % 2)
+                madeAt[++revision] = now;
+            answers.emplace_back(revision, now + 500ms);
+        }
+        std::shuffle(answers.begin(), answers.end(), random);
+        for (const auto& [seen, at] : answers) {
+            times.observe(seen, at);
+            for (const auto& [made, when] : madeAt)
+                cr_assert_lt(times.lowerBound(made), when, "seed %u", seed);
+        }
+        // After all answers, the bound is that of the last answer before the change.
+        for (const auto& [made, when] : madeAt)
+            cr_assert(made == 1 || times.lowerBound(made) >= when - 1s, "seed %u", seed);
+    }
+}
+
 Test(routeTable, longestMatchingPrefixOfTheHostIsFound)
 {
     Deployment deployment;
--- a/tests/RelayTest.cpp
+++ b/tests/RelayTest.cpp
@@ -168,7 +168,8 @@
         }
         return "";
     }
-    void reply(int64_t revision, std::chrono::milliseconds proofAge, bool firstHand = true)
+    void reply(int64_t revision, std::chrono::milliseconds proofAge, bool firstHand = true,
+        std::optional<std::chrono::milliseconds> revisionAge = std::nullopt)
     {
         pb::RecordsReply reply;
         reply.set_question(this->transport.sent.back().second.follow_records().question());
@@ -177,6 +178,8 @@
         reply.set_revision(revision);
         reply.set_deployment_revision(7);
         reply.set_proof_age_ms(static_cast<uint64_t>(proofAge.count()));
+        if (revisionAge)
+            reply.set_revision_age_ms(static_cast<uint64_t>(revisionAge->count()));
         this->source.onReply(reply);
     }
     /// Age of the proof that answers a check of revision 7; nothing when the check went to the service.
@@ -317,6 +320,20 @@
     cr_assert_eq(ranking.size(), 1);
 }
 
+Test(relayedSource, changesOfAPeerAreNoNewerThanThePeersKnowledge)
+{
+    Follower follower;
+    const auto before = BootClock::now();
+    follower.watch();
+    runFor(200ms);
+    follower.reply(25, 900ms, true, 1500ms);
+    cr_assert_leq(std::get<store::Changes>(*follower.result).asOf, before + 100ms - 1500ms);
+    cr_assert_geq(std::get<store::Changes>(*follower.result).asOf, before - 1500ms);
+    follower.watch();
+    follower.reply(26, 900ms);
+    cr_assert_eq(std::get<store::Changes>(*follower.result).asOf, BootClock::time_point(), "not reported by the peer");
+}
+
 Test(relayedSource, peerReplyDeliversChangesAndProofAge)
 {
     Follower follower;
@@ -338,7 +355,7 @@
     follower.watch();
     cr_assert(waitUntil([&] { return follower.queriedPeer() == "middle"; }, 2s));
     cr_assert(waitUntil([&] { return follower.service.watches.size() == 1; }, 2s));
-    follower.service.watches.front()(store::Changes { {}, 30 });
+    follower.service.watches.front()(store::Changes { {}, 30, {} });
     cr_assert_eq(std::get<store::Changes>(*follower.result).revision, 30);
     follower.watch(30);
     cr_assert_eq(follower.service.watches.size(), 2, "both silent peers stay excluded");
@@ -440,7 +457,7 @@
     follower.reply(25, 300ms);
     cr_assert_eq(std::get<store::Changes>(*follower.result).revision, 25);
     cr_assert(follower.checkedProofAge().has_value());
-    follower.service.watches.front()(store::Changes { {}, 24 }); // late, so ignored
+    follower.service.watches.front()(store::Changes { {}, 24, {} }); // late, so ignored
     runFor(2100ms);
     follower.watch(25);
     follower.reply(26, 300ms);
@@ -619,6 +636,19 @@
     }
 }
 
+Test(relay, followersKnowWhenWeightsWereReplaced)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry(true, "processorShare: 0.5\n");
+    auto& follower = site.startEntry(true, "processorShare: 0.1\n");
+    cr_assert(waitUntil([&] { return follower.printedLine("from=entry-0"); }, 5s));
+    runFor(3s); // until each has seen an answer that followed the first read
+    site.setWantedWeights(2);
+    cr_assert(waitUntil([&] { return follower.printedLine("model=m version=2 max_age_ms="); }, 3s));
+    cr_assert_not(follower.printedLine("version=2 max_age_ms=unknown"));
+}
+
 namespace {
 
 /// The instance that the others follow is cut off from the platform's service for nine seconds. All instances must
