Report whether an answer is delimited only by the end of its connection

Cause: an answer, a stream too, may come with neither a length nor chunks. A target that crashes in such an answer can look as if it had ended it, and no user of the client could tell these answers from the others.

Change: ResponseHead::endsWithConnection, set before onHead is called.

Ruled out: deciding by the headers in each user of the client: the status and the version of the protocol matter too, and the parser has already weighed them.

The field did not exist before.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -182,6 +182,7 @@
     const auto handlers = this->events;
     if (this->parser->headComplete && !this->headReported) {
         this->headReported = true;
+        this->parser->head.endsWithConnection = this->parser->need_eof();
         if (handlers->onHead)
             handlers->onHead(this->parser->head);
     }
@@ -226,7 +227,7 @@
         this->readMore();
     if (!this->number)
         return;
-    if (this->headReported && this->parser->need_eof()) {
+    if (this->headReported && this->parser->head.endsWithConnection) {
         // The notifier reports a reset in the same event loop iteration as the close, so check for it afterwards.
         QMetaObject::invokeMethod(this, &ClientConnection::completeAtEndOfStream, Qt::QueuedConnection);
         return;
--- a/src/http/Message.h
+++ b/src/http/Message.h
@@ -50,6 +50,8 @@
 struct ResponseHead {
     int status = 0;
     Headers headers;
+    /// Neither a length nor chunks delimit the body: only the end of the connection shows where it ends.
+    bool endsWithConnection = false;
 };
 
 /// The standard reason phrase of @p status.
--- a/tests/ClientAnswerTest.cpp
+++ b/tests/ClientAnswerTest.cpp
@@ -18,6 +18,7 @@
     bool ended = false;
     bool complete = false;
     int status = 0;
+    bool endsWithConnection = false;
     std::string body;
     std::optional<http::CallFailure> failure;
 };
@@ -29,7 +30,10 @@
     http::ClientPool pool;
     Outcome outcome;
     http::CallEvents events;
-    events.onHead = [&](const http::ResponseHead& head) { outcome.status = head.status; };
+    events.onHead = [&](const http::ResponseHead& head) {
+        outcome.status = head.status;
+        outcome.endsWithConnection = head.endsWithConnection;
+    };
     events.onBody = [&](std::string_view bytes) { outcome.body.append(bytes); };
     events.onComplete = [&] { outcome.ended = outcome.complete = true; };
     events.onFailure = [&](const http::CallFailure& failure) {
@@ -66,6 +70,23 @@
     }
 }
 
+Test(clientAnswer, headStatesWhetherOnlyTheEndOfTheConnectionDelimitsTheBody)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::vector<std::pair<std::string, bool>> answers { { answerWithoutLength, true },
+        { "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello", true }, { "HTTP/1.0 200 OK\r\n\r\nhello", true },
+        { "HTTP/1.1 100 Continue\r\n\r\n" + answerWithoutLength, true },
+        { head + "Content-Length: 5\r\n\r\nhello", false }, { head + "Content-Length: 0\r\n\r\n", false },
+        { head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", false },
+        { "HTTP/1.1 204 No Content\r\n\r\n", false } };
+    for (const auto& [bytes, expected] : answers) {
+        const RawServer server({ { bytes, Ending::Close, 0ms } });
+        const auto outcome = call(server);
+        cr_assert(outcome.complete, "%s", bytes.c_str());
+        cr_assert_eq(outcome.endsWithConnection, expected, "%s", bytes.c_str());
+    }
+}
+
 Test(clientAnswer, interimAnswersAreSkipped)
 {
     const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
