Show three faults of the retry budget with tests that fail

Callers saw: while the targets of a service crashed one after the other, the service received more resends than its budget allows. The logs of that incident name 2,478 attempts that ended in a refused connection, for about 1,400 requests.

Cause, one test for each: an attempt whose connection was refused records another first send and so earns budget; a complete answer that cannot be relayed, or one that is too large, takes nothing from the budget and records another first send as well; a retry that was granted and whose connection was refused is charged again for the next attempt, so that the budget runs out without any resend.

Change: tests only. The targets count every arrival, refused ones included; a site may have more targets of the plain service, in other data centres too. The bound is the stated target, 0.2 of the requests and two more.

Ruled out: waiting for the incident to come again; targets that were killed and are still registered bring it about in a second.

--- a/standins/target.cpp
+++ b/standins/target.cpp
@@ -1,9 +1,10 @@
 // Stand-in for a target of the users' platform: an engine that streams events, or a plain service.
 //
 // It registers itself in the metadata store through the store's control interface. POST /control accepts
-// {"answer": "good" | "close" | "reset" | "error" | "busy" | "silent" | "foreign" | "unstamped" | "short" |
-// "close-in-stream"}, {"draining": bool}, {"work_ms": N}, {"load_ms": N}, {"events": N}, {"event_ms": N} and
-// {"replaced_by": id}, {"checks_fencing": bool}. GET /control returns counts, the received orders and the last request.
+// {"answer": "good" | "close" | "reset" | "error" | "busy" | "silent" | "foreign" | "unstamped" | "encoded" |
+// "oversized" | "close-in-stream"}, {"draining": bool}, {"work_ms": N}, {"load_ms": N}, {"events": N}, {"event_ms": N},
+// {"replaced_by": id} and {"checks_fencing": bool}. GET /control returns counts, the received orders and the last
+// request.
 
 #include "standins/Program.h"
 
@@ -17,6 +18,9 @@
 
 using namespace standins;
 
+/// More than an instance buffers of one answer.
+constexpr size_t oversizedBytes = 9u << 20;
+
 struct Settings {
     uint16_t port = 0;
     std::string id;
@@ -74,6 +78,8 @@
         headers.add("X-Dragonflyarch-Attempt-Id", this->mode == "foreign" ? "somebody-else" : requestId);
         if (this->mode != "unstamped")
             headers.add("X-Dragonflyarch-Response-Stamp", "stamp-of-" + requestId);
+        if (this->mode == "encoded")
+            headers.add("Content-Encoding", "gzip");
         if (!this->settings.model.empty())
             headers.add("X-Dragonflyarch-Weight-Versions", std::to_string(this->version));
         return headers;
@@ -88,6 +94,8 @@
     void serve(const http::ExchangePointer& exchange)
     {
         const auto& request = exchange->request();
+        const auto requestId = request.headers.valueOr("X-Dragonflyarch-Attempt-Id", "");
+        this->arrivals.append(QString::fromStdString(std::string(requestId)));
         const auto headers = this->answerHeaders(request);
         const auto expectedVersion = request.headers.find("X-Dragonflyarch-Expect-Version");
         const bool hasOtherVersion = expectedVersion && *expectedVersion != std::to_string(this->version);
@@ -107,6 +115,8 @@
             exchange->abort();
         } else if (this->mode == "error") {
             exchange->respond(500, headers, "failed");
+        } else if (this->mode == "oversized") {
+            exchange->respond(200, headers, std::string(oversizedBytes, 'x'));
         } else {
             QTimer::singleShot(
                 this->workMs, &this->timerContext, [this, exchange, headers] { this->answer(exchange, headers); });
@@ -226,7 +236,8 @@
         for (const auto& requestId : this->ids)
             seen.append(QString::fromStdString(requestId));
         respondJson(exchange, 200,
-            { { "runs", this->executions }, { "distinct", static_cast<int>(this->ids.size()) }, { "ids", seen },
+            { { "arrivals", this->arrivals }, { "runs", this->executions },
+                { "distinct", static_cast<int>(this->ids.size()) }, { "ids", seen },
                 { "while_draining", this->executionsWhileDraining }, { "cancelled", this->cancelled },
                 { "version", static_cast<qint64>(this->version) }, { "orders", this->orders },
                 { "last", this->lastRequest } });
@@ -264,6 +275,7 @@
     int executions = 0;
     int executionsWhileDraining = 0;
     int cancelled = 0;
+    QJsonArray arrivals; ///< request ids in the order of arrival, including those of refused requests
     std::set<std::string> ids;
     std::vector<http::ExchangePointer> unanswered; ///< requests received in mode "silent", kept open
     QJsonArray orders;
--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -26,6 +26,30 @@
     return total;
 }
 
+/// Requests that arrived at @p targets beyond the first arrival of each, including those that were refused.
+int resends(const std::vector<std::unique_ptr<Process>>& targets)
+{
+    int arrivals = 0;
+    std::set<QString> distinct;
+    for (const auto& target : targets) {
+        if (!target->isRunning())
+            continue;
+        const auto ids = control(target->address())["arrivals"].toArray();
+        for (const auto& id : ids)
+            distinct.insert(id.toString());
+        arrivals += static_cast<int>(ids.size());
+    }
+    return arrivals - static_cast<int>(distinct.size());
+}
+
+/// The resends that the retry budget of one instance allows for @p requests: the setting's ratio and its allowance.
+int allowedResends(int requests)
+{
+    constexpr double ratio = 0.2;
+    constexpr int allowance = 2;
+    return static_cast<int>(ratio * requests) + allowance;
+}
+
 /// The number of events in @p body, or -1 if it is not exactly a sequence of complete events starting with the first.
 int eventsOf(const std::string& body)
 {
@@ -113,6 +137,62 @@
     }
 }
 
+Test(forward, refusedConnectionsEarnNoRetryBudget)
+{
+    constexpr int requests = 60;
+    const Application application;
+    ForwardSite site;
+    for (int i = 0; i < 4; ++i)
+        site.addService();
+    for (int i = 0; i < 2; ++i)
+        control(site.addService("south-a").address(), { { "answer", "close" } });
+    site.startEntry();
+    for (int i = 0; i < 6; ++i)
+        site.services[i]->kill(); // still registered, and nearer than the others
+    std::vector<AnswerPointer> answers;
+    for (int i = 0; i < requests; ++i) {
+        answers.push_back(site.send({ "r" + std::to_string(i), "/read/x", "GET", "" }));
+        runFor(10ms);
+    }
+    cr_assert(waitForAll(answers, 5s));
+    const auto count = resends(site.services);
+    cr_assert_leq(count, allowedResends(requests), "%d resends", count);
+    cr_assert_geq(count, 2, "%d resends", count);
+}
+
+Test(forward, unusableAnswersAreChargedToTheRetryBudget, .timeout = 60)
+{
+    constexpr int requests = 30;
+    const Application application;
+    for (const auto* fault : { "error", "unstamped", "encoded", "foreign", "oversized" }) {
+        ForwardSite site;
+        site.startEntry();
+        setAll(site.services, { { "answer", fault } });
+        for (int i = 0; i < requests; ++i)
+            site.sendAndWait({ "r" + std::to_string(i), "/read/x", "GET", "" });
+        const auto count = resends(site.services);
+        cr_expect_leq(count, allowedResends(requests), "%s: %d resends", fault, count);
+        cr_expect_geq(count, 2, "%s: %d resends", fault, count);
+    }
+}
+
+Test(forward, retriesThatReachNoTargetKeepTheirGrant)
+{
+    const Application application;
+    ForwardSite site;
+    for (int i = 0; i < 5; ++i)
+        site.addService("north-b");
+    site.addService("south-a");
+    site.startEntry();
+    control(site.services[0]->address(), { { "answer", "close" } });
+    for (int i = 1; i < 7; ++i)
+        site.services[i]->kill(); // still registered, and nearer than the last one
+    const auto answer = site.sendAndWait({ "r1", "/read/x", "GET", "" });
+    cr_assert_eq(answer->status, 200, "%d: %s", answer->status, answer->body.c_str());
+    cr_assert_eq(answer->body, "done by service-7");
+    cr_assert_eq(resends(site.services), 1);
+}
+
 Test(forward, refusalByAllTargetsIsReportedAsNotRun)
 {
     const Application application;
--- a/tests/support/ForwardSite.cpp
+++ b/tests/support/ForwardSite.cpp
@@ -35,14 +35,22 @@
     this->publish({ forwardKey });
     for (const auto* id : { "engine-0", "engine-1" })
         this->engines.push_back(this->startTarget(id, "engines", "m"));
-    for (const auto* id : { "service-0", "service-1" })
-        this->services.push_back(this->startTarget(id, "desk", ""));
+    this->addService();
+    this->addService();
 }
 
-std::unique_ptr<Process> ForwardSite::startTarget(const QString& id, const QString& service, const QString& model)
+Process& ForwardSite::addService(const QString& dataCentre)
+{
+    const auto id = "service-" + QString::number(this->services.size());
+    this->services.push_back(this->startTarget(id, "desk", "", dataCentre));
+    return *this->services.back();
+}
+
+std::unique_ptr<Process> ForwardSite::startTarget(
+    const QString& id, const QString& service, const QString& model, const QString& dataCentre)
 {
     QStringList arguments { "--id", id, "--store", text(this->store->address().toString()), "--service", service,
-        "--data-centre", "north-a" };
+        "--data-centre", dataCentre };
     if (!model.isEmpty())
         arguments += { "--model", model };
     return std::make_unique<Process>("standin-target", arguments);
@@ -79,7 +87,8 @@
 {
     std::ofstream(this->settingsFile(entry))
         << "interface: forwarding\ninstance: entry-" << entry
-        << "\nregion: north\ndataCentre: north-a\nregions: { north-a: north }\nplatform: ["
+        << "\nregion: north\ndataCentre: north-a\nregions: { north-a: north, north-b: north, south-a: south "
+           "}\nplatform: ["
         << storeAddress.value_or(this->store->address()).toString()
         << "]\ndrain: { notice: 300ms, time: 3s }\nrouting: { policy: least-cost }\n"
         << extraSettings;
--- a/tests/support/ForwardSite.h
+++ b/tests/support/ForwardSite.h
@@ -33,6 +33,8 @@
     /// @param storeAddress address of a proxy to the store; nullopt connects directly
     Process& startEntry(bool waitUntilReady = true, const std::string& extraSettings = "",
         const std::optional<dragonfly::Endpoint>& storeAddress = std::nullopt);
+    /// Starts another target of the plain service. Call before startEntry(), which waits for every target.
+    Process& addService(const QString& dataCentre = "north-a");
     AnswerPointer send(const ForwardRequestSpec& spec, size_t entry = 0);
     /// Sends and waits for the answer.
     AnswerPointer sendAndWait(const ForwardRequestSpec& spec, size_t entry = 0);
@@ -56,7 +58,8 @@
 
 private:
     std::string settingsFile(size_t entry) const;
-    std::unique_ptr<Process> startTarget(const QString& id, const QString& service, const QString& model);
+    std::unique_ptr<Process> startTarget(
+        const QString& id, const QString& service, const QString& model, const QString& dataCentre = "north-a");
 
     QTemporaryDir folder;
     int version = 1;
