Record one first send for each request in the retry window

Callers saw: engines crashed one after the other while their records stayed, and the service's other engines received more resends than the budget allows.

Cause: every attempt before the first that reached a target recorded a first send, so each refused connection earned 0.17 of a retry. With six dead targets, a request earned seven times.

Change: a request records its first send at its first attempt and never again, however many attempts it has.

Ruled out: recording it when the first byte is sent. The budget counts the requests that callers sent, whether they arrived or not, and a retry of another request may be due before.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -234,7 +234,7 @@
     metrics.attempts.Increment();
     if (this->sends)
         metrics.retries.Increment();
-    else
+    if (this->triedTargets.empty())
         this->context.retryWindowOf(registration.service).recordFirstSend(now);
     this->triedTargets.push_back(registration.id);
     const auto request = this->context.dialect.dispatch(this->request.exchange->request(), this->dispatchFor(choice));
--- a/src/forward/RetryWindow.h
+++ b/src/forward/RetryWindow.h
@@ -25,6 +25,7 @@
     {
     }
 
+    /// Records a request at its first attempt. Once for each request, however many attempts it has.
     void recordFirstSend(Clock::time_point now);
     /// Grants and records one retry; false when the budget is exhausted.
     bool tryAcquireRetry(Clock::time_point now);
