Count every attempt of which a byte was sent as a send

Callers saw: targets that answer with an error, without their stamp, encoded, for another request or at too great a length received nearly every request twice; the retry budget did not hold.

Cause: an attempt counted as sent only if its target refused it or its connection broke. A complete answer that could not be relayed was not counted, so the next attempt took nothing from the budget and the limit on sends did not see it.

Change: the client reports when the request was written (CallEvents::onSent), and that is the one place where an attempt is counted. dragonfly_retries_total counts retries that were sent; dragonfly_attempts_unsent_total counts attempts that ended before. The log says of each attempt whether it was sent.

Ruled out: counting in each path that ends an attempt; the paths of an answer that is too large and of a stream that ends within an event were missing in the same way.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -42,7 +42,7 @@
     constexpr int stallTimeoutFactor = 4;
     /// With less time left until the deadline, a retry could not succeed.
     constexpr milliseconds minRemainingForRetry { 30 };
-    /// Limit on attempts that were refused or failed after bytes were sent, also when the request did not run.
+    /// Limit on attempts of which bytes were sent, also when the request did not run.
     constexpr uint32_t maxSends = 4;
     /// Limit on an answer that is buffered until it is complete.
     constexpr size_t maxBufferedBytes = 8u << 20;
@@ -230,10 +230,7 @@
 {
     const auto now = Clock::now();
     const auto& registration = choice.target->registration;
-    auto& metrics = this->context.metrics;
-    metrics.attempts.Increment();
-    if (this->sends)
-        metrics.retries.Increment();
+    this->context.metrics.attempts.Increment();
     if (this->triedTargets.empty())
         this->context.retryWindowOf(registration.service).recordFirstSend(now);
     this->triedTargets.push_back(registration.id);
@@ -256,6 +253,7 @@
     if (!this->isRepeatable())
         options.minIdleSince = now - (this->isStream() ? maxIdleTimeForStreams : maxIdleTime);
     http::CallEvents events;
+    events.onSent = [self = this->shared_from_this()] { self->onSent(); };
     events.onHead = [self = this->shared_from_this()](const http::ResponseHead& head) { self->onHead(head); };
     events.onBody = [self = this->shared_from_this()](std::string_view bytes) { self->onBody(bytes); };
     events.onComplete = [self = this->shared_from_this()] { self->onComplete(); };
@@ -264,6 +262,15 @@
     this->attempt->call = this->context.targets.send(endpoint, request, options, std::move(events));
 }
 
+/// Whatever becomes of the attempt, the target counts it as an arrival from now on.
+void ForwardCall::onSent()
+{
+    this->attempt->isSent = true;
+    if (this->sends)
+        this->context.metrics.retries.Increment();
+    ++this->sends;
+}
+
 void ForwardCall::onHead(const http::ResponseHead& head)
 {
     this->attempt->head = head;
@@ -427,7 +434,6 @@
     const bool isLoading = this->attempt->choice.weightsVersion
         && target.weightsOf(model) < this->context.directory.wantedWeights(model);
     target.refusingUntil = Clock::now() + (isLoading ? weightsLoadingBackoff : refusalBackoff);
-    ++this->sends;
     --this->runs;
     this->attemptFailed("refused " + std::to_string(status),
         { ErrorKind::Overloaded, "the target refused to run the request", this->execution(), retryAfterRefusal });
@@ -462,12 +468,10 @@
     const bool isWithdrawn = failure.requestSent && this->isAwaitingEngine() && Clock::now() >= this->beginDeadline();
     if (!isWithdrawn)
         routing::recordFailure(*this->attempt->choice.target->state, Clock::now());
-    if (failure.requestSent) {
-        ++this->sends;
+    if (failure.requestSent)
         this->mayHaveRun = true;
-    } else {
+    else
         --this->runs;
-    }
     const bool isPastDeadline = Clock::now() >= this->request.deadline;
     const auto kind = isPastDeadline ? ErrorKind::DeadlineExceeded : ErrorKind::TargetFailed;
     const auto detail = isWithdrawn ? "withdrawn: the target's weights may no longer answer" : failure.detail;
@@ -493,6 +497,8 @@
     const auto& choice = this->attempt->choice;
     const auto took = std::chrono::duration_cast<milliseconds>(Clock::now() - this->attempt->sentAt);
     const auto firstEvent = this->attempt->firstEventAfter;
+    if (!this->attempt->isSent)
+        this->context.metrics.attemptsUnsent.Increment();
     if (!this->attemptLog.empty())
         this->attemptLog += ';';
     this->attemptLog += choice.target->registration.id + " ("
@@ -501,7 +507,7 @@
         + std::to_string(choice.policyChoice.cachedTokens) + "/" + std::to_string(this->request.metadata.promptTokens)
         + (choice.fetchCacheFrom ? ", fetched" : "") + ", "
         + (firstEvent ? "first event after " + std::to_string(firstEvent->count()) + " of " : "")
-        + std::to_string(took.count()) + " ms): " + outcome;
+        + std::to_string(took.count()) + " ms, " + (this->attempt->isSent ? "sent" : "not sent") + "): " + outcome;
     this->attempt.reset();
     this->context.awaitingEngines.erase(this);
 }
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -41,6 +41,7 @@
         entry::TargetLoad load;
         Clock::time_point sentAt;
         std::string weights; ///< description of the requested weights for the log line of the request
+        bool isSent = false; ///< a byte of the request was written
         http::ResponseHead head;
         AnswerMetadata answerMetadata;
         std::string body;
@@ -60,6 +61,7 @@
     std::string describeWeights(uint64_t version) const;
     Dispatch dispatchFor(const TargetChoice& choice) const;
 
+    void onSent();
     void onHead(const http::ResponseHead& head);
     void onBody(std::string_view bytes);
     void onComplete();
@@ -97,7 +99,7 @@
     std::optional<Attempt> attempt;
     std::vector<std::string> triedTargets; ///< ids of the targets of all attempts
     std::string attemptLog; ///< summary of the ended attempts for the log line of the request
-    uint32_t sends = 0; ///< attempts that the target refused, or that failed after bytes were sent
+    uint32_t sends = 0; ///< attempts of which bytes were sent
     uint32_t runs = 0; ///< attempts that run or may have run
     EventCursor events;
     /// A target may have run the request. Invariant: a non-repeatable request has no further attempt once this is set.
--- a/src/http/Client.h
+++ b/src/http/Client.h
@@ -32,6 +32,7 @@
 
 /// Callbacks of a call. The last one is either onComplete or onFailure; after Call::cancel() none is called.
 struct CallEvents {
+    std::function<void()> onSent; ///< the first byte of the request was written to the socket
     std::function<void(const ResponseHead&)> onHead;
     std::function<void(std::string_view)> onBody;
     std::function<void()> onComplete;
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -143,6 +143,9 @@
     this->socket.write(this->outgoing.data(), static_cast<qint64>(this->outgoing.size()));
     this->outgoing.clear();
     this->armTimer();
+    const auto handlers = this->events;
+    if (handlers && handlers->onSent)
+        handlers->onSent();
 }
 
 void ClientConnection::readMore()
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -34,7 +34,9 @@
 
 Metrics::Metrics(std::shared_ptr<prometheus::Registry> registry)
     : answered(counter(*registry, "dragonfly_requests_answered_total", "Requests answered in full"))
-    , attempts(counter(*registry, "dragonfly_attempts_total", "Attempts sent to targets, including retries"))
+    , attempts(counter(*registry, "dragonfly_attempts_total", "Attempts at targets, including retries"))
+    , attemptsUnsent(counter(*registry, "dragonfly_attempts_unsent_total",
+          "Attempts of forwarded requests that ended before a byte was sent"))
     , retries(counter(*registry, "dragonfly_retries_total", "Attempts made after a failed attempt of the same request"))
     , retriesDenied(counter(*registry, "dragonfly_retries_denied_total", "Retries denied by the retry budget"))
     , streamsResumed(counter(*registry, "dragonfly_streams_resumed_total", "Streams continued on another target"))
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -25,6 +25,7 @@
     }
 
     prometheus::Counter& attempts;
+    prometheus::Counter& attemptsUnsent;
     prometheus::Counter& retries;
     prometheus::Counter& retriesDenied;
     prometheus::Counter& streamsResumed;
--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -158,6 +158,12 @@
     const auto count = resends(site.services);
     cr_assert_leq(count, allowedResends(requests), "%d resends", count);
     cr_assert_geq(count, 2, "%d resends", count);
+    auto& entry = *site.entries.front();
+    cr_assert_eq(metricOf(entry, "dragonfly_retries_total"), count);
+    cr_assert_eq(metricOf(entry, "dragonfly_attempts_total") - metricOf(entry, "dragonfly_attempts_unsent_total"),
+        requests + count);
+    cr_assert(entry.printedLine("ms, not sent): Connection refused"));
+    cr_assert(entry.printedLine("ms, sent): the connection was closed"));
 }
 
 Test(forward, unusableAnswersAreChargedToTheRetryBudget, .timeout = 60)
@@ -173,6 +179,7 @@
         const auto count = resends(site.services);
         cr_expect_leq(count, allowedResends(requests), "%s: %d resends", fault, count);
         cr_expect_geq(count, 2, "%s: %d resends", fault, count);
+        cr_expect_eq(metricOf(*site.entries.front(), "dragonfly_retries_total"), count);
     }
 }
 
--- a/tests/support/Site.cpp
+++ b/tests/support/Site.cpp
@@ -170,7 +170,12 @@
 
 double Site::metric(size_t entry, const std::string& name)
 {
-    const auto body = get(this->entries[entry]->address("metrics"), "/metrics")->body;
+    return metricOf(*this->entries[entry], name);
+}
+
+double metricOf(Process& entry, const std::string& name)
+{
+    const auto body = get(entry.address("metrics"), "/metrics")->body;
     double sum = 0;
     std::istringstream lines(body);
     for (std::string line; std::getline(lines, line);) {
--- a/tests/support/Site.h
+++ b/tests/support/Site.h
@@ -110,4 +110,7 @@
 
 std::string centreName(int centre);
 
+/// Sum of a metric of an entry instance over all its labels.
+double metricOf(Process& entry, const std::string& name);
+
 }
