Spend the grant of a retry only when a byte of it is sent

Callers saw: requests that had one failed target were answered with 502 though sound targets were left, while the service received hardly any resend.

Cause: a retry was charged when it was granted. If its connection was refused, the next attempt was charged again, so a few dead targets that were still registered used up the budget without a single resend.

Change: RetryWindow::tryAcquireRetry returns a RetryGrant, which counts against the budget while it is held. It becomes a sent retry, at the time of sending, when the first byte is written; a request keeps it over attempts that were not sent and returns it at its end. A denied retry stands in the request's attempts with the counts of the window.

Ruled out: charging at the grant and refunding in the paths that end an attempt: each new path could forget it, and a refund would land in another bucket of the window than its charge. Not counting held grants: all requests in progress could pass the check at the same time.

The existing tests of the window use each grant at once, which is what a granted retry meant before; they are as strict as they were.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -125,7 +125,7 @@
         this->fail({ ErrorKind::NoTarget, "no usable target for this request", this->execution(), retryAfterRefusal });
         return;
     }
-    if (this->sends && !this->context.retryWindowOf(choice->target->registration.service).tryAcquireRetry(now)) {
+    if (this->sends && !this->acquireRetry(choice->target->registration, now)) {
         this->context.metrics.retriesDenied.Increment();
         this->fail({ ErrorKind::Overloaded, "the retry budget is exhausted", this->execution(), retryAfterRefusal });
         return;
@@ -133,6 +133,24 @@
     this->send(std::move(*choice));
 }
 
+/// Whether the request has a grant for a retry at @p target. A grant that no attempt has used yet stays valid within
+/// its service.
+bool ForwardCall::acquireRetry(const directory::Registration& target, Clock::time_point now)
+{
+    auto& window = this->context.retryWindowOf(target.service);
+    if (this->retryGrant && this->retryGrant->isOf(window))
+        return true;
+    this->retryGrant = window.tryAcquireRetry(now);
+    if (this->retryGrant)
+        return true;
+    const auto after = std::chrono::duration_cast<milliseconds>(now - this->request.arrived);
+    const auto counts = window.counts(now);
+    this->appendToLog("retry at " + target.id + " denied after " + std::to_string(after.count()) + " ms ("
+        + std::to_string(counts.retries) + " retries sent, " + std::to_string(counts.granted) + " granted, "
+        + std::to_string(counts.firstSends) + " first sends)");
+    return false;
+}
+
 Dispatch ForwardCall::dispatchFor(const TargetChoice& choice) const
 {
     const auto& route = *this->request.route;
@@ -266,9 +284,12 @@
 void ForwardCall::onSent()
 {
     this->attempt->isSent = true;
-    if (this->sends)
-        this->context.metrics.retries.Increment();
     ++this->sends;
+    if (!this->retryGrant)
+        return;
+    this->retryGrant->use(Clock::now());
+    this->retryGrant.reset();
+    this->context.metrics.retries.Increment();
 }
 
 void ForwardCall::onHead(const http::ResponseHead& head)
@@ -499,19 +520,23 @@
     const auto firstEvent = this->attempt->firstEventAfter;
     if (!this->attempt->isSent)
         this->context.metrics.attemptsUnsent.Increment();
-    if (!this->attemptLog.empty())
-        this->attemptLog += ';';
-    this->attemptLog += choice.target->registration.id + " ("
-        + std::string(routing::toString(choice.policyChoice.reason)) + ", " + std::to_string(choice.candidates)
-        + " candidates, weights " + this->attempt->weights + ", cached "
+    this->appendToLog(choice.target->registration.id + " (" + std::string(routing::toString(choice.policyChoice.reason))
+        + ", " + std::to_string(choice.candidates) + " candidates, weights " + this->attempt->weights + ", cached "
         + std::to_string(choice.policyChoice.cachedTokens) + "/" + std::to_string(this->request.metadata.promptTokens)
         + (choice.fetchCacheFrom ? ", fetched" : "") + ", "
         + (firstEvent ? "first event after " + std::to_string(firstEvent->count()) + " of " : "")
-        + std::to_string(took.count()) + " ms, " + (this->attempt->isSent ? "sent" : "not sent") + "): " + outcome;
+        + std::to_string(took.count()) + " ms, " + (this->attempt->isSent ? "sent" : "not sent") + "): " + outcome);
     this->attempt.reset();
     this->context.awaitingEngines.erase(this);
 }
 
+void ForwardCall::appendToLog(const std::string& entry)
+{
+    if (!this->attemptLog.empty())
+        this->attemptLog += ';';
+    this->attemptLog += entry;
+}
+
 void ForwardCall::fail(const Error& error)
 {
     if (this->ended)
@@ -540,6 +565,7 @@
 void ForwardCall::end(const std::string& outcome, int status)
 {
     this->ended = true;
+    this->retryGrant.reset();
     if (status >= statusOk && status < firstRedirect)
         this->context.metrics.answered.Increment();
     const auto took = Clock::now() - this->request.arrived;
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -52,6 +52,7 @@
 
     void nextAttempt();
     bool mayTryAnotherTarget();
+    bool acquireRetry(const directory::Registration& target, Clock::time_point now);
     void send(TargetChoice choice);
     Deadline progressDeadline() const;
     Deadline responseDeadline() const;
@@ -79,6 +80,7 @@
     /// Ends the attempt, then retries at another target or fails with @p error.
     void attemptFailed(const std::string& outcome, const Error& error);
     void endAttempt(const std::string& outcome);
+    void appendToLog(const std::string& entry);
     void fail(const Error& error);
     void end(const std::string& outcome, int status);
     void onCallerGone();
@@ -98,7 +100,8 @@
     ForwardRequest request;
     std::optional<Attempt> attempt;
     std::vector<std::string> triedTargets; ///< ids of the targets of all attempts
-    std::string attemptLog; ///< summary of the ended attempts for the log line of the request
+    std::string attemptLog; ///< the ended attempts and denied retries, for the log line of the request
+    std::optional<RetryGrant> retryGrant; ///< granted for an attempt of which no byte was sent yet
     uint32_t sends = 0; ///< attempts of which bytes were sent
     uint32_t runs = 0; ///< attempts that run or may have run
     EventCursor events;
--- a/src/forward/RetryWindow.cpp
+++ b/src/forward/RetryWindow.cpp
@@ -1,5 +1,7 @@
 #include "forward/RetryWindow.h"
 
+#include <utility>
+
 namespace dragonfly::forward {
 
 namespace {
@@ -25,19 +27,55 @@
     ++this->currentBucket(now).firstSends;
 }
 
-bool RetryWindow::tryAcquireRetry(Clock::time_point now)
+RetryCounts RetryWindow::counts(Clock::time_point now)
 {
-    auto& bucket = this->currentBucket(now);
-    double firstSends = 0;
-    double retries = 0;
-    for (const auto& each : this->buckets) {
-        firstSends += each.firstSends;
-        retries += each.retries;
+    this->currentBucket(now);
+    RetryCounts counts;
+    for (const auto& bucket : this->buckets) {
+        counts.firstSends += bucket.firstSends;
+        counts.retries += bucket.retries;
     }
-    if (retries + 1 > this->limits.ratio * firstSends + this->limits.allowance)
-        return false;
-    ++bucket.retries;
-    return true;
+    counts.granted = this->unusedGrants;
+    return counts;
+}
+
+std::optional<RetryGrant> RetryWindow::tryAcquireRetry(Clock::time_point now)
+{
+    const auto counts = this->counts(now);
+    if (counts.retries + counts.granted + 1 > this->limits.ratio * counts.firstSends + this->limits.allowance)
+        return std::nullopt;
+    return RetryGrant(*this);
+}
+
+RetryGrant::RetryGrant(RetryWindow& window)
+    : window(&window)
+{
+    ++this->window->unusedGrants;
+}
+
+RetryGrant::RetryGrant(RetryGrant&& other) noexcept
+    : window(std::exchange(other.window, nullptr))
+{
+}
+
+RetryGrant& RetryGrant::operator=(RetryGrant&& other) noexcept
+{
+    const RetryGrant replaced(std::move(*this));
+    this->window = std::exchange(other.window, nullptr);
+    return *this;
+}
+
+RetryGrant::~RetryGrant()
+{
+    if (this->window)
+        --this->window->unusedGrants;
+}
+
+void RetryGrant::use(Clock::time_point now)
+{
+    --this->window->unusedGrants;
+    ++this->window->currentBucket(now).retries;
+    this->window = nullptr;
 }
 
 }
--- a/tests/ForwardPartsTest.cpp
+++ b/tests/ForwardPartsTest.cpp
@@ -87,17 +87,63 @@
 
 }
 
+namespace {
+
+/// Sends a retry at @p now; false if the budget is exhausted.
+bool sendRetry(RetryWindow& window, Clock::time_point now)
+{
+    auto grant = window.tryAcquireRetry(now);
+    if (grant)
+        grant->use(now);
+    return grant.has_value();
+}
+
+}
+
 Test(retryWindow, retriesAreLimitedByFirstSendsAndAllowance)
 {
     RetryWindow window({ 0.2, 1, 10000ms });
     const auto start = Clock::now();
-    cr_assert(window.tryAcquireRetry(start));
-    cr_assert_not(window.tryAcquireRetry(start), "the allowance is one");
+    cr_assert(sendRetry(window, start));
+    cr_assert_not(sendRetry(window, start), "the allowance is one");
     for (int i = 0; i < 10; ++i)
         window.recordFirstSend(start);
-    cr_assert(window.tryAcquireRetry(start));
-    cr_assert(window.tryAcquireRetry(start));
-    cr_assert_not(window.tryAcquireRetry(start));
+    cr_assert(sendRetry(window, start));
+    cr_assert(sendRetry(window, start));
+    cr_assert_not(sendRetry(window, start));
+}
+
+Test(retryWindow, unusedGrantsCountUntilTheyAreReturned)
+{
+    RetryWindow window({ 0.2, 2, 10000ms });
+    const auto start = Clock::now();
+    for (int i = 0; i < 100; ++i)
+        cr_assert(window.tryAcquireRetry(start), "a grant that was not used is returned");
+    auto first = window.tryAcquireRetry(start);
+    auto second = window.tryAcquireRetry(start);
+    cr_assert(first && second);
+    cr_assert(first->isOf(window));
+    cr_assert_not(window.tryAcquireRetry(start), "two retries may be sent at any moment");
+    cr_assert_not(window.tryAcquireRetry(start + 60s), "an unused grant does not expire");
+    first.reset();
+    first = window.tryAcquireRetry(start + 60s);
+    cr_assert(first.has_value());
+    second = std::move(first);
+    cr_assert_eq(window.counts(start + 60s).granted, 1, "assigning returns the grant that was held before");
+}
+
+Test(retryWindow, grantCountsFromItsUse)
+{
+    RetryWindow window({ 0.2, 1, 10000ms });
+    const auto start = Clock::now();
+    auto grant = window.tryAcquireRetry(start);
+    grant->use(start + 8s);
+    grant.reset();
+    const auto counts = window.counts(start + 8s);
+    cr_assert_eq(counts.retries, 1);
+    cr_assert_eq(counts.granted, 0);
+    cr_assert_not(window.tryAcquireRetry(start + 17s), "it was sent in the last ten seconds");
+    cr_assert(window.tryAcquireRetry(start + 19s));
 }
 
 Test(retryWindow, retryRatioHoldsOverEverySlidingWindow)
@@ -112,7 +158,7 @@
         for (int i = 0; i < count; ++i) {
             window.recordFirstSend(now);
             firstSends.push_back(now);
-            if (window.tryAcquireRetry(now))
+            if (sendRetry(window, now))
                 retries.push_back(now);
         }
     }
--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -198,6 +198,37 @@
     cr_assert_eq(answer->status, 200, "%d: %s", answer->status, answer->body.c_str());
     cr_assert_eq(answer->body, "done by service-7");
     cr_assert_eq(resends(site.services), 1);
+    cr_assert_eq(metricOf(*site.entries.front(), "dragonfly_retries_total"), 1);
+    cr_assert_eq(metricOf(*site.entries.front(), "dragonfly_retries_denied_total"), 0);
+}
+
+Test(forward, grantsOfRequestsThatReachNoFurtherTargetAreReturned)
+{
+    const Application application;
+    ForwardSite site;
+    site.addService("south-a");
+    site.startEntry();
+    setAll(site.services, { { "answer", "close" } });
+    site.services[1]->kill(); // still registered
+    site.services[2]->kill();
+    for (int i = 0; i < 5; ++i)
+        cr_assert_eq(site.sendAndWait({ "r" + std::to_string(i), "/read/x", "GET", "" })->status, 502);
+    auto& entry = *site.entries.front();
+    cr_assert_eq(metricOf(entry, "dragonfly_retries_total"), 0);
+    cr_assert_eq(metricOf(entry, "dragonfly_retries_denied_total"), 0);
+}
+
+Test(forward, deniedRetryIsLogged)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry();
+    setAll(site.services, { { "answer", "close" } });
+    for (int i = 0; i < 3; ++i)
+        site.sendAndWait({ "r" + std::to_string(i), "/read/x", "GET", "" });
+    auto& entry = *site.entries.front();
+    cr_assert(waitUntil([&] { return entry.printedLine("(2 retries sent, 0 granted, 3 first sends)"); }, 1s));
+    cr_assert_eq(metricOf(entry, "dragonfly_retries_denied_total"), 1);
 }
 
 Test(forward, refusalByAllTargetsIsReportedAsNotRun)
