Deliver the rest of an answer to a paused reader before its end

Callers saw: a stream whose engine had ended it while the caller read slowly could lack its last events and look complete. An answer with a length or chunks that had arrived in full was thrown away as broken off.

Cause: when a connection ended, bytes that a paused reader had not taken were skipped. An answer that only the end of its connection delimits was completed without them, any other failed.

Change: the end of a connection waits with the rest of the answer until reading is resumed. The notifier of resets is released when its descriptor has been closed. A connection that was closed is not kept for reuse.

Ruled out: delivering the rest in spite of the pause; the pause bounds what an instance holds for a slow caller.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -206,7 +206,8 @@
 
 void ClientConnection::complete()
 {
-    const bool keep = this->parser->keep_alive() && this->unparsed.empty() && !this->socket.bytesAvailable();
+    const bool keep = this->parser->keep_alive() && this->unparsed.empty() && !this->socket.bytesAvailable()
+        && this->socket.state() == QAbstractSocket::ConnectedState;
     const auto finished = std::exchange(this->events, nullptr);
     this->becameIdle = Clock::now();
     this->idleDeadline = idleDeadlineFrom(this->parser->head, this->becameIdle);
@@ -226,16 +227,24 @@
         this->close();
         return;
     }
-    if (this->socket.bytesAvailable() && !this->paused)
+    // The notifier reports a reset in the same event loop iteration as the close, so check for it afterwards.
+    QMetaObject::invokeMethod(this, &ClientConnection::endWithConnection, Qt::QueuedConnection);
+}
+
+/// Delivers what was received before the connection ended, then ends the call. While reading is paused, the rest of the
+/// answer and its end wait in the socket's buffer.
+void ClientConnection::endWithConnection()
+{
+    this->resetNotifier.reset(); // its descriptor is closed, and another connection may get the same one
+    if (!this->number || (this->paused && this->socket.bytesAvailable()))
+        return;
+    if (this->socket.bytesAvailable())
         this->readMore();
     if (!this->number)
         return;
-    if (this->headReported && this->parser->head.endsWithConnection) {
-        // The notifier reports a reset in the same event loop iteration as the close, so check for it afterwards.
-        QMetaObject::invokeMethod(this, &ClientConnection::completeAtEndOfStream, Qt::QueuedConnection);
-        return;
-    }
-    if (this->sent)
+    if (this->headReported && this->parser->head.endsWithConnection)
+        this->completeAtEndOfStream();
+    else if (this->sent)
         this->fail(CallFailureKind::Closed, "the connection was closed before the answer was complete");
     else
         this->fail(CallFailureKind::ConnectFailed, this->socket.errorString().toStdString());
@@ -254,8 +263,6 @@
 /// An answer without a length is complete only after an orderly close, not after a reset.
 void ClientConnection::completeAtEndOfStream()
 {
-    if (!this->number)
-        return;
     boost::beast::error_code failure;
     if (!this->wasReset)
         this->parser->put_eof(failure);
@@ -300,7 +307,17 @@
         return;
     this->paused = paused;
     if (!paused)
-        QMetaObject::invokeMethod(this, &ClientConnection::readMore, Qt::QueuedConnection);
+        QMetaObject::invokeMethod(this, &ClientConnection::resumeReading, Qt::QueuedConnection);
+}
+
+void ClientConnection::resumeReading()
+{
+    if (!this->number)
+        return;
+    if (this->socket.state() == QAbstractSocket::UnconnectedState)
+        this->endWithConnection();
+    else
+        this->readMore();
 }
 
 void ClientConnection::fail(CallFailureKind kind, std::string detail)
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -98,7 +98,9 @@
     bool skipInterimAnswer();
     void readMore();
     bool deliverParsed();
+    void resumeReading();
     void onDisconnected();
+    void endWithConnection();
     void watchForReset();
     void completeAtEndOfStream();
     void checkDeadline();
--- a/tests/ClientAnswerTest.cpp
+++ b/tests/ClientAnswerTest.cpp
@@ -5,8 +5,11 @@
 #include "tests/support/RawServer.h"
 
 #include <QCoreApplication>
+#include <QTimer>
 #include <criterion/criterion.h>
 #include <optional>
+#include <sstream>
+#include <thread>
 
 using namespace testing;
 using namespace dragonfly;
@@ -23,16 +26,33 @@
     std::optional<http::CallFailure> failure;
 };
 
-Outcome call(const RawServer& server, std::chrono::milliseconds timeout = 1s)
+/// Creates the event loop's application on the first call.
+void ensureApplication()
 {
     static int count = 0;
     static QCoreApplication application(count, nullptr);
-    http::ClientPool pool;
+}
+
+/// What the caller does while it receives the answer.
+struct Behaviour {
+    std::chrono::milliseconds pause { 0 }; ///< reads nothing for this time after the head
+    std::chrono::milliseconds block { 0 }; ///< stops the event loop for this time after the head
+};
+
+Outcome call(http::ClientPool& pool, const RawServer& server, std::chrono::milliseconds timeout = 1s,
+    const Behaviour& behaviour = {})
+{
     Outcome outcome;
+    std::optional<http::Call> active;
     http::CallEvents events;
     events.onHead = [&](const http::ResponseHead& head) {
         outcome.status = head.status;
         outcome.endsWithConnection = head.endsWithConnection;
+        std::this_thread::sleep_for(behaviour.block);
+        if (behaviour.pause == 0ms)
+            return;
+        active->setPaused(true);
+        QTimer::singleShot(behaviour.pause, &pool, [&] { active->setPaused(false); });
     };
     events.onBody = [&](std::string_view bytes) { outcome.body.append(bytes); };
     events.onComplete = [&] { outcome.ended = outcome.complete = true; };
@@ -41,11 +61,18 @@
         outcome.failure = failure;
     };
     const auto now = Clock::now();
-    pool.send(server.address(), { "GET", "/", {}, {} }, { now + timeout, now + timeout }, events);
+    active = pool.send(server.address(), { "GET", "/", {}, {} }, { now + timeout, now + timeout }, events);
     waitUntil([&] { return outcome.ended; }, timeout + 1s);
     return outcome;
 }
 
+Outcome call(const RawServer& server, std::chrono::milliseconds timeout = 1s, const Behaviour& behaviour = {})
+{
+    ensureApplication();
+    http::ClientPool pool;
+    return call(pool, server, timeout, behaviour);
+}
+
 const std::string answerWithoutLength = "HTTP/1.1 200 OK\r\n\r\nhello";
 
 }
@@ -126,3 +153,95 @@
         cr_assert_lt(Clock::now() - start, 600ms);
     }
 }
+
+namespace {
+
+/// @p body after a head that delimits it in one of three ways, or that only the end of the connection delimits.
+std::vector<std::string> framingsOf(const std::string& body)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    std::ostringstream size;
+    size << std::hex << body.size();
+    return { head + "\r\n" + body, head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
+        head + "Transfer-Encoding: chunked\r\n\r\n" + size.str() + "\r\n" + body + "\r\n0\r\n\r\n" };
+}
+
+}
+
+Test(clientAnswer, pausedReaderGetsTheWholeAnswerAfterTheClose)
+{
+    constexpr size_t headBytes = 60; // the head and the first bytes of the body
+    for (const size_t size : { 1000, 100000, 1000000 }) {
+        const std::string body(size, 'x');
+        for (const auto& bytes : framingsOf(body)) {
+            const RawServer server({ { bytes.substr(0, headBytes), Ending::Close, 50ms, bytes.substr(headBytes) } });
+            const auto outcome = call(server, 2s, { .pause = 200ms });
+            cr_expect(outcome.complete, "%zu bytes: %s", size, bytes.substr(0, headBytes).c_str());
+            cr_expect_eq(outcome.body.size(), size, "%zu of %zu bytes: %s", outcome.body.size(), size,
+                bytes.substr(0, headBytes).c_str());
+        }
+    }
+}
+
+Test(clientAnswer, pausedReaderSeesTheReset)
+{
+    for (const size_t size : { 1000, 100000, 1000000 }) {
+        const auto bytes = framingsOf(std::string(size, 'x')).front();
+        const RawServer server({ { bytes.substr(0, 60), Ending::Reset, 50ms, bytes.substr(60) } });
+        const auto outcome = call(server, 2s, { .pause = 200ms });
+        cr_expect(outcome.ended);
+        cr_expect_not(outcome.complete, "%zu bytes", size);
+    }
+}
+
+Test(clientAnswer, pausedReaderSeesAnAnswerCutShort)
+{
+    for (const auto& bytes : framingsOf(std::string(1000, 'x'))) {
+        if (bytes == framingsOf(std::string(1000, 'x')).front())
+            continue; // nothing but a reset can cut this one short
+        const RawServer server({ { bytes.substr(0, 80), Ending::Close, 50ms, bytes.substr(80, 500) } });
+        const auto outcome = call(server, 2s, { .pause = 200ms });
+        cr_expect(outcome.ended);
+        cr_expect_not(outcome.complete, "%s", bytes.substr(0, 60).c_str());
+    }
+}
+
+Test(clientAnswer, resetThatArrivesTogetherWithDataLeavesTheAnswerIncomplete)
+{
+    for (int i = 0; i < 20; ++i) {
+        const RawServer server({ { answerWithoutLength, Ending::Reset, 5ms, " world" } });
+        const auto outcome = call(server, 1s, { .block = 20ms });
+        cr_assert(outcome.ended);
+        cr_assert_not(outcome.complete);
+    }
+}
+
+Test(clientAnswer, closeThatArrivesTogetherWithDataCompletesTheAnswer)
+{
+    for (int i = 0; i < 20; ++i) {
+        const RawServer server({ { answerWithoutLength, Ending::Close, 5ms, " world" } });
+        const auto outcome = call(server, 1s, { .block = 20ms });
+        cr_assert(outcome.complete);
+        cr_assert_eq(outcome.body, "hello world");
+    }
+}
+
+Test(clientAnswer, withoutLengthOnReusedConnectionEndsWithItsClose)
+{
+    const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for (const auto ending : { Ending::Close, Ending::Reset }) {
+        for (const auto delay : { 0ms, 50ms }) {
+            const RawServer server({ { first, Ending::Reuse }, { first, Ending::Reuse },
+                { answerWithoutLength, ending, delay, " world" } });
+            ensureApplication();
+            http::ClientPool pool;
+            cr_assert(call(pool, server).complete);
+            cr_assert(call(pool, server).complete);
+            const auto outcome = call(pool, server);
+            cr_assert(outcome.ended);
+            cr_assert_eq(outcome.complete, ending == Ending::Close);
+            if (outcome.complete)
+                cr_assert_eq(outcome.body, "hello world");
+        }
+    }
+}
--- a/tests/support/RawServer.cpp
+++ b/tests/support/RawServer.cpp
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace testing {
 
@@ -29,29 +30,47 @@
         close(descriptor);
 }
 
+bool RawServer::answer(int connection, const RawAnswer& answer)
+{
+    char request[4096];
+    const auto writeAll = [connection](std::string_view bytes) {
+        while (!bytes.empty()) {
+            const auto written = send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (written <= 0)
+                return false;
+            bytes.remove_prefix(static_cast<size_t>(written));
+        }
+        return true;
+    };
+    if (read(connection, request, sizeof(request)) <= 0 || !writeAll(answer.bytes))
+        return false;
+    std::this_thread::sleep_for(answer.endDelay);
+    return writeAll(answer.rest);
+}
+
 void RawServer::run(const std::vector<RawAnswer>& answers)
 {
+    int connection = -1;
     for (const auto& answer : answers) {
-        const int connection = accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
+        if (connection < 0)
+            connection = accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
         if (connection < 0)
             return;
-        char request[4096];
-        if (read(connection, request, sizeof(request)) < 0
-            || write(connection, answer.bytes.data(), answer.bytes.size()) < 0) {
-            close(connection);
+        const bool isAnswered = RawServer::answer(connection, answer);
+        if (isAnswered && answer.ending == Ending::Reuse)
             continue;
-        }
-        std::this_thread::sleep_for(answer.endDelay);
-        if (answer.ending == Ending::KeepOpen) {
-            this->keptOpen.push_back(connection);
+        if (isAnswered && answer.ending == Ending::KeepOpen) {
+            this->keptOpen.push_back(std::exchange(connection, -1));
             continue;
         }
-        if (answer.ending == Ending::Reset) {
+        if (isAnswered && answer.ending == Ending::Reset) {
             const linger immediately { 1, 0 };
             setsockopt(connection, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
         }
-        close(connection);
+        close(std::exchange(connection, -1));
     }
+    if (connection >= 0)
+        this->keptOpen.push_back(connection);
 }
 
 }
--- a/tests/support/RawServer.h
+++ b/tests/support/RawServer.h
@@ -1,5 +1,5 @@
 #pragma once
-// A target that answers each connection with given raw bytes and then closes, resets or keeps it open.
+// A target that answers with given raw bytes and then closes, resets or keeps the connection open.
 
 #include "base/Base.h"
 
@@ -14,16 +14,18 @@
     Close,
     Reset,
     KeepOpen, ///< the connection stays open and nothing more is sent
+    Reuse, ///< the next request is expected on the same connection
 };
 
-/// The answer to one accepted connection.
+/// The answer to one request.
 struct RawAnswer {
     std::string bytes;
     Ending ending = Ending::Close;
     std::chrono::milliseconds endDelay { 0 }; ///< from the answer to the end of the connection
+    std::string rest = {}; ///< sent after the delay, immediately before the end
 };
 
-/// Serves one connection after the other in its own thread: the first connection gets the first answer, and so on.
+/// Serves one connection after the other in its own thread: the first request gets the first answer, and so on.
 class RawServer {
 public:
     explicit RawServer(std::vector<RawAnswer> answers);
@@ -36,6 +38,8 @@
 
 private:
     void run(const std::vector<RawAnswer>& answers);
+    /// Receives a request on @p connection and answers it; false if the caller closed the connection.
+    static bool answer(int connection, const RawAnswer& answer);
 
     int listener = -1;
     dragonfly::Endpoint endpoint;
