Test forwarded answers that end with their connection

Cause: an answer, a stream too, may come with neither a length nor chunks and end with its connection, and a stream that ends inside an event has been broken off. No test of forwarding brought these about.

Change: tests only. A site may have a target that answers with given raw bytes; the others become ready while it answers. Closed and reset between and inside events, resumable and not, buffered, and with a caller that reads nothing until the engine is about to close.

Ruled out: modes of the stand-in for targets, whose server always delimits its answers; raw bytes say exactly what is sent and how it ends.

--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -2,6 +2,7 @@
 // targets, with single and simultaneous faults.
 
 #include "tests/support/ForwardSite.h"
+#include "tests/support/RawServer.h"
 
 #include <criterion/criterion.h>
 #include <set>
@@ -700,3 +701,149 @@
             cr_assert_geq(eventsOf(stream->body), 0);
     }
 }
+
+namespace {
+
+/// The head of an answer to @p requestId whose body ends with its connection.
+std::string headWithoutLength(const std::string& requestId)
+{
+    return "HTTP/1.1 200 OK\r\nX-Dragonflyarch-Attempt-Id: " + requestId
+        + "\r\nX-Dragonflyarch-Response-Stamp: stamp-of-" + requestId
+        + "\r\nX-Dragonflyarch-Weight-Versions: 1\r\n\r\n";
+}
+
+std::string events(int first, int last, size_t padding = 0)
+{
+    std::string text;
+    for (int number = first; number <= last; ++number) {
+        const auto id = std::to_string(number);
+        text += "id: " + id + "\ndata: token " + id + std::string(padding, 'x') + "\n\n";
+    }
+    return text;
+}
+
+/// From the first events to the end of the connection, in which the other targets become ready.
+constexpr std::chrono::milliseconds endDelay { 800 };
+/// So long that no stream counts as stalled in that time.
+constexpr int rawTargetLatencyMs = 1000;
+constexpr int rawTimeoutMs = 4000;
+
+/// One target of a service that answers with @p answers. The others are draining until resume().
+struct RawSite {
+    Application application;
+    ForwardSite site;
+    RawServer server;
+    std::vector<std::unique_ptr<Process>>& others;
+
+    RawSite(const char* path, std::vector<RawAnswer> answers)
+        : server(std::move(answers))
+        , others(isStream(path) ? this->site.engines : this->site.services)
+    {
+        const bool stream = isStream(path);
+        this->site.registerTarget("raw", stream ? "engines" : "desk", stream ? "m" : "", this->server.address());
+        setAll(this->others, { { "draining", true } });
+        this->site.publish({ forwardKey }, rawTimeoutMs, rawTargetLatencyMs);
+        this->site.startEntry();
+        runFor(200ms);
+    }
+
+    /// Sends a request that the raw target answers. The other targets are ready again before its connection ends.
+    AnswerPointer sendAndWait(const std::string& id, const std::string& path)
+    {
+        const auto answer = this->site.send({ id, path });
+        runFor(100ms);
+        setAll(this->others, { { "draining", false } });
+        require(waitFor(answer, 5s), "no answer to " + id);
+        return answer;
+    }
+
+    static bool isStream(std::string_view path)
+    {
+        return path.starts_with("/ask/") || path.starts_with("/once/");
+    }
+};
+
+}
+
+Test(forward, streamThatEndsWithItsConnectionIsComplete)
+{
+    for (const auto* path : { "/ask/x", "/once/x" }) {
+        RawSite raw(path, { { headWithoutLength("s1") + events(1, 3), Ending::Close, endDelay, events(4, 6) } });
+        const auto answer = raw.sendAndWait("s1", path);
+        cr_assert(answer->whole, "%s: %s", path, answer->body.c_str());
+        cr_assert_eq(eventsOf(answer->body), 6, "%s: %s", path, answer->body.c_str());
+        cr_assert_eq(sum(raw.others, "runs"), 0);
+    }
+}
+
+Test(forward, streamThatIsBrokenOffByItsConnectionResumes)
+{
+    const std::vector<RawAnswer> answers { { headWithoutLength("s1") + events(1, 3), Ending::Reset, endDelay },
+        { headWithoutLength("s1") + events(1, 3), Ending::Reset, endDelay, "id: 4\ndata" },
+        { headWithoutLength("s1") + events(1, 3), Ending::Close, endDelay, "id: 4\ndata: token 4\n" },
+        { headWithoutLength("s1") + events(1, 3) + "id: 4\nda", Ending::Close, endDelay },
+        { headWithoutLength("s1") + events(1, 2), Ending::Close, endDelay, events(3, 3) + "i" } };
+    for (const auto& each : answers) {
+        RawSite raw("/ask/x", { each });
+        const auto answer = raw.sendAndWait("s1", "/ask/x");
+        cr_expect(answer->whole, "%s", answer->body.c_str());
+        cr_expect_eq(eventsOf(answer->body), 6, "%s", answer->body.c_str());
+        cr_expect_eq(sum(raw.others, "runs"), 1);
+    }
+}
+
+Test(forward, streamThatIsBrokenOffByItsConnectionIsNeverTerminatedAsComplete)
+{
+    const std::vector<RawAnswer> answers { { headWithoutLength("s1") + events(1, 3), Ending::Reset, endDelay },
+        { headWithoutLength("s1") + events(1, 3), Ending::Close, endDelay, "id: 4\ndata: token 4\n" } };
+    for (const auto& each : answers) {
+        RawSite raw("/once/x", { each });
+        const auto answer = raw.sendAndWait("s1", "/once/x");
+        cr_expect_not(answer->whole, "%s", answer->body.c_str());
+        cr_expect_eq(eventsOf(answer->body), 3, "%s", answer->body.c_str());
+        cr_expect_eq(sum(raw.others, "runs"), 0);
+    }
+}
+
+Test(forward, bufferedAnswerThatEndsWithItsConnectionIsCompleteUnlessItWasReset)
+{
+    for (const auto ending : { Ending::Close, Ending::Reset }) {
+        RawSite raw("/book/x", { { headWithoutLength("b1") + "the whole", ending, endDelay, " body" } });
+        const auto answer = raw.sendAndWait("b1", "/book/x");
+        cr_expect_eq(answer->status, ending == Ending::Close ? 200 : 502, "status %d", answer->status);
+        cr_expect_eq(answer->body == "the whole body", ending == Ending::Close);
+        cr_expect_eq(sum(raw.others, "runs"), 0);
+    }
+}
+
+Test(forward, slowCallerGetsEveryEventOfAStreamThatEndsWithItsConnection, .timeout = 60)
+{
+    constexpr int count = 400;
+    constexpr size_t padding = 64 << 10;
+    RawSite raw("/once/x",
+        { { headWithoutLength("s1") + events(1, count / 2, padding), Ending::Close, 100ms,
+            events(count / 2 + 1, count, padding) } });
+    http::ClientPool pool;
+    std::string body;
+    bool ended = false;
+    bool complete = false;
+    std::optional<http::Call> call;
+    http::CallEvents callbacks;
+    callbacks.onHead = [&](const http::ResponseHead&) { call->setPaused(true); };
+    callbacks.onBody = [&](std::string_view bytes) { body.append(bytes); };
+    callbacks.onComplete = [&] { ended = complete = true; };
+    callbacks.onFailure = [&](const http::CallFailure&) { ended = true; };
+    const auto deadline = Clock::now() + 10s;
+    const http::Request request { "POST", "/once/x",
+        { { "Host", "site.example" }, { "X-Dragonflyarch-Attempt-Id", "s1" }, { "X-Dragonflyarch-Deadline-Ms", "3000" },
+            { "Authorization", std::string("Bearer ") + forwardKey }, { "X-Dragonflyarch-Model", "m" },
+            { "X-Dragonflyarch-Token-Usage", "300,10" }, { "X-Dragonflyarch-Prompt-Prefix", "aa:200,bb:100" } },
+        "body" };
+    call = pool.send(raw.site.entries.front()->address(), request, { deadline, deadline }, std::move(callbacks));
+    runFor(700ms);
+    call->setPaused(false);
+    cr_assert(waitUntil([&] { return ended; }, 10s));
+    cr_assert(complete, "%zu bytes", body.size());
+    cr_assert_eq(body.size(), events(1, count, padding).size(), "%zu bytes", body.size());
+    cr_assert(body == events(1, count, padding));
+}
--- a/tests/support/ForwardSite.cpp
+++ b/tests/support/ForwardSite.cpp
@@ -14,11 +14,10 @@
         return QString::fromStdString(value);
     }
 
-    QJsonObject routeOf(const char* name, const char* prefix, const char* kind, const char* service, int timeoutMs)
+    QJsonObject routeOf(const char* name, const char* prefix, const char* kind, const char* service)
     {
         return { { "name", name }, { "host", "site.example" }, { "prefix", prefix }, { "kind", kind },
-            { "service", service }, { "timeout_ms", timeoutMs }, { "target_latency_ms", 200 }, { "priority", 1 },
-            { "max_attempts", 2 } };
+            { "service", service }, { "priority", 1 }, { "max_attempts", 2 } };
     }
 
     QJsonObject with(QJsonObject object, const char* field, const QJsonValue& value)
@@ -56,6 +55,19 @@
     return std::make_unique<Process>("standin-target", arguments);
 }
 
+void ForwardSite::registerTarget(
+    const QString& id, const QString& service, const QString& model, const Endpoint& endpoint)
+{
+    ++this->ownTargets;
+    const QJsonArray models { QJsonObject { { "name", model }, { "version", 1 } } };
+    const QJsonObject record { { "service", service }, { "address", text(endpoint.toString()) }, { "zone", "north-a" },
+        { "slots", 8 }, { "state", "ready" }, { "models", model.isEmpty() ? QJsonArray {} : models }, { "born", 1000 },
+        { "seq", 1 } };
+    this->controlStore({ { "put",
+        QJsonObject { { "key", "servers/" + id },
+            { "value", QString::fromUtf8(QJsonDocument(record).toJson(QJsonDocument::Compact)) } } } });
+}
+
 Process& ForwardSite::startEntry(
     bool waitUntilReady, const std::string& extraSettings, const std::optional<Endpoint>& storeAddress)
 {
@@ -65,7 +77,7 @@
     this->entries.push_back(std::make_unique<Process>("dragonflyd", QStringList { "--settings", text(file) }, "ready"));
     auto& entry = *this->entries.back();
     if (waitUntilReady) {
-        const auto known = this->engines.size() + this->services.size();
+        const auto known = this->engines.size() + this->services.size() + this->ownTargets;
         const bool ready = waitUntil(
             [&] {
                 const auto status = get(entry.address("admin"), "/status");
@@ -116,14 +128,15 @@
     return answer;
 }
 
-void ForwardSite::publish(const QStringList& firstKeys, int timeoutMs)
+void ForwardSite::publish(const QStringList& firstKeys, int timeoutMs, int targetLatencyMs)
 {
     this->version += 3; // versions need not be consecutive
-    const QJsonArray routes { with(routeOf("ask", "/ask/", "streaming", "engines", timeoutMs), "resumable", true),
-        routeOf("once", "/once/", "streaming", "engines", timeoutMs),
-        routeOf("book", "/book/", "non_idempotent", "desk", timeoutMs),
-        routeOf("read", "/read/", "idempotent", "desk", timeoutMs),
-        with(routeOf("open", "/open/", "idempotent", "desk", timeoutMs), "anonymous", true) };
+    QJsonArray routes;
+    for (const auto& route : { with(routeOf("ask", "/ask/", "streaming", "engines"), "resumable", true),
+             routeOf("once", "/once/", "streaming", "engines"), routeOf("book", "/book/", "non_idempotent", "desk"),
+             routeOf("read", "/read/", "idempotent", "desk"),
+             with(routeOf("open", "/open/", "idempotent", "desk"), "anonymous", true) })
+        routes.append(with(with(route, "timeout_ms", timeoutMs), "target_latency_ms", targetLatencyMs));
     const QJsonArray services { QJsonObject { { "name", "engines" }, { "max_connections", 100 },
                                     { "engine", QJsonObject { { "slots", 8 } } } },
         QJsonObject { { "name", "desk" }, { "max_connections", 100 } } };
--- a/tests/support/ForwardSite.h
+++ b/tests/support/ForwardSite.h
@@ -35,6 +35,9 @@
         const std::optional<dragonfly::Endpoint>& storeAddress = std::nullopt);
     /// Starts another target of the plain service. Call before startEntry(), which waits for every target.
     Process& addService(const QString& dataCentre = "north-a");
+    /// Registers a target that the test runs itself. Call before startEntry().
+    void registerTarget(
+        const QString& id, const QString& service, const QString& model, const dragonfly::Endpoint& endpoint);
     AnswerPointer send(const ForwardRequestSpec& spec, size_t entry = 0);
     /// Sends and waits for the answer.
     AnswerPointer sendAndWait(const ForwardRequestSpec& spec, size_t entry = 0);
@@ -42,7 +45,8 @@
     /// Publishes the configuration under a new version.
     /// @param firstKeys API keys of the first organisation
     /// @param timeoutMs timeout of every route
-    void publish(const QStringList& firstKeys, int timeoutMs = 2000);
+    /// @param targetLatencyMs target latency of every route; an instance resumes a stream that stalls for twice as long
+    void publish(const QStringList& firstKeys, int timeoutMs = 2000, int targetLatencyMs = 200);
     /// Rewrites the settings file of an entry instance.
     void changeSettings(size_t entry, const std::string& extraSettings,
         const std::optional<dragonfly::Endpoint>& storeAddress = std::nullopt);
@@ -62,6 +66,7 @@
         const QString& id, const QString& service, const QString& model, const QString& dataCentre = "north-a");
 
     QTemporaryDir folder;
+    size_t ownTargets = 0; ///< targets that the test runs itself
     int version = 1;
 };
 
