Relay the body of an answer only if its head was accepted

Callers saw: a stream that was resumed at a target whose answer had no stamp or was encoded contained events of that answer. A stream with another success status than 200 was answered as complete without any event.

Cause: the body was judged anew, by whether any stream had begun and whether this status was 200, and not by what was decided at the attempt's head.

Change: the decision at the head is kept with the attempt (isRelayed); body and end follow it.

Ruled out: checking the stamp and the encoding in onBody as well; two copies of a condition are how this came about.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -303,6 +303,7 @@
     if (!this->isStream() || !isSuccess || this->isMismatchedAnswer() || !answer.isStamped || answer.isEncoded)
         return; // buffered until it is complete, then validated
     this->mayHaveRun = true;
+    this->attempt->isRelayed = true;
     if (!this->streamBegun) {
         this->streamBegun = true;
         this->request.exchange->beginStream(head.status, this->context.dialect.answerHeaders(head));
@@ -339,8 +340,7 @@
 
 void ForwardCall::onBody(std::string_view bytes)
 {
-    if (this->streamBegun && this->mayHaveRun && this->attempt->head.status == statusOk
-        && !this->isMismatchedAnswer()) {
+    if (this->attempt->isRelayed) {
         this->relayEvents(bytes);
         return;
     }
@@ -433,7 +433,7 @@
     const bool isTargetFailure = isUnusable || status >= firstServerError;
     if (isTargetFailure)
         routing::recordFailure(state, Clock::now());
-    if (this->streamBegun && isSuccess && !isUnusable) {
+    if (this->attempt->isRelayed) {
         this->completeStream();
     } else if (isTargetFailure && (isUnusable || (this->isRepeatable() && this->mayTryAnotherTarget()))) {
         this->attemptFailed("status " + std::to_string(status),
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -44,6 +44,7 @@
         bool isSent = false; ///< a byte of the request was written
         http::ResponseHead head;
         AnswerMetadata answerMetadata;
+        bool isRelayed = false; ///< the body is relayed event by event; any other is buffered and then checked
         std::string body;
         bool isConfirmed = false; ///< another instance confirmed that its replaced weights may still answer
         std::optional<BootClock::time_point> confirmationEndedAt;
--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -5,6 +5,7 @@
 #include "tests/support/RawServer.h"
 
 #include <criterion/criterion.h>
+#include <cstring>
 #include <set>
 
 using namespace testing;
@@ -735,14 +736,14 @@
     RawServer server;
     std::vector<std::unique_ptr<Process>>& others;
 
-    RawSite(const char* path, std::vector<RawAnswer> answers)
+    RawSite(const char* path, std::vector<RawAnswer> answers, int targetLatencyMs = rawTargetLatencyMs)
         : server(std::move(answers))
         , others(isStream(path) ? this->site.engines : this->site.services)
     {
         const bool stream = isStream(path);
         this->site.registerTarget("raw", stream ? "engines" : "desk", stream ? "m" : "", this->server.address());
         setAll(this->others, { { "draining", true } });
-        this->site.publish({ forwardKey }, rawTimeoutMs, rawTargetLatencyMs);
+        this->site.publish({ forwardKey }, rawTimeoutMs, targetLatencyMs);
         this->site.startEntry();
         runFor(200ms);
     }
@@ -765,6 +766,30 @@
 
 }
 
+Test(forward, resumedStreamRelaysNoAnswerWithoutStampOrWithEncoding)
+{
+    for (const auto* fault : { "unstamped", "encoded" }) {
+        RawSite raw("/ask/x", { { headWithoutLength("s1") + events(1, 3), Ending::Reset, endDelay } });
+        setAll(raw.others, { { "answer", fault } });
+        const auto answer = raw.sendAndWait("s1", "/ask/x");
+        cr_expect_not(answer->whole, "%s: %s", fault, answer->body.c_str());
+        cr_expect_eq(eventsOf(answer->body), 3, "%s: %s", fault, answer->body.c_str());
+        cr_expect_geq(sum(raw.others, "runs"), 1);
+    }
+}
+
+Test(forward, streamWithAnotherSuccessStatusIsRelayed)
+{
+    const std::string head = "HTTP/1.1 201 Created" + headWithoutLength("s1").substr(strlen("HTTP/1.1 200 OK"));
+    for (const auto* path : { "/ask/x", "/once/x" }) {
+        RawSite raw(path, { { head + events(1, 3), Ending::Close, endDelay, events(4, 6) } });
+        const auto answer = raw.sendAndWait("s1", path);
+        cr_expect_eq(answer->status, 201);
+        cr_expect(answer->whole);
+        cr_expect_eq(eventsOf(answer->body), 6, "%s: %s", path, answer->body.c_str());
+    }
+}
+
 Test(forward, streamThatEndsWithItsConnectionIsComplete)
 {
     for (const auto* path : { "/ask/x", "/once/x" }) {
@@ -816,13 +841,17 @@
     }
 }
 
-Test(forward, slowCallerGetsEveryEventOfAStreamThatEndsWithItsConnection, .timeout = 60)
+namespace {
+
+/// A caller reads nothing of a long stream for a while; the engine closes meanwhile. The caller gets every event.
+void checkSlowCaller(const char* path, int targetLatencyMs)
 {
     constexpr int count = 400;
     constexpr size_t padding = 64 << 10;
-    RawSite raw("/once/x",
+    RawSite raw(path,
         { { headWithoutLength("s1") + events(1, count / 2, padding), Ending::Close, 100ms,
-            events(count / 2 + 1, count, padding) } });
+            events(count / 2 + 1, count, padding) } },
+        targetLatencyMs);
     http::ClientPool pool;
     std::string body;
     bool ended = false;
@@ -834,7 +863,7 @@
     callbacks.onComplete = [&] { ended = complete = true; };
     callbacks.onFailure = [&](const http::CallFailure&) { ended = true; };
     const auto deadline = Clock::now() + 10s;
-    const http::Request request { "POST", "/once/x",
+    const http::Request request { "POST", path,
         { { "Host", "site.example" }, { "X-Dragonflyarch-Attempt-Id", "s1" }, { "X-Dragonflyarch-Deadline-Ms", "3000" },
             { "Authorization", std::string("Bearer ") + forwardKey }, { "X-Dragonflyarch-Model", "m" },
             { "X-Dragonflyarch-Token-Usage", "300,10" }, { "X-Dragonflyarch-Prompt-Prefix", "aa:200,bb:100" } },
@@ -847,3 +876,10 @@
     cr_assert_eq(body.size(), events(1, count, padding).size(), "%zu bytes", body.size());
     cr_assert(body == events(1, count, padding));
 }
+
+}
+
+Test(forward, slowCallerGetsEveryEventOfAStreamThatEndsWithItsConnection, .timeout = 60)
+{
+    checkSlowCaller("/once/x", rawTargetLatencyMs);
+}
