Do not count a slow caller's pause as a stall of its engine

Callers saw: a resumable stream ended as incomplete, or was resumed at another engine, because the caller had not read for a moment.

Cause: while a caller reads slowly, the engine's answer is not read either, but the time for the next event went on. The engine was abandoned, and a run and a retry were spent on a sound stream.

Change: while reading is paused, only the request's own deadline holds; the time for the next event starts anew when reading is resumed.

Ruled out: longer stall timeouts; a caller may pause for as long as its deadline allows.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -231,11 +231,12 @@
     this->attempt->call->setDeadline(this->progressDeadline());
 }
 
-/// When the attempt is abandoned for a retry; the request's own deadline if no retry is allowed.
+/// When the attempt is abandoned for a retry; the request's own deadline if no retry is allowed, or while the target
+/// cannot make progress because the caller reads slowly.
 Deadline ForwardCall::responseDeadline() const
 {
     const bool mayRetry = this->isRepeatable() && this->runs < this->request.route->maxTargets;
-    if (!mayRetry)
+    if (!mayRetry || this->readingPaused)
         return this->request.deadline;
     const auto& route = *this->request.route;
     const bool isMidStream = this->attempt && this->attempt->firstEventAfter && route.maxEventGap;
@@ -406,8 +407,10 @@
     if (!this->readingPaused || this->request.exchange->unsentBytes() > pauseThresholdBytes / 2)
         return;
     this->readingPaused = false;
-    if (this->attempt && this->attempt->call)
-        this->attempt->call->setPaused(false);
+    if (!this->attempt || !this->attempt->call)
+        return;
+    this->attempt->call->setPaused(false);
+    this->attempt->call->setDeadline(this->progressDeadline());
 }
 
 void ForwardCall::onComplete()
