Search a stream's bytes for the end of an event only once

Callers saw: all requests of an instance waited while one of its streams received a long event.

Cause: with each piece of an event, all of its bytes so far were searched again, so the work grew with the square of the event's length, in the one thread that serves every request.

Change: only the new bytes and the two before them are searched.

Ruled out: a limit on the length of events alone; 4 MiB in pieces of 1 KiB took ten seconds.

Conclusion: mended.

--- a/src/forward/EventCursor.cpp
+++ b/src/forward/EventCursor.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+    constexpr size_t maxEndLength = 3; ///< of "\n\r\n", in bytes
+
     /// Length in bytes of the complete events at the beginning of @p text, which end with its last empty line.
     size_t lengthOfCompleteEvents(std::string_view text)
     {
@@ -29,8 +31,13 @@
 
 std::string EventCursor::feed(std::string_view bytes)
 {
+    // The buffered bytes complete no event, so an event can only end in the new ones. Its end may begin before them.
+    const auto searched = this->partial.size() - std::min(this->partial.size(), maxEndLength - 1);
     this->partial.append(bytes);
-    const auto length = lengthOfCompleteEvents(this->partial);
+    const auto found = lengthOfCompleteEvents(std::string_view(this->partial).substr(searched));
+    if (!found)
+        return {};
+    const auto length = searched + found;
     std::string complete = this->partial.substr(0, length);
     this->partial.erase(0, length);
     this->recordEvents(complete);
--- a/tests/ForwardPartsTest.cpp
+++ b/tests/ForwardPartsTest.cpp
@@ -5,6 +5,7 @@
 #include "forward/TargetChooser.h"
 
 #include <criterion/criterion.h>
+#include <cstring>
 
 using namespace dragonfly;
 using namespace dragonfly::forward;
@@ -199,6 +200,22 @@
     cr_assert_eq(cursor.count(), 2);
 }
 
+Test(eventCursor, longEventIsSearchedOnlyOnce)
+{
+    EventCursor cursor;
+    const std::string piece(1024, 'x');
+    const auto start = Clock::now();
+    cr_assert_eq(cursor.feed("id: 1\ndata: "), "");
+    for (int i = 0; i < 4096; ++i)
+        cr_assert_eq(cursor.feed(piece), "");
+    cr_assert_eq(cursor.feed("\n"), "");
+    cr_assert_eq(cursor.feed("\r").size(), 0);
+    cr_assert_eq(cursor.feed("\n").size(), strlen("id: 1\ndata: \n\r\n") + 4096 * piece.size());
+    cr_assert_eq(cursor.count(), 1);
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - start);
+    cr_assert_lt(took, 500ms, "%d ms", static_cast<int>(took.count()));
+}
+
 Test(targetChooser, instancesAgreeOnPreferredTargetOfSharedPrefix)
 {
     Pool north;
