Let a resumed stream wait for a slow caller too

Callers saw: nothing; the instance held everything that the second engine sent in memory while the caller did not read.

Cause: that reading is paused was remembered for the request. If the engine broke off meanwhile, the next attempt was never paused, because the pause seemed to be in force already.

Change: the pause ends with its attempt; the next one is paused when the caller is still behind.

Ruled out: pausing the new attempt from the start; it would then wait for a caller that may have caught up.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -530,6 +530,7 @@
         + (firstEvent ? "first event after " + std::to_string(firstEvent->count()) + " of " : "")
         + std::to_string(took.count()) + " ms, " + (this->attempt->isSent ? "sent" : "not sent") + "): " + outcome);
     this->attempt.reset();
+    this->readingPaused = false;
     this->context.awaitingEngines.erase(this);
 }
 
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -109,7 +109,7 @@
     /// A target may have run the request. Invariant: a non-repeatable request has no further attempt once this is set.
     bool mayHaveRun = false;
     bool streamBegun = false;
-    bool readingPaused = false; ///< the caller reads slowly, so the target's answer is not read
+    bool readingPaused = false; ///< the caller reads slowly, so the answer to the current attempt is not read
     bool ended = false;
 };
 
--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -733,15 +733,22 @@
 struct RawSite {
     Application application;
     ForwardSite site;
+    size_t answers = 0;
     RawServer server;
     std::vector<std::unique_ptr<Process>>& others;
 
     RawSite(const char* path, std::vector<RawAnswer> answers, int targetLatencyMs = rawTargetLatencyMs)
-        : server(std::move(answers))
+        : answers(answers.size())
+        , server(std::move(answers))
         , others(isStream(path) ? this->site.engines : this->site.services)
     {
         const bool stream = isStream(path);
-        this->site.registerTarget("raw", stream ? "engines" : "desk", stream ? "m" : "", this->server.address());
+        const auto registerRaw = [&](const char* id) {
+            this->site.registerTarget(id, stream ? "engines" : "desk", stream ? "m" : "", this->server.address());
+        };
+        registerRaw("raw");
+        if (this->answers > 1)
+            registerRaw("raw-again"); // receives the stream that the other has broken off
         setAll(this->others, { { "draining", true } });
         this->site.publish({ forwardKey }, rawTimeoutMs, targetLatencyMs);
         this->site.startEntry();
@@ -903,3 +910,23 @@
 {
     checkSlowCaller("/ask/x", 200);
 }
+
+Test(forward, resumedStreamWaitsForASlowCallerToo, .timeout = 60)
+{
+    constexpr size_t largeEvent = 7 << 20; // more than the sockets between instance and caller hold
+    constexpr size_t padding = 64 << 10;
+    constexpr int last = 1600;
+    constexpr uint64_t allowedGrowth = 64 << 20; // copies of the large event; what follows has 100 MiB
+    RawSite raw("/ask/x",
+        { { headWithoutLength("s1") + events(1, 1, largeEvent), Ending::Reset, 300ms },
+            { headWithoutLength("s1") + events(2, last, padding), Ending::Close } });
+    auto& entry = *raw.site.entries.front();
+    const auto before = entry.residentBytes();
+    SlowCaller caller(entry.address(), "/ask/x");
+    runFor(1500ms);
+    const auto growth = entry.residentBytes() - before;
+    cr_expect_lt(growth, allowedGrowth, "%zu MiB more", static_cast<size_t>(growth >> 20));
+    caller.readEverything();
+    cr_assert(caller.complete, "%zu bytes", caller.body.size());
+    cr_assert(caller.body == events(1, 1, largeEvent) + events(2, last, padding));
+}
