Break off a stream whose event does not end

Callers saw: a stream without events until its deadline, or until it was resumed as stalled, while its engine sent bytes without end.

Cause: an incomplete event was buffered at any length; only buffered answers had a limit.

Change: the limit of 8 MiB holds for an incomplete event too. The attempt is abandoned as after an answer that is too large.

Ruled out: relaying the bytes of an incomplete event; the stream could then not be resumed behind it.

--- a/src/forward/EventCursor.h
+++ b/src/forward/EventCursor.h
@@ -22,6 +22,11 @@
     {
         return !this->partial.empty();
     }
+    /// The length of the buffered incomplete event.
+    size_t partialBytes() const
+    {
+        return this->partial.size();
+    }
     /// The id of the last complete event; empty before the first.
     const std::string& lastId() const
     {
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -44,7 +44,7 @@
     constexpr milliseconds minRemainingForRetry { 30 };
     /// Limit on attempts of which bytes were sent, also when the request did not run.
     constexpr uint32_t maxSends = 4;
-    /// Limit on an answer that is buffered until it is complete.
+    /// Limit on an answer, or an event of a stream, that is buffered until it is complete.
     constexpr size_t maxBufferedBytes = 8u << 20;
     /// Backpressure: while more bytes than this wait for a slow caller, the target's answer is not read.
     constexpr int64_t pauseThresholdBytes = 128 << 10;
@@ -346,19 +346,30 @@
         return;
     }
     this->attempt->body.append(bytes);
-    if (this->attempt->body.size() <= maxBufferedBytes)
-        return;
+    if (this->attempt->body.size() > maxBufferedBytes)
+        this->onTooLarge("answer");
+}
+
+/// Abandons the attempt, since @p what does not end within the buffer's limit.
+void ForwardCall::onTooLarge(const std::string& what)
+{
     this->attempt->call->cancel();
     this->mayHaveRun = true;
-    this->attemptFailed(
-        "answer too large", { ErrorKind::TargetFailed, "the answer is larger than allowed", Execution::Unknown, {} });
+    this->attemptFailed(what + " too large",
+        { ErrorKind::TargetFailed, "the " + what + " is larger than allowed", Execution::Unknown, {} });
 }
 
 void ForwardCall::relayEvents(std::string_view bytes)
 {
     const auto complete = this->events.feed(bytes);
-    if (complete.empty())
-        return;
+    if (!complete.empty())
+        this->relayComplete(complete);
+    if (this->events.partialBytes() > maxBufferedBytes)
+        this->onTooLarge("event");
+}
+
+void ForwardCall::relayComplete(std::string_view complete)
+{
     this->recordFirstEvent();
     this->request.exchange->write(complete);
     if (this->request.exchange->unsentBytes() > pauseThresholdBytes && !this->readingPaused) {
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -69,7 +69,9 @@
     void onComplete();
     void onFailure(const http::CallFailure& failure);
 
+    void onTooLarge(const std::string& what);
     void relayEvents(std::string_view bytes);
+    void relayComplete(std::string_view complete);
     void recordFirstEvent();
     void recordDelay(Clock::time_point now);
     void completeStream();
--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -848,6 +848,22 @@
     }
 }
 
+Test(forward, streamWhoseEventDoesNotEndIsBrokenOff)
+{
+    const std::string endless(64 << 20, 'x');
+    for (const auto* path : { "/ask/x", "/once/x" }) {
+        RawSite raw(path,
+            { { headWithoutLength("s1") + events(1, 3), Ending::KeepOpen, endDelay, "id: 4\ndata: " + endless } });
+        auto& entry = *raw.site.entries.front();
+        const auto answer = raw.sendAndWait("s1", path);
+        const bool isResumable = std::string_view(path) == "/ask/x";
+        cr_expect_eq(answer->whole, isResumable, "%s", path);
+        cr_expect_eq(eventsOf(answer->body), isResumable ? 6 : 3, "%s", path);
+        cr_expect_lt(answer->took(), 1800ms, "%s: %d ms", path, static_cast<int>(answer->took().count()));
+        cr_expect(entry.printedLine("event too large"), "%s", path);
+    }
+}
+
 namespace {
 
 /// A caller that reads nothing of a stream for a while and then everything.
