Show that a prompt part that crashes engines ends all of them

Cause: callers saw their streams break and then no engine at all: a request with a part that ends the engine which begins to write its answer is sent on to the next engine, by every instance, each time that it comes.

Change: the target's stand-in gets a part of prompts that ends it shortly after it begins an answer; it closes all connections, refuses new ones for a while and returns under a new id. Its control interface stays.

--- a/standins/target.cpp
+++ b/standins/target.cpp
@@ -5,6 +5,12 @@
 // "oversized" | "close-in-stream"}, {"draining": bool}, {"work_ms": N}, {"load_ms": N}, {"events": N}, {"event_ms": N},
 // {"replaced_by": id} and {"checks_fencing": bool}. GET /control returns counts, the received orders and the last
 // request.
+//
+// {"deadly_part": ID} names a shared part of prompts that ends the target "crash_after_ms" after it begins an answer to
+// a request with it; {"crash": true} ends the target at once. The target then closes every connection, refuses
+// connections for "restart_after_ms", and returns at the same address with a new id. Its control interface at the
+// address printed after "control" stays; it reports the times of the "crashes" and of the arrivals of requests with
+// the deadly part ("deadly_arrivals"), in milliseconds since the Unix epoch.
 
 #include "standins/Program.h"
 
@@ -38,10 +44,24 @@
     {
     }
 
-    void start(uint16_t port)
+    /// Listens for requests and registers the target; false if it cannot listen.
+    bool start()
     {
-        this->address = "127.0.0.1:" + std::to_string(port);
+        if (!listenAndPrint(this->controlServer, 0, "control") || !listenAndPrint(*this->server, this->settings.port))
+            return false;
+        this->settings.port = this->server->serverPort();
+        this->address = "127.0.0.1:" + std::to_string(this->settings.port);
         this->writeRegistration();
+        return true;
+    }
+
+private:
+    using Headers = http::Headers;
+
+    std::unique_ptr<http::Server> makeServer()
+    {
+        return std::make_unique<http::Server>(
+            http::ServerLimits {}, [this](const http::ExchangePointer& exchange) { this->handle(exchange); });
     }
 
     void handle(const http::ExchangePointer& exchange)
@@ -57,8 +77,37 @@
             this->serve(exchange);
     }
 
-private:
-    using Headers = http::Headers;
+    /// Ends this lifetime of the target and schedules the next.
+    void crash()
+    {
+        if (!this->server)
+            return;
+        this->crashes.append(QDateTime::currentMSecsSinceEpoch());
+        this->server.reset();
+        QTimer::singleShot(this->restartAfterMs, &this->timerContext, [this] { this->restart(); });
+    }
+
+    void restart()
+    {
+        this->sendToStore({ { "remove", QString::fromStdString("servers/" + this->registeredId()) } });
+        ++this->lifetime;
+        this->server = this->makeServer();
+        if (!listenAndPrint(*this->server, this->settings.port))
+            QCoreApplication::exit(1);
+        this->writeRegistration();
+    }
+
+    /// Whether a shared part of the request's prompt is the deadly one; the last part is not shared.
+    bool hasDeadlyPart(const http::Request& request) const
+    {
+        const auto prompt = std::string(request.headers.valueOr("X-Dragonflyarch-Prompt-Prefix", ""));
+        const auto parts = QString::fromStdString(prompt).split(',');
+        for (qsizetype i = 0; i + 1 < parts.size(); ++i) {
+            if (!this->deadlyPart.isEmpty() && parts[i].section(':', 0, 0) == this->deadlyPart)
+                return true;
+        }
+        return false;
+    }
 
     bool isExpected(const http::Request& request) const
     {
@@ -66,9 +115,14 @@
         return expected == this->id();
     }
 
-    const std::string& id() const
+    std::string id() const
     {
-        return this->replacedBy.empty() ? this->settings.id : this->replacedBy;
+        return this->replacedBy.empty() ? this->registeredId() : this->replacedBy;
+    }
+
+    std::string registeredId() const
+    {
+        return this->lifetime ? this->settings.id + "-" + std::to_string(this->lifetime) : this->settings.id;
     }
 
     Headers answerHeaders(const http::Request& request) const
@@ -97,6 +151,8 @@
         const auto requestId = request.headers.valueOr("X-Dragonflyarch-Attempt-Id", "");
         this->arrivals.append(QString::fromStdString(std::string(requestId)));
         const auto headers = this->answerHeaders(request);
+        if (this->hasDeadlyPart(request))
+            this->deadlyArrivals.append(QDateTime::currentMSecsSinceEpoch());
         const auto expectedVersion = request.headers.find("X-Dragonflyarch-Expect-Version");
         const bool hasOtherVersion = expectedVersion && *expectedVersion != std::to_string(this->version);
         if (!this->isExpected(request) || hasOtherVersion) {
@@ -134,6 +190,8 @@
             return;
         }
         exchange->beginStream(200, headers);
+        if (this->hasDeadlyPart(exchange->request()))
+            QTimer::singleShot(this->crashAfterMs, &this->timerContext, [this] { this->crash(); });
         const auto resumed = std::string(exchange->request().headers.valueOr("Last-Event-Id", "0"));
         this->sendEvent(exchange, std::atoi(resumed.c_str()) + 1);
     }
@@ -228,6 +286,12 @@
         this->events = body["events"].toInt(this->events);
         this->eventMs = body["event_ms"].toInt(this->eventMs);
         this->loadMs = body["load_ms"].toInt(this->loadMs);
+        if (body.contains("deadly_part"))
+            this->deadlyPart = body["deadly_part"].toString();
+        this->crashAfterMs = body["crash_after_ms"].toInt(this->crashAfterMs);
+        this->restartAfterMs = body["restart_after_ms"].toInt(this->restartAfterMs);
+        if (body["crash"].toBool())
+            QTimer::singleShot(0, &this->timerContext, [this] { this->crash(); });
         if (body.contains("draining")) {
             this->isDraining = body["draining"].toBool();
             this->writeRegistration();
@@ -240,7 +304,8 @@
                 { "distinct", static_cast<int>(this->ids.size()) }, { "ids", seen },
                 { "while_draining", this->executionsWhileDraining }, { "cancelled", this->cancelled },
                 { "version", static_cast<qint64>(this->version) }, { "orders", this->orders },
-                { "last", this->lastRequest } });
+                { "last", this->lastRequest }, { "crashes", this->crashes },
+                { "deadly_arrivals", this->deadlyArrivals } });
     }
 
     void writeRegistration()
@@ -248,13 +313,18 @@
         const QJsonObject record { { "service", QString::fromStdString(this->settings.service) },
             { "address", QString::fromStdString(this->address) },
             { "zone", QString::fromStdString(this->settings.dataCentre) }, { "slots", 8 },
-            { "state", this->isDraining ? "draining" : "ready" }, { "models", this->models() }, { "born", 1000 },
-            { "seq", 1 } };
-        const QJsonObject put { { "key", QString::fromStdString("servers/" + this->settings.id) },
-            { "value", QString::fromStdString(toJson(record)) } };
+            { "state", this->isDraining ? "draining" : "ready" }, { "models", this->models() },
+            { "born", 1000 + this->lifetime }, { "seq", 1 } };
+        this->sendToStore({ { "put",
+            QJsonObject { { "key", QString::fromStdString("servers/" + this->registeredId()) },
+                { "value", QString::fromStdString(toJson(record)) } } } });
+    }
+
+    void sendToStore(const QJsonObject& order)
+    {
         const auto deadline = dragonfly::Clock::now() + std::chrono::seconds(2);
-        this->pool.send(*dragonfly::parseEndpoint(this->settings.store),
-            { "POST", "/control", {}, toJson({ { "put", put } }) }, { deadline, deadline }, {});
+        this->pool.send(*dragonfly::parseEndpoint(this->settings.store), { "POST", "/control", {}, toJson(order) },
+            { deadline, deadline }, {});
     }
 
     Settings settings;
@@ -280,6 +350,14 @@
     std::vector<http::ExchangePointer> unanswered; ///< requests received in mode "silent", kept open
     QJsonArray orders;
     QJsonObject lastRequest;
+    int lifetime = 0; ///< number of crashes that the target has returned from
+    QString deadlyPart; ///< empty: no part ends the target
+    int crashAfterMs = 60;
+    int restartAfterMs = 1500;
+    QJsonArray crashes;
+    QJsonArray deadlyArrivals;
+    http::Server controlServer { {}, [this](const http::ExchangePointer& exchange) { this->control(*exchange); } };
+    std::unique_ptr<http::Server> server = this->makeServer(); ///< null between a crash and the next lifetime
 };
 
 }
@@ -298,9 +376,7 @@
         return 2;
     const QCoreApplication application(argc, argv);
     Target target(settings);
-    http::Server server({}, [&target](const http::ExchangePointer& exchange) { target.handle(exchange); });
-    if (!listenAndPrint(server, settings.port))
+    if (!target.start())
         return 1;
-    target.start(server.serverPort());
     return QCoreApplication::exec();
 }
--- a/tests/support/ForwardSite.cpp
+++ b/tests/support/ForwardSite.cpp
@@ -75,18 +75,35 @@
     this->changeSettings(number, extraSettings, storeAddress);
     const auto file = this->settingsFile(number);
     this->entries.push_back(std::make_unique<Process>("dragonflyd", QStringList { "--settings", text(file) }, "ready"));
-    auto& entry = *this->entries.back();
-    if (waitUntilReady) {
-        const auto known = this->engines.size() + this->services.size() + this->ownTargets;
-        const bool ready = waitUntil(
-            [&] {
-                const auto status = get(entry.address("admin"), "/status");
-                return waitFor(status) && status->json()["targets"].toArray().size() == static_cast<qsizetype>(known);
-            },
-            std::chrono::seconds(10));
-        require(ready, "the entry instance has not discovered all targets");
-    }
-    return entry;
+    if (waitUntilReady)
+        this->waitUntilReady(*this->entries.back());
+    return *this->entries.back();
+}
+
+void ForwardSite::waitUntilReady(Process& entry) const
+{
+    const auto known = this->engines.size() + this->services.size() + this->ownTargets;
+    const bool ready = waitUntil(
+        [&] {
+            const auto status = get(entry.address("admin"), "/status");
+            return waitFor(status) && status->json()["targets"].toArray().size() == static_cast<qsizetype>(known);
+        },
+        std::chrono::seconds(10));
+    require(ready, "the entry instance has not discovered all targets");
+}
+
+void ForwardSite::restartEntry(size_t entry)
+{
+    this->entries[entry]->kill();
+    this->entries[entry] = std::make_unique<Process>(
+        "dragonflyd", QStringList { "--settings", text(this->settingsFile(entry)) }, "ready");
+    this->waitUntilReady(*this->entries[entry]);
+}
+
+void ForwardSite::addEngine()
+{
+    const auto id = "engine-" + QString::number(this->engines.size());
+    this->engines.push_back(this->startTarget(id, "engines", "m"));
 }
 
 std::string ForwardSite::settingsFile(size_t entry) const
@@ -114,7 +131,7 @@
     if (spec.path.starts_with("/ask/") || spec.path.starts_with("/once/")) {
         headers.add("X-Dragonflyarch-Model", "m");
         headers.add("X-Dragonflyarch-Token-Usage", "300,10");
-        headers.add("X-Dragonflyarch-Prompt-Prefix", "aa:200,bb:100");
+        headers.add("X-Dragonflyarch-Prompt-Prefix", spec.prompt);
     }
     if (!spec.lastEventId.empty())
         headers.add("Last-Event-Id", spec.lastEventId);
--- a/tests/support/ForwardSite.h
+++ b/tests/support/ForwardSite.h
@@ -21,6 +21,7 @@
     std::string key = forwardKey;
     int deadlineMs = 3000;
     std::string lastEventId = {}; ///< last event received of the stream to resume; empty for a new stream
+    std::string prompt = "aa:200,bb:100"; ///< parts of the prompt, on routes of engines
 };
 
 class ForwardSite {
@@ -33,7 +34,11 @@
     /// @param storeAddress address of a proxy to the store; nullopt connects directly
     Process& startEntry(bool waitUntilReady = true, const std::string& extraSettings = "",
         const std::optional<dragonfly::Endpoint>& storeAddress = std::nullopt);
-    /// Starts another target of the plain service. Call before startEntry(), which waits for every target.
+    /// Kills an entry instance and starts it again under its name.
+    void restartEntry(size_t entry);
+    /// Starts another engine. Call before startEntry(), which waits for every target.
+    void addEngine();
+    /// Starts another target of the plain service. Call before startEntry().
     Process& addService(const QString& dataCentre = "north-a");
     /// Registers a target that the test runs itself. Call before startEntry().
     void registerTarget(
@@ -62,6 +67,7 @@
 
 private:
     std::string settingsFile(size_t entry) const;
+    void waitUntilReady(Process& entry) const;
     std::unique_ptr<Process> startTarget(
         const QString& id, const QString& service, const QString& model, const QString& dataCentre = "north-a");
 
