Decide from all instances' reports which prompt parts crash targets

Cause: no instance can tell alone which of the requests that broke with an engine ended it: all of them share popular parts, and the next such request comes at another instance.

Change: a module that keeps reports on ended targets and decides from them. A report names the process that ended and the requests that were beginning there, by hashes of their shared parts. A part is quarantined that was beginning at three ends in two requests with no answer to it since; five ends if a reporting instance had seen it answered before. The part that explains most ends comes first, and what it explains is no evidence against others. Records are written at four a second under a lease that is never renewed. Connections that close while others to the target stay open are no end of it.

Ruled out: a proof from the time since the first byte alone (an instance that was suspended finds the bytes and the close together, and would clear the part that did it); one bound of three ends for all parts (four engines that end at once would quarantine what most requests share); counting reports instead of processes (each end is reported by several instances).

Nothing uses the module yet.

--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -73,6 +73,10 @@
           gauge(*registry, "dragonfly_claim_conflicts", "Claim writes rejected because the document had changed"))
     , claimsUnreachable(gauge(
           *registry, "dragonfly_claims_unreachable", "Claims refused because the platform's service was unreachable"))
+    , targetEndReports(counter(*registry, "dragonfly_target_end_reports_total",
+          "Reports published on targets that ended while they began answers"))
+    , quarantinedParts(gauge(
+          *registry, "dragonfly_quarantined_parts", "Prompt parts that are kept from targets because they crash them"))
     , sharedRegistry(std::move(registry))
 {
     auto& family = prometheus::BuildCounter()
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -55,6 +55,8 @@
     prometheus::Gauge& claimWrites;
     prometheus::Gauge& claimConflicts;
     prometheus::Gauge& claimsUnreachable;
+    prometheus::Counter& targetEndReports;
+    prometheus::Gauge& quarantinedParts;
 
     const std::shared_ptr<prometheus::Registry>& registry() const
     {
--- /dev/null
+++ b/src/quarantine/PromptEvidence.cpp
@@ -0,0 +1,225 @@
+#include "quarantine/PromptEvidence.h"
+
+#include <algorithm>
+
+namespace dragonfly::quarantine {
+
+namespace {
+
+    /// Limit on remembered proofs of each kind. A forgotten proof is replaced by the part's next answer.
+    constexpr size_t maxProofs = 4096;
+
+    /// What one part explains of the ends that no quarantined part explains yet.
+    struct Explanation {
+        PartHash part = 0;
+        size_t ends = 0;
+        size_t requests = 0;
+        bool isFormerlySound = false;
+
+        bool isSufficient() const
+        {
+            return this->ends >= (this->isFormerlySound ? minEndsOfFormerlySound : minEnds)
+                && this->requests >= minRequests;
+        }
+        bool isBetterThan(const Explanation& other) const
+        {
+            if (this->isFormerlySound != other.isFormerlySound)
+                return !this->isFormerlySound;
+            return this->ends > other.ends;
+        }
+    };
+
+}
+
+void PromptEvidence::add(const std::string& key, const TargetEndReport& report, std::optional<int64_t> revision)
+{
+    const auto [found, isNew] = this->reports.try_emplace(key);
+    auto& kept = found->second;
+    if (isNew)
+        kept.sequence = ++this->lastSequence;
+    this->requestCount += report.beginning.size() - kept.content.beginning.size();
+    kept.content = report;
+    if (revision)
+        kept.revision = revision;
+    while (this->requestCount > maxKeptRequests)
+        this->dropOldest();
+}
+
+void PromptEvidence::remove(const std::string& key)
+{
+    const auto found = this->reports.find(key);
+    if (found == this->reports.end())
+        return;
+    this->requestCount -= found->second.content.beginning.size();
+    this->reports.erase(found);
+}
+
+/// Drops the oldest report on an end that no quarantined part explains; the oldest of all if there is none.
+void PromptEvidence::dropOldest()
+{
+    const auto isExplained = [this](const Report& report) {
+        return std::ranges::any_of(report.content.beginning,
+            [this](const BeginningRequest& request) { return this->findQuarantined(request.parts).has_value(); });
+    };
+    auto oldest = this->reports.begin();
+    bool isOldestExplained = isExplained(oldest->second);
+    for (auto report = std::next(oldest); report != this->reports.end(); ++report) {
+        const bool explained = isExplained(report->second);
+        if (explained != isOldestExplained ? isOldestExplained : report->second.sequence < oldest->second.sequence) {
+            oldest = report;
+            isOldestExplained = explained;
+        }
+    }
+    this->requestCount -= oldest->second.content.beginning.size();
+    this->reports.erase(oldest);
+}
+
+void PromptEvidence::recordSound(PartHash part)
+{
+    if (this->soundHere.size() >= maxProofs && !this->soundHere.contains(part))
+        this->soundHere.erase(this->soundHere.begin());
+    this->soundHere[part] = this->lastSequence;
+}
+
+void PromptEvidence::recordPublishedSound(PartHash part, int64_t revision)
+{
+    if (this->publishedSound.size() >= maxProofs && !this->publishedSound.contains(part))
+        this->publishedSound.erase(this->publishedSound.begin());
+    auto& known = this->publishedSound[part];
+    known = std::max(known, revision);
+}
+
+void PromptEvidence::removePublishedSound(PartHash part)
+{
+    this->publishedSound.erase(part);
+}
+
+bool PromptEvidence::isClearedByPublication(PartHash part, const Report& report) const
+{
+    const auto proof = this->publishedSound.find(part);
+    return proof != this->publishedSound.end() && report.revision && *report.revision < proof->second;
+}
+
+bool PromptEvidence::isCleared(PartHash part, const Report& report) const
+{
+    const auto proof = this->soundHere.find(part);
+    return (proof != this->soundHere.end() && report.sequence <= proof->second)
+        || this->isClearedByPublication(part, report);
+}
+
+void PromptEvidence::collectEvidence()
+{
+    this->evidence.clear();
+    this->unpublishedEnds.clear();
+    std::map<Incarnation, std::unordered_set<PartHash>> answered;
+    for (const auto& [key, report] : this->reports)
+        answered[report.content.incarnation].insert(
+            report.content.answeredParts.begin(), report.content.answeredParts.end());
+    for (const auto& [key, report] : this->reports) {
+        const auto& incarnation = report.content.incarnation;
+        const auto& soundThere = answered[incarnation];
+        for (const auto& request : report.content.beginning) {
+            for (const auto part : request.parts) {
+                auto& unpublished = this->unpublishedEnds[part];
+                if (soundThere.contains(part))
+                    continue;
+                if (!this->isClearedByPublication(part, report))
+                    unpublished.insert(incarnation);
+                if (!this->isCleared(part, report))
+                    this->evidence[part].requestsByEnd[incarnation].insert(request.request);
+            }
+        }
+    }
+    for (const auto& [key, report] : this->reports) {
+        for (const auto part : report.content.formerlySound) {
+            if (const auto found = this->evidence.find(part); found != this->evidence.end())
+                found->second.isFormerlySound = true;
+        }
+    }
+}
+
+std::map<PartHash, QuarantinedPart> PromptEvidence::decide() const
+{
+    std::map<PartHash, QuarantinedPart> decided;
+    std::set<Incarnation> explained;
+    while (true) {
+        std::vector<Explanation> best; // all equally good explanations
+        for (const auto& [part, found] : this->evidence) {
+            if (found.requestsByEnd.size() < minEnds || decided.contains(part))
+                continue;
+            Explanation explanation { part, 0, 0, found.isFormerlySound };
+            std::set<uint64_t> requests;
+            for (const auto& [incarnation, beginning] : found.requestsByEnd) {
+                if (explained.contains(incarnation))
+                    continue;
+                ++explanation.ends;
+                requests.insert(beginning.begin(), beginning.end());
+            }
+            explanation.requests = requests.size();
+            if (!explanation.isSufficient() || (!best.empty() && best.front().isBetterThan(explanation)))
+                continue;
+            if (!best.empty() && explanation.isBetterThan(best.front()))
+                best.clear();
+            best.push_back(explanation);
+        }
+        if (best.empty())
+            return decided;
+        for (const auto& explanation : best) {
+            decided[explanation.part] = { explanation.part, explanation.ends, explanation.requests };
+            for (const auto& [incarnation, beginning] : this->evidence.at(explanation.part).requestsByEnd)
+                explained.insert(incarnation);
+        }
+    }
+}
+
+QuarantineChanges PromptEvidence::update()
+{
+    this->collectEvidence();
+    auto decided = this->decide();
+    QuarantineChanges changes;
+    for (const auto& [part, found] : decided) {
+        if (!this->quarantined.contains(part))
+            changes.added.push_back(found);
+    }
+    for (const auto& [part, found] : this->quarantined) {
+        if (!decided.contains(part))
+            changes.released.push_back(part);
+    }
+    this->quarantined = std::move(decided);
+    return changes;
+}
+
+std::optional<PartHash> PromptEvidence::findQuarantined(std::span<const PartHash> parts) const
+{
+    if (this->quarantined.empty())
+        return std::nullopt;
+    const auto found = std::ranges::find_if(parts, [this](PartHash part) { return this->quarantined.contains(part); });
+    return found == parts.end() ? std::nullopt : std::optional(*found);
+}
+
+std::optional<PartHash> PromptEvidence::findSuspected(
+    std::span<const PartHash> parts, uint64_t request, const Incarnation& incarnation) const
+{
+    for (const auto part : parts) {
+        const auto found = this->evidence.find(part);
+        if (found == this->evidence.end())
+            continue;
+        const auto ends = std::ranges::count_if(found->second.requestsByEnd, [&](const auto& end) {
+            const auto& [ended, requests] = end;
+            return ended != incarnation && (requests.size() > 1 || !requests.contains(request));
+        });
+        // One end less than the quarantine takes, or the first one with a part that was never answered.
+        const auto sufficient = found->second.isFormerlySound ? minEndsOfFormerlySound - 1 : size_t { 1 };
+        if (static_cast<size_t>(ends) >= sufficient)
+            return part;
+    }
+    return std::nullopt;
+}
+
+size_t PromptEvidence::endsWithoutPublishedProof(PartHash part) const
+{
+    const auto found = this->unpublishedEnds.find(part);
+    return found == this->unpublishedEnds.end() ? 0 : found->second.size();
+}
+
+}
--- /dev/null
+++ b/src/quarantine/PromptEvidence.h
@@ -0,0 +1,146 @@
+#pragma once
+// Decides which shared prompt parts crash targets, from reports of all instances on targets that ended.
+//
+// A part is quarantined when the ends of several targets are explained by it: it was beginning to be answered at each
+// of them, and no answer with it was completed since. A part that explains more ends takes precedence; an end that a
+// quarantined part explains is no evidence against other parts. A decision depends on the reports and proofs only, so
+// instances with the same records decide alike. No I/O and no clock.
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace dragonfly::quarantine {
+
+/// Hash of a model and the id of a prompt part.
+using PartHash = uint64_t;
+
+/// Ends of targets that a part must explain. Three are unlikely to share a rare part by chance, and the users allow
+/// five before requests with the part must stop.
+inline constexpr size_t minEnds = 3;
+/// The same for a part that some reporting instance has seen answered before. The most that the users allow, because
+/// the parts that most requests share are beginning somewhere whenever several targets end together.
+inline constexpr size_t minEndsOfFormerlySound = 5;
+/// Requests that must have been beginning with the part, so that a single request with its retries is no evidence.
+inline constexpr size_t minRequests = 2;
+/// Limit on the reported requests that are kept: 64 ends with 64 beginning requests each, about 0.5 MB.
+inline constexpr size_t maxKeptRequests = 4096;
+
+/// One process of a target.
+struct Incarnation {
+    std::string target;
+    int64_t startedUnixMs = 0;
+
+    auto operator<=>(const Incarnation&) const = default;
+};
+
+struct BeginningRequest {
+    uint64_t request = 0; ///< hash of the request's id
+    std::vector<PartHash> parts; ///< the shared parts of its prompt
+};
+
+/// One instance's observation of the end of a target.
+struct TargetEndReport {
+    Incarnation incarnation;
+    std::vector<BeginningRequest> beginning;
+    std::vector<PartHash> answeredParts; ///< parts of answers that the target had been writing for longer
+    std::vector<PartHash> formerlySound; ///< beginning parts that the instance has seen answered before
+};
+
+struct QuarantinedPart {
+    PartHash part = 0;
+    size_t ends = 0; ///< ends of targets that the part explains
+    size_t requests = 0; ///< distinct requests with the part that were beginning there
+};
+
+/// The difference between two decisions.
+struct QuarantineChanges {
+    std::vector<QuarantinedPart> added;
+    std::vector<PartHash> released;
+};
+
+class PromptEvidence {
+public:
+    /// Adds the report stored under @p key, or updates the revision of a known one.
+    /// @param revision of the record; nullopt if the instance's own report is not written yet
+    void add(const std::string& key, const TargetEndReport& report, std::optional<int64_t> revision);
+    void remove(const std::string& key);
+    /// Records that this instance saw an answer to a prompt with @p part: all reports so far are cleared of it.
+    void recordSound(PartHash part);
+    /// Records a published proof of soundness: reports with a lower revision are cleared of @p part.
+    void recordPublishedSound(PartHash part, int64_t revision);
+    /// Forgets the published proof, whose record was removed.
+    void removePublishedSound(PartHash part);
+
+    /// Decides anew which parts are quarantined. The functions below refer to the latest decision.
+    QuarantineChanges update();
+
+    /// Whether there is no report at all.
+    bool isEmpty() const
+    {
+        return this->reports.empty();
+    }
+    /// The first of @p parts that is quarantined.
+    std::optional<PartHash> findQuarantined(std::span<const PartHash> parts) const;
+    /// Whether other targets ended while they began other requests with one of @p parts, so that @p request, which was
+    /// beginning when @p incarnation ended, may be the cause. Returns the part.
+    std::optional<PartHash> findSuspected(
+        std::span<const PartHash> parts, uint64_t request, const Incarnation& incarnation) const;
+    /// Whether any report names @p part, cleared or not.
+    bool isReported(PartHash part) const
+    {
+        return this->unpublishedEnds.contains(part);
+    }
+    /// Ends reported with @p part for which no proof of its soundness has been published since.
+    size_t endsWithoutPublishedProof(PartHash part) const;
+    /// Whether any proof of the soundness of @p part is known.
+    bool isProved(PartHash part) const
+    {
+        return this->soundHere.contains(part) || this->publishedSound.contains(part);
+    }
+    size_t quarantinedCount() const
+    {
+        return this->quarantined.size();
+    }
+    size_t keptRequests() const
+    {
+        return this->requestCount;
+    }
+
+private:
+    struct Report {
+        TargetEndReport content;
+        uint64_t sequence = 0; ///< in the order of arrival at this instance
+        std::optional<int64_t> revision;
+    };
+
+    /// What the reports say about one part, without the reports that are cleared of it.
+    struct PartEvidence {
+        std::map<Incarnation, std::set<uint64_t>> requestsByEnd; ///< hashes of the beginning requests
+        bool isFormerlySound = false;
+    };
+
+    bool isClearedByPublication(PartHash part, const Report& report) const;
+    bool isCleared(PartHash part, const Report& report) const;
+    void collectEvidence();
+    std::map<PartHash, QuarantinedPart> decide() const;
+    void dropOldest();
+
+    std::map<std::string, Report> reports; ///< by key
+    size_t requestCount = 0; ///< beginning requests in all reports
+    uint64_t lastSequence = 0;
+    std::unordered_map<PartHash, uint64_t> soundHere; ///< the last sequence at each part's latest proof
+    std::unordered_map<PartHash, int64_t> publishedSound; ///< revision of each part's record
+    std::unordered_map<PartHash, PartEvidence> evidence; ///< as of the latest update()
+    std::unordered_map<PartHash, std::set<Incarnation>> unpublishedEnds; ///< as of the latest update()
+    std::map<PartHash, QuarantinedPart> quarantined;
+};
+
+}
--- /dev/null
+++ b/src/quarantine/PromptQuarantine.cpp
@@ -0,0 +1,278 @@
+#include "quarantine/PromptQuarantine.h"
+
+#include "base/Digest.h"
+#include "observe/Log.h"
+#include "quarantine/TargetEndRecord.h"
+
+#include <QRandomGenerator>
+#include <algorithm>
+#include <charconv>
+
+namespace dragonfly::quarantine {
+
+using observe::logChange;
+using observe::LogLevel;
+using std::chrono::milliseconds;
+
+namespace {
+
+    /// From the first attempt that broke to the report; the closes of all connections to an ended target arrive within
+    /// a few milliseconds, but a busy instance takes longer to handle them.
+    constexpr milliseconds gatherTime { 60 };
+    /// How long open attempts at the target delay the report: a target that ended has none after that.
+    constexpr milliseconds maxGatherTime { 600 };
+    /// Limit on the requests in one report, about 40 bytes each. An engine begins 10 to 20 within the begin window.
+    constexpr size_t maxReportedRequests = 32;
+    /// Limit on the answered parts in one report, 8 bytes each.
+    constexpr size_t maxReportedParts = 1024;
+    /// Reports are kept long, because requests with the part reach targets again once they have expired.
+    constexpr std::chrono::seconds reportTtl { 3600 };
+    /// A proof outlives the reports that it clears, also when it is written late under its lease.
+    constexpr std::chrono::seconds soundTtl { 2 * reportTtl };
+    /// Ends without a published proof from which on a proof is published. Fewer quarantine nothing.
+    constexpr size_t endsWorthAProof = minEnds - 1;
+    /// Random delay of a proof, in which that of another instance mostly arrives.
+    constexpr int maxProofDelayMs = 400;
+    /// Between two decisions, so that several records cause one.
+    constexpr milliseconds updateDelay { 20 };
+
+    std::optional<PartHash> parsePart(std::string_view text)
+    {
+        constexpr int hexadecimal = 16;
+        PartHash part = 0;
+        const auto* end = text.data() + text.size();
+        const auto parsed = std::from_chars(text.data(), end, part, hexadecimal);
+        return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(part) : std::nullopt;
+    }
+
+    std::string listParts(const std::vector<BeginningRequest>& requests)
+    {
+        constexpr size_t maxListed = 8;
+        std::set<PartHash> parts;
+        for (const auto& request : requests)
+            parts.insert(request.parts.begin(), request.parts.end());
+        std::string text;
+        size_t listed = 0;
+        for (const auto part : parts) {
+            if (listed++ == maxListed)
+                return text + ",...";
+            text += (text.empty() ? "" : ",") + quarantine::toText(part);
+        }
+        return text;
+    }
+
+    void insertNew(std::vector<PartHash>& parts, PartHash part)
+    {
+        if (std::ranges::find(parts, part) == parts.end())
+            parts.push_back(part);
+    }
+
+}
+
+PartHash hashOfPart(const std::string& model, const std::string& id)
+{
+    return fastHash(id, fastHash(model));
+}
+
+std::string toText(PartHash part)
+{
+    return QString::number(part, 16).toStdString();
+}
+
+PromptQuarantine::PromptQuarantine(const std::string& instance, store::WatchableStore& store, observe::Metrics& metrics)
+    : instance(instance)
+    , metrics(metrics)
+    , reportPublisher(store, metrics, PublisherTimings { .leaseTtl = reportTtl })
+    , soundPublisher(store, metrics, PublisherTimings { .leaseTtl = soundTtl })
+    , reportKeyPrefix(
+          std::string(reportPrefix) + instance + "/" + std::to_string(unixTime(WallClock::now()).count()) + "-")
+{
+    for (auto* timer : { &this->gatherTimer, &this->updateTimer })
+        timer->setSingleShot(true);
+    connect(&this->gatherTimer, &QTimer::timeout, this, &PromptQuarantine::gatherDue);
+    connect(&this->updateTimer, &QTimer::timeout, this, &PromptQuarantine::update);
+    this->reportPublisher.onDone
+        = [this](const std::string& key, bool isWritten) { this->onRecordDone(key, isWritten); };
+    this->soundPublisher.onDone = [this](const std::string& key, bool) {
+        if (const auto part = parsePart(std::string_view(key).substr(soundPrefix.size())))
+            this->soundInProgress.erase(*part);
+    };
+}
+
+bool PromptQuarantine::applyRecord(const store::KeyValue& record, bool exists)
+{
+    if (record.key.starts_with(reportPrefix)) {
+        const auto report = exists ? fromRecord(record.value) : std::nullopt;
+        if (exists && !report)
+            logChange(LogLevel::Warning, "invalid report on an ended target refused", { { "key", record.key } });
+        if (report)
+            this->evidence.add(record.key, *report, record.modRevision);
+        else
+            this->evidence.remove(record.key);
+    } else if (record.key.starts_with(soundPrefix)) {
+        const auto part = parsePart(std::string_view(record.key).substr(soundPrefix.size()));
+        if (!part)
+            logChange(LogLevel::Warning, "invalid record on a sound prompt refused", { { "key", record.key } });
+        else if (exists)
+            this->evidence.recordPublishedSound(*part, record.modRevision);
+        else
+            this->evidence.removePublishedSound(*part);
+    } else {
+        return false;
+    }
+    this->scheduleUpdate();
+    return true;
+}
+
+void PromptQuarantine::onAttemptBroken(const BrokenAttempt& attempt)
+{
+    if (attempt.parts.empty())
+        return;
+    const auto now = Clock::now();
+    const auto [gathering, isNew] = this->gatherings.try_emplace(attempt.incarnation);
+    if (isNew) {
+        gathering->second.firstAt = now;
+        gathering->second.reportAt = now + gatherTime;
+    }
+    gathering->second.attempts.push_back(attempt);
+    this->scheduleGathering();
+}
+
+void PromptQuarantine::scheduleGathering()
+{
+    if (this->gatherings.empty())
+        return;
+    const auto next = std::ranges::min_element(this->gatherings,
+        [](const auto& left, const auto& right) { return left.second.reportAt < right.second.reportAt; });
+    this->gatherTimer.start(remaining(next->second.reportAt, Clock::now()));
+}
+
+void PromptQuarantine::gatherDue()
+{
+    const auto now = Clock::now();
+    for (auto entry = this->gatherings.begin(); entry != this->gatherings.end();) {
+        auto& [incarnation, gathering] = *entry;
+        if (now < gathering.reportAt) {
+            ++entry;
+            continue;
+        }
+        if (this->hasOpenAttempt && this->hasOpenAttempt(incarnation, gathering.firstAt)) {
+            if (now < gathering.firstAt + maxGatherTime) {
+                gathering.reportAt = now + gatherTime;
+                ++entry;
+                continue;
+            }
+            logChange(LogLevel::Info, "target goes on after it closed connections",
+                { { "target", incarnation.target }, { "requests", std::to_string(gathering.attempts.size()) } });
+        } else {
+            this->report(incarnation, gathering);
+        }
+        entry = this->gatherings.erase(entry);
+    }
+    this->scheduleGathering();
+}
+
+void PromptQuarantine::report(const Incarnation& incarnation, const Gathering& gathering)
+{
+    TargetEndReport report { incarnation, {}, {}, {} };
+    for (const auto& attempt : gathering.attempts) {
+        if (attempt.isBeginning)
+            continue;
+        for (const auto part : attempt.parts) {
+            if (report.answeredParts.size() < maxReportedParts)
+                insertNew(report.answeredParts, part);
+        }
+    }
+    // Requests with a head first: the target certainly began them.
+    for (const bool hasBegun : { true, false }) {
+        for (const auto& attempt : gathering.attempts) {
+            if (attempt.isBeginning && attempt.hasBegun == hasBegun && report.beginning.size() < maxReportedRequests)
+                report.beginning.push_back({ fastHash(attempt.requestId), attempt.parts });
+        }
+    }
+    if (report.beginning.empty())
+        return;
+    for (const auto& request : report.beginning) {
+        for (const auto part : request.parts) {
+            if (this->soundParts.contains(part))
+                insertNew(report.formerlySound, part);
+        }
+    }
+    logChange(LogLevel::Warning, "target ended while answers began",
+        { { "target", incarnation.target }, { "requests", std::to_string(report.beginning.size()) },
+            { "parts", listParts(report.beginning) } });
+    const auto key = this->reportKeyPrefix + std::to_string(++this->lastReport);
+    this->evidence.add(key, report, std::nullopt);
+    this->reportPublisher.write(key, toRecord(report));
+    this->scheduleUpdate();
+}
+
+void PromptQuarantine::onRecordDone(const std::string& key, bool isWritten)
+{
+    if (isWritten) {
+        this->metrics.targetEndReports.Increment();
+        return;
+    }
+    // No lease ends this report, which only this instance has.
+    QTimer::singleShot(reportTtl, this, [this, key] {
+        this->evidence.remove(key);
+        this->scheduleUpdate();
+    });
+}
+
+void PromptQuarantine::onSound(const std::vector<PartHash>& parts)
+{
+    for (const auto part : parts) {
+        this->soundParts.remember(part);
+        if (this->evidence.isEmpty() || !this->evidence.isReported(part))
+            continue;
+        this->evidence.recordSound(part);
+        this->scheduleUpdate();
+        if (this->evidence.endsWithoutPublishedProof(part) < endsWorthAProof
+            || !this->soundInProgress.insert(part).second)
+            continue;
+        QTimer::singleShot(
+            QRandomGenerator::global()->bounded(maxProofDelayMs), this, [this, part] { this->publishSound(part); });
+    }
+}
+
+void PromptQuarantine::publishSound(PartHash part)
+{
+    if (this->evidence.endsWithoutPublishedProof(part) < endsWorthAProof) {
+        this->soundInProgress.erase(part); // another instance has published a proof meanwhile
+        return;
+    }
+    this->soundPublisher.write(std::string(soundPrefix) + toText(part), this->instance);
+}
+
+std::optional<PartHash> PromptQuarantine::findSuspected(const BrokenAttempt& attempt) const
+{
+    if (!attempt.isBeginning || this->evidence.isEmpty())
+        return std::nullopt;
+    return this->evidence.findSuspected(attempt.parts, fastHash(attempt.requestId), attempt.incarnation);
+}
+
+void PromptQuarantine::scheduleUpdate()
+{
+    if (!this->updateTimer.isActive())
+        this->updateTimer.start(updateDelay);
+}
+
+void PromptQuarantine::update()
+{
+    const auto changes = this->evidence.update();
+    for (const auto& added : changes.added)
+        logChange(LogLevel::Warning, "prompt part quarantined",
+            { { "part", toText(added.part) }, { "ended_targets", std::to_string(added.ends) },
+                { "requests", std::to_string(added.requests) } });
+    for (const auto part : changes.released)
+        logChange(LogLevel::Info, "prompt part released",
+            { { "part", toText(part) },
+                { "reason",
+                    this->evidence.isProved(part) ? "a prompt with it was answered" : "the evidence expired" } });
+    this->metrics.quarantinedParts.Set(static_cast<double>(this->evidence.quarantinedCount()));
+    if (!changes.added.empty() && this->onQuarantined)
+        this->onQuarantined();
+}
+
+}
--- /dev/null
+++ b/src/quarantine/PromptQuarantine.h
@@ -0,0 +1,93 @@
+#pragma once
+// Reports targets that ended while they began answers, and decides from the reports of all instances which prompt
+// parts are quarantined.
+//
+// Attempts that broke at one target at about the same time are gathered into one report. It counts at this instance at
+// once, and at the others when they read its record.
+
+#include "observe/Metrics.h"
+#include "quarantine/PromptEvidence.h"
+#include "quarantine/RecordPublisher.h"
+#include "quarantine/SoundParts.h"
+#include "store/KeyValueStore.h"
+
+#include <QObject>
+#include <QTimer>
+
+namespace dragonfly::quarantine {
+
+/// The hash of part @p id of a prompt for @p model.
+PartHash hashOfPart(const std::string& model, const std::string& id);
+/// The form of @p part in logs and keys.
+std::string toText(PartHash part);
+
+/// An attempt whose connection the target closed before the answer was complete.
+struct BrokenAttempt {
+    Incarnation incarnation;
+    std::string requestId;
+    std::vector<PartHash> parts; ///< the shared parts of its prompt
+    bool hasBegun = false; ///< the head of the answer was received
+    bool isBeginning = false; ///< no part of the answer was received beginWindow after its begin
+};
+
+class PromptQuarantine : public QObject {
+    Q_OBJECT
+public:
+    /// Key prefixes of the records: on ended targets, with the instance and a number, and on parts that were answered.
+    static constexpr std::string_view reportPrefix = "dragonfly/target-ends/";
+    static constexpr std::string_view soundPrefix = "dragonfly/sound-prompts/";
+
+    PromptQuarantine(const std::string& instance, store::WatchableStore& store, observe::Metrics& metrics);
+
+    /// Applies a record that was written (@p exists) or removed. Returns false if it is not one of this module.
+    bool applyRecord(const store::KeyValue& record, bool exists);
+
+    void onAttemptBroken(const BrokenAttempt& attempt);
+    /// To be called when a target has proved that it can answer a prompt with @p parts.
+    void onSound(const std::vector<PartHash>& parts);
+
+    /// The first of @p parts that is quarantined.
+    std::optional<PartHash> findQuarantined(const std::vector<PartHash>& parts) const
+    {
+        return this->evidence.findQuarantined(parts);
+    }
+    /// The part for which the request of @p attempt may be the cause of the target's end.
+    std::optional<PartHash> findSuspected(const BrokenAttempt& attempt) const;
+
+    /// Whether an attempt that was sent to the process before @p since is still open.
+    std::function<bool(const Incarnation& incarnation, Clock::time_point since)> hasOpenAttempt;
+    std::function<void()> onQuarantined; ///< called when a part has been quarantined
+    /// Decides at once which parts are quarantined, instead of shortly after the latest record or proof.
+    void update();
+
+private:
+    /// Broken attempts at one process of a target.
+    struct Gathering {
+        std::vector<BrokenAttempt> attempts;
+        Clock::time_point firstAt; ///< when the first attempt broke
+        Deadline reportAt;
+    };
+
+    void gatherDue();
+    void scheduleGathering();
+    void report(const Incarnation& incarnation, const Gathering& gathering);
+    void onRecordDone(const std::string& key, bool isWritten);
+    void publishSound(PartHash part);
+    void scheduleUpdate();
+
+    std::string instance;
+    observe::Metrics& metrics;
+    PromptEvidence evidence;
+    SoundParts soundParts;
+    RecordPublisher reportPublisher;
+    RecordPublisher soundPublisher;
+    std::map<Incarnation, Gathering> gatherings;
+    std::set<PartHash> soundInProgress; ///< parts whose proof is scheduled or being written
+    /// Distinguishes the keys of this process from those of an earlier one of the same instance.
+    std::string reportKeyPrefix;
+    uint64_t lastReport = 0;
+    QTimer gatherTimer;
+    QTimer updateTimer;
+};
+
+}
--- /dev/null
+++ b/src/quarantine/Quarantine.h
@@ -0,0 +1,7 @@
+#pragma once
+// Finds out which shared parts of prompts crash the targets that begin to answer them, over all instances, and keeps
+// requests with such parts away from targets.
+
+#include "quarantine/AnswerProgress.h"
+#include "quarantine/PromptEvidence.h"
+#include "quarantine/PromptQuarantine.h"
--- /dev/null
+++ b/src/quarantine/RecordPublisher.cpp
@@ -0,0 +1,123 @@
+#include "quarantine/RecordPublisher.h"
+
+#include "observe/Log.h"
+
+#include <algorithm>
+
+namespace dragonfly::quarantine {
+
+using observe::logChange;
+using observe::LogLevel;
+
+namespace {
+
+    constexpr std::chrono::milliseconds callTimeout { 1000 };
+    /// Records that wait at the same time; as many ends of targets at once are an outage, which other records show.
+    constexpr size_t maxWaiting = 32;
+    /// Together with the backoff these bridge an outage of the service of about ten seconds.
+    constexpr int maxFailures = 6;
+
+}
+
+RecordPublisher::RecordPublisher(
+    store::WatchableStore& store, observe::Metrics& metrics, const PublisherTimings& timings)
+    : store(store)
+    , metrics(metrics)
+    , timings(timings)
+{
+    this->timer.setSingleShot(true);
+    connect(&this->timer, &QTimer::timeout, this, &RecordPublisher::writeNext);
+}
+
+void RecordPublisher::write(const std::string& key, const std::string& value)
+{
+    if (this->waiting.size() >= maxWaiting) {
+        // The first record may be the one that is being written.
+        const auto oldest = this->waiting.begin() + (this->isCallInFlight ? 1 : 0);
+        const auto dropped = *oldest;
+        this->waiting.erase(oldest);
+        this->finish(dropped, false);
+    }
+    this->waiting.push_back({ key, value });
+    this->writeNext();
+}
+
+void RecordPublisher::writeNext()
+{
+    if (this->waiting.empty() || this->isCallInFlight)
+        return;
+    const auto now = Clock::now();
+    if (now < this->nextCallAt) {
+        this->timer.start(remaining(this->nextCallAt, now));
+        return;
+    }
+    if (this->lease && BootClock::now() < this->leaseGrantedAt + std::chrono::milliseconds(this->timings.leaseTtl) / 2)
+        this->put();
+    else
+        this->grantLease();
+}
+
+void RecordPublisher::grantLease()
+{
+    this->isCallInFlight = true;
+    this->leaseGrantedAt = BootClock::now();
+    this->metrics.platformCalls.Increment();
+    this->store.grantLease(
+        this->timings.leaseTtl, Clock::now() + callTimeout, [this](const store::LeaseResult& result) {
+            this->isCallInFlight = false;
+            const auto* granted = std::get_if<int64_t>(&result);
+            if (!granted) {
+                this->onFailure("lease request failed");
+                return;
+            }
+            this->lease = *granted;
+            this->writeNext();
+        });
+}
+
+void RecordPublisher::put()
+{
+    this->isCallInFlight = true;
+    this->nextCallAt = Clock::now() + this->timings.writeInterval;
+    this->metrics.platformCalls.Increment();
+    const auto& record = this->waiting.front();
+    this->store.put(
+        record.key, record.value, *this->lease, Clock::now() + callTimeout, [this](const store::WriteResult& result) {
+            this->isCallInFlight = false;
+            if (!std::holds_alternative<Success>(result)) {
+                this->onFailure("writing the record failed");
+                return;
+            }
+            const auto written = std::move(this->waiting.front());
+            this->waiting.pop_front();
+            this->finish(written, true);
+            this->writeNext();
+        });
+}
+
+void RecordPublisher::onFailure(const char* reason)
+{
+    auto& record = this->waiting.front();
+    const auto backoff = this->timings.retryBackoff * (1 << record.failures);
+    ++record.failures;
+    logChange(LogLevel::Warning, "prompt evidence not published",
+        { { "key", record.key }, { "reason", reason }, { "failures", std::to_string(record.failures) } });
+    this->lease.reset(); // it may have ended
+    this->nextCallAt = Clock::now() + backoff;
+    if (record.failures >= maxFailures) {
+        const auto dropped = std::move(record);
+        this->waiting.pop_front();
+        this->finish(dropped, false);
+    }
+    this->writeNext();
+}
+
+void RecordPublisher::finish(const Record& record, bool isWritten)
+{
+    if (!isWritten)
+        logChange(LogLevel::Warning, "prompt evidence dropped", { { "key", record.key } });
+    if (this->onDone)
+        this->onDone(record.key, isWritten);
+}
+
+}
--- /dev/null
+++ b/src/quarantine/RecordPublisher.h
@@ -0,0 +1,62 @@
+#pragma once
+// Writes records to the platform's service under a lease of this instance, at a bounded rate.
+//
+// The lease is granted with the first record and replaced when half of its time is over. It is never renewed, so the
+// records expire by themselves. A failed write is repeated a few times.
+
+#include "base/Base.h"
+#include "observe/Metrics.h"
+#include "store/KeyValueStore.h"
+
+#include <QObject>
+#include <QTimer>
+#include <deque>
+#include <functional>
+#include <string>
+
+namespace dragonfly::quarantine {
+
+struct PublisherTimings {
+    /// Records exist for at least half of this time.
+    std::chrono::seconds leaseTtl { 1800 };
+    /// Between the starts of two writes.
+    std::chrono::milliseconds writeInterval { 250 };
+    /// After a failed call, doubled with each further one.
+    std::chrono::milliseconds retryBackoff { 400 };
+};
+
+class RecordPublisher : public QObject {
+    Q_OBJECT
+public:
+    RecordPublisher(store::WatchableStore& store, observe::Metrics& metrics, const PublisherTimings& timings);
+
+    /// Writes @p value to @p key soon. The oldest record that waits is dropped when too many do.
+    void write(const std::string& key, const std::string& value);
+    /// Called once for each record: whether it was written.
+    std::function<void(const std::string& key, bool isWritten)> onDone;
+
+private:
+    struct Record {
+        std::string key;
+        std::string value;
+        int failures = 0;
+    };
+
+    void writeNext();
+    void grantLease();
+    void put();
+    void onFailure(const char* reason);
+    void finish(const Record& record, bool isWritten);
+
+    store::WatchableStore& store;
+    observe::Metrics& metrics;
+    PublisherTimings timings;
+    std::deque<Record> waiting;
+    std::optional<int64_t> lease;
+    BootClock::time_point leaseGrantedAt; ///< a moment before the lease was granted
+    Deadline nextCallAt; ///< earliest start of the next write
+    bool isCallInFlight = false;
+    QTimer timer;
+};
+
+}
--- a/tests/RelayTest.cpp
+++ b/tests/RelayTest.cpp
@@ -3,6 +3,7 @@
 
 #include "relay/Relay.h"
 #include "platform/Platform.h"
+#include "tests/support/FakeWatchableStore.h"
 #include "tests/support/ForwardSite.h"
 
 #include <criterion/criterion.h>
@@ -85,55 +86,7 @@
 };
 
 /// A store for the registry of instances; calls stay pending until a test answers them.
-class FakeRegistryStore : public store::WatchableStore {
-public:
-    void grantLease(std::chrono::seconds, Deadline, std::function<void(store::LeaseResult)> done) override
-    {
-        this->grants.push_back(std::move(done));
-    }
-    void put(const std::string&, const std::string&, int64_t, Deadline,
-        std::function<void(store::WriteResult)> done) override
-    {
-        this->puts.push_back(std::move(done));
-    }
-    void renewLease(int64_t, Deadline, std::function<void(store::LeaseResult)> done) override
-    {
-        this->renewals.push_back(std::move(done));
-    }
-    void endLease(int64_t lease, Deadline, std::function<void(store::WriteResult)>) override
-    {
-        this->endedLeases.push_back(lease);
-    }
-    void read(const std::vector<store::ReadRequest>&, Deadline, std::function<void(store::ReadResult)>) override
-    {
-    }
-    void compareAndSwap(
-        const std::string&, int64_t, const std::string&, Deadline, std::function<void(store::SwapResult)>) override
-    {
-    }
-    void compareAndSwapLeased(const std::string&, int64_t, const std::string&, int64_t, Deadline,
-        std::function<void(store::LeasedSwapResult)>) override
-    {
-    }
-    void remove(const std::string&, Deadline, std::function<void(store::WriteResult)>) override
-    {
-    }
-    void readPage(const std::string&, const std::string&, Deadline, std::function<void(store::PageResult)>) override
-    {
-    }
-    void watch(
-        const std::string&, int64_t, Clock::time_point, Deadline, std::function<void(store::WatchResult)>) override
-    {
-    }
-    void checkRevision(const std::string&, int64_t, Deadline, std::function<void(store::CheckResult)>) override
-    {
-    }
-
-    std::vector<std::function<void(store::LeaseResult)>> grants;
-    std::vector<std::function<void(store::WriteResult)>> puts;
-    std::vector<std::function<void(store::LeaseResult)>> renewals;
-    std::vector<int64_t> endedLeases;
-};
+using FakeRegistryStore = testing::FakeWatchableStore;
 
 int argumentCount = 0;
 
