Refuse requests with a prompt part that crashes engines

Change: forwarding reports the attempts that an engine closes, refuses requests with a quarantined part (prompt_quarantined, 503, not run unless an engine may have begun) before the first send and before each retry, and withdraws those that wait at an engine. A request that was beginning when its engine ended is not sent to another one when another engine ended so with its part. Such a refusal comes before a target is chosen, so it takes and earns no retry budget. Answers that engines completed, or go on with, are proofs. The records lie below the prefix that every instance follows and reads before it takes requests.

--- a/src/base/Error.cpp
+++ b/src/base/Error.cpp
@@ -28,6 +28,7 @@
         ErrorAnswer { ErrorKind::TargetFailed, "target_failed", 502, true },
         ErrorAnswer { ErrorKind::StreamInterrupted, "stream_interrupted", 502, true },
         ErrorAnswer { ErrorKind::NotConfigured, "not_configured", 503, true },
+        ErrorAnswer { ErrorKind::PromptQuarantined, "prompt_quarantined", 503, true },
         ErrorAnswer { ErrorKind::Internal, "internal", 500, false },
     };
 
--- a/src/base/Error.h
+++ b/src/base/Error.h
@@ -38,6 +38,7 @@
     TargetFailed,
     StreamInterrupted,
     NotConfigured,
+    PromptQuarantined,
     Internal,
 };
 
--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -60,7 +60,8 @@
     , relay(this->peers, this->source, this->sync, this->directory, this->ranking)
     , registry(this->store, this->ranking, this->metrics)
     , rollout(rolloutSettings(this->settings), this->store, this->engines, this->directory, this->metrics)
-    , forwarding(this->settings.forwarding.requests, this->directory, this->headers, this->metrics)
+    , quarantine(this->settings.instance, this->store, this->metrics)
+    , forwarding(this->settings.forwarding.requests, this->directory, this->headers, this->metrics, this->quarantine)
     , forwarder(this->forwarding)
     , server(settings.server, [this](const http::ExchangePointer& exchange) { this->forwarder.handle(exchange); })
 {
@@ -86,6 +87,7 @@
     this->sync.onWholeRead = [this] {
         const auto* leaderKey = weights::WeightsRollout::leaderKey;
         this->rollout.applyLeaderKeyState(this->sync.hasFollowedRecord(leaderKey));
+        this->quarantine.update();
     };
     this->server.onRefusal = [this](ErrorKind kind) {
         this->metrics.failed(kind).Increment();
@@ -163,7 +165,7 @@
 {
     if (record.key.starts_with(relay::InstanceRegistry::keyPrefix))
         this->registry.onRecord(record, exists);
-    else
+    else if (!this->quarantine.applyRecord(record, exists))
         this->rollout.applyRecord(record, exists);
 }
 
--- a/src/daemon/ForwardingDaemon.h
+++ b/src/daemon/ForwardingDaemon.h
@@ -10,6 +10,7 @@
 #include "forward/Forward.h"
 #include "membership/ZmqTransport.h"
 #include "platform/Platform.h"
+#include "quarantine/Quarantine.h"
 #include "relay/Relay.h"
 #include "weights/Weights.h"
 
@@ -71,6 +72,7 @@
     relay::RecordRelay relay;
     relay::InstanceRegistry registry;
     weights::WeightsRollout rollout;
+    quarantine::PromptQuarantine quarantine;
     forward::ForwardContext forwarding;
     forward::Forwarder forwarder;
     http::Server server;
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -51,6 +51,12 @@
     /// Retry-After of a refused request: the time in which a busy target completes some requests.
     constexpr milliseconds retryAfterRefusal { 300 };
 
+    /// Shared parts of a prompt that are looked at; prompts have a few, and reports carry all of them.
+    constexpr size_t maxSharedParts = 64;
+    /// Retry-After of a request with a quarantined part: long, because only an answer to a prompt with the part, or the
+    /// expiry of the evidence after an hour, ends the quarantine.
+    constexpr milliseconds retryAfterQuarantine { 30000 };
+
     constexpr uint32_t maxUrgency = 9;
     /// The organisation's priority takes precedence; the route's priority orders requests within it.
     constexpr uint32_t urgenciesPerPriority = 3;
@@ -65,18 +71,35 @@
             || status == statusUnavailable;
     }
 
+    std::vector<quarantine::PartHash> sharedPartsOf(const RequestMetadata& metadata)
+    {
+        std::vector<quarantine::PartHash> parts;
+        for (size_t i = 0; i + 1 < metadata.prompt.size() && i < maxSharedParts; ++i)
+            parts.push_back(quarantine::hashOfPart(metadata.model, metadata.prompt[i].id));
+        return parts;
+    }
+
+    /// Whether a complete answer proves that its target survived the prompt.
+    bool provesSoundness(int status)
+    {
+        return status >= statusOk && status < firstRedirect;
+    }
+
 }
 
 ForwardCall::ForwardCall(ForwardContext& context, ForwardRequest request)
     : context(context)
     , request(std::move(request))
+    , sharedParts(sharedPartsOf(this->request.metadata))
 {
     ++this->context.activeRequests;
+    this->context.calls.insert(this);
 }
 
 ForwardCall::~ForwardCall()
 {
     --this->context.activeRequests;
+    this->context.calls.erase(this);
     this->context.awaitingEngines.erase(this);
 }
 
@@ -116,6 +139,8 @@
         this->fail({ ErrorKind::DeadlineExceeded, "the deadline passed", this->execution(), {} });
         return;
     }
+    if (this->failIfQuarantined())
+        return;
     const ChoiceQuery query { this->context.directory, *this->request.routes, *this->request.route,
         this->request.metadata, this->request.organisation, this->context.settings.place,
         this->context.settings.regions, this->context.prefixIndex, this->triedTargets,
@@ -231,6 +256,63 @@
     this->attempt->call->setDeadline(this->progressDeadline());
 }
 
+bool ForwardCall::failIfQuarantined()
+{
+    const auto part = this->context.quarantine.findQuarantined(this->sharedParts);
+    if (!part)
+        return false;
+    this->fail({ ErrorKind::PromptQuarantined, "prompt part " + quarantine::toText(*part) + " crashes targets",
+        this->execution(), retryAfterQuarantine });
+    return true;
+}
+
+void ForwardCall::onPromptsQuarantined()
+{
+    if (!this->isAwaitingEngine() || !this->attempt->call
+        || !this->context.quarantine.findQuarantined(this->sharedParts))
+        return;
+    this->mayHaveRun = this->mayHaveRun || this->attempt->call->requestSent();
+    this->attempt->call->cancel();
+    this->endAttempt("withdrawn: a part of the prompt is quarantined");
+    this->failIfQuarantined();
+}
+
+bool ForwardCall::hasOpenAttempt(const quarantine::Incarnation& incarnation, Clock::time_point since) const
+{
+    return this->attempt && this->attempt->call && this->attempt->sentAt < since && this->attempt->call->requestSent()
+        && !this->readingPaused && this->incarnation() == incarnation;
+}
+
+quarantine::Incarnation ForwardCall::incarnation() const
+{
+    const auto& registration = this->attempt->choice.target->registration;
+    return { registration.id, registration.startedUnixMs };
+}
+
+std::optional<Error> ForwardCall::reportBrokenAttempt(const http::CallFailure& failure)
+{
+    if (failure.kind != http::CallFailureKind::Closed || !failure.requestSent || this->sharedParts.empty())
+        return std::nullopt;
+    const auto& progress = this->attempt->progress;
+    const quarantine::BrokenAttempt broken { this->incarnation(), this->request.metadata.requestId, this->sharedParts,
+        progress.hasBegun(), progress.isBeginning() };
+    const auto suspected = this->context.quarantine.findSuspected(broken);
+    this->context.quarantine.onAttemptBroken(broken);
+    if (!suspected)
+        return std::nullopt;
+    return Error { ErrorKind::TargetFailed,
+        failure.detail + "; not retried: other targets ended when they began prompts with part "
+            + quarantine::toText(*suspected),
+        Execution::Unknown, {} };
+}
+
+void ForwardCall::recordProgress()
+{
+    const bool isOwnAnswer = !this->isMismatchedAnswer() && !this->attempt->answerMetadata.notRun;
+    if (isOwnAnswer && this->attempt->progress.onBytes(Clock::now()))
+        this->context.quarantine.onSound(this->sharedParts);
+}
+
 /// When the attempt is abandoned for a retry; the request's own deadline if no retry is allowed, or while the target
 /// cannot make progress because the caller reads slowly.
 Deadline ForwardCall::responseDeadline() const
@@ -299,6 +381,7 @@
     this->context.awaitingEngines.erase(this);
     this->attempt->answerMetadata = this->context.dialect.parseAnswer(head);
     this->updateTarget();
+    this->recordProgress();
     const bool isSuccess = head.status >= statusOk && head.status < firstRedirect;
     const auto& answer = this->attempt->answerMetadata;
     if (!this->isStream() || !isSuccess || this->isMismatchedAnswer() || !answer.isStamped || answer.isEncoded)
@@ -341,6 +424,7 @@
 
 void ForwardCall::onBody(std::string_view bytes)
 {
+    this->recordProgress();
     if (this->attempt->isRelayed) {
         this->relayEvents(bytes);
         return;
@@ -444,6 +528,8 @@
     this->mayHaveRun = true;
     const bool isSuccess = status >= statusOk && status < firstRedirect;
     const bool isUnusable = (isSuccess && !answer.isStamped) || answer.isEncoded || impliesNotRun(status);
+    if (!isUnusable && provesSoundness(status))
+        this->context.quarantine.onSound(this->sharedParts);
     const bool isTargetFailure = isUnusable || status >= firstServerError;
     if (isTargetFailure)
         routing::recordFailure(state, Clock::now());
@@ -510,6 +596,11 @@
     const bool isPastDeadline = Clock::now() >= this->request.deadline;
     const auto kind = isPastDeadline ? ErrorKind::DeadlineExceeded : ErrorKind::TargetFailed;
     const auto detail = isWithdrawn ? "withdrawn: the target's weights may no longer answer" : failure.detail;
+    if (const auto error = this->reportBrokenAttempt(failure)) {
+        this->endAttempt(error->detail);
+        this->fail(*error);
+        return;
+    }
     this->attemptFailed(detail, { kind, detail, this->execution(), retryAfterRefusal });
 }
 
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -33,6 +33,10 @@
     void start();
     /// Limits the wait for the engine to begin if its weights have been replaced since the request was sent.
     void updateBeginDeadline();
+    /// Withdraws the request from an engine that has not begun to answer if a part of its prompt is quarantined.
+    void onPromptsQuarantined();
+    /// Whether the request was sent to the process @p incarnation before @p since and its answer is still read.
+    bool hasOpenAttempt(const quarantine::Incarnation& incarnation, Clock::time_point since) const;
 
 private:
     struct Attempt {
@@ -49,6 +53,7 @@
         bool isConfirmed = false; ///< another instance confirmed that its replaced weights may still answer
         std::optional<BootClock::time_point> confirmationEndedAt;
         std::optional<std::chrono::milliseconds> firstEventAfter; ///< unset before a stream's first event
+        quarantine::AnswerProgress progress;
     };
 
     void nextAttempt();
@@ -89,6 +94,14 @@
     void onCallerGone();
     void resumeReading();
 
+    quarantine::Incarnation incarnation() const;
+    /// Ends the request if a part of its prompt is quarantined. Returns whether it did.
+    bool failIfQuarantined();
+    /// Reports the attempt if the target closed its connection. Returns the error with which the request ends if it may
+    /// be the cause, so that it is not sent to another target.
+    std::optional<Error> reportBrokenAttempt(const http::CallFailure& failure);
+    void recordProgress();
+
     bool isRepeatable() const;
     bool isStream() const
     {
@@ -101,6 +114,7 @@
 
     ForwardContext& context;
     ForwardRequest request;
+    std::vector<quarantine::PartHash> sharedParts; ///< all parts of the prompt but the last, which no other request has
     std::optional<Attempt> attempt;
     std::vector<std::string> triedTargets; ///< ids of the targets of all attempts
     std::string attemptLog; ///< the ended attempts and denied retries, for the log line of the request
--- a/src/forward/ForwardContext.h
+++ b/src/forward/ForwardContext.h
@@ -7,9 +7,11 @@
 #include "forward/RetryWindow.h"
 #include "http/Http.h"
 #include "observe/Observe.h"
+#include "quarantine/Quarantine.h"
 #include "routing/Routing.h"
 
 #include <set>
+#include <unordered_set>
 
 namespace dragonfly::forward {
 
@@ -27,11 +29,12 @@
 
 struct ForwardContext {
     ForwardContext(const ForwardSettings& settings, directory::Directory& directory, const Dialect& dialect,
-        observe::Metrics& metrics)
+        observe::Metrics& metrics, quarantine::PromptQuarantine& quarantine)
         : settings(settings)
         , directory(directory)
         , dialect(dialect)
         , metrics(metrics)
+        , quarantine(quarantine)
         , prefixIndex(settings.prefixSlots)
     {
     }
@@ -46,10 +49,12 @@
     directory::Directory& directory;
     const Dialect& dialect;
     observe::Metrics& metrics;
+    quarantine::PromptQuarantine& quarantine;
     routing::PrefixIndex prefixIndex;
     http::ClientPool targets;
     QObject loop; ///< context object of deferred calls, which are dropped when it is destroyed
     int activeRequests = 0;
+    std::unordered_set<ForwardCall*> calls; ///< those that have not been destroyed
     std::set<ForwardCall*> awaitingEngines; ///< calls sent to an engine that has not begun to answer
 
 private:
--- a/src/forward/Forwarder.cpp
+++ b/src/forward/Forwarder.cpp
@@ -1,5 +1,7 @@
 #include "forward/Forwarder.h"
 
+#include <algorithm>
+
 namespace dragonfly::forward {
 
 namespace {
@@ -13,6 +15,16 @@
 
 }
 
+Forwarder::Forwarder(ForwardContext& context)
+    : context(context)
+{
+    context.quarantine.onQuarantined = [this] { this->onPromptsQuarantined(); };
+    context.quarantine.hasOpenAttempt = [this](const quarantine::Incarnation& incarnation, Clock::time_point since) {
+        return std::ranges::any_of(
+            this->context.calls, [&](const auto* call) { return call->hasOpenAttempt(incarnation, since); });
+    };
+}
+
 Status Forwarder::authenticate(ForwardRequest& request, BootClock::time_point now) const
 {
     if (request.route->isAnonymous || !request.routes->needsKeys())
@@ -71,6 +83,15 @@
         call->updateBeginDeadline();
 }
 
+void Forwarder::onPromptsQuarantined()
+{
+    std::vector<std::shared_ptr<ForwardCall>> waiting; // a withdrawn call leaves awaitingEngines
+    for (auto* call : this->context.awaitingEngines)
+        waiting.push_back(call->shared_from_this());
+    for (const auto& call : waiting)
+        call->onPromptsQuarantined();
+}
+
 void Forwarder::refuse(const http::ExchangePointer& exchange, const RequestMetadata& metadata, const Error& error)
 {
     this->context.metrics.failed(error.kind).Increment();
--- a/src/forward/Forwarder.h
+++ b/src/forward/Forwarder.h
@@ -7,10 +7,7 @@
 
 class Forwarder {
 public:
-    explicit Forwarder(ForwardContext& context)
-        : context(context)
-    {
-    }
+    explicit Forwarder(ForwardContext& context);
 
     /// Forwards the request of @p exchange, or answers it with an error.
     void handle(const http::ExchangePointer& exchange);
@@ -18,6 +15,8 @@
     void updateBeginDeadlines();
 
 private:
+    /// Withdraws the calls that wait at an engine with a prompt part that has just been quarantined.
+    void onPromptsQuarantined();
     /// Sets the organisation of @p request from its API key; an error when the key is unknown or cannot be verified.
     Status authenticate(ForwardRequest& request, BootClock::time_point now) const;
     void refuse(const http::ExchangePointer& exchange, const RequestMetadata& metadata, const Error& error);
