Withdraw reports on targets that go on

Cause: when the link between an instance and all engines is cut, every connection closes at once, which looks to that instance like the end of every engine.

Change: ten seconds after a report its instance looks whether the process is still registered, by records that are proved fresh, and removes the report if so. The platform removes the registration of an engine that crashed after three heartbeats. Reports are also tried for a minute instead of ten seconds when the store does not answer.

Ruled out: an answer of the process as the proof that it goes on (an engine that restarts may keep its id, and answers as the old one until its registration arrives); heartbeats (an entry changes only when more than its number does).

A cut link between real processes was not played.

--- a/src/forward/Forwarder.cpp
+++ b/src/forward/Forwarder.cpp
@@ -23,6 +23,13 @@
         return std::ranges::any_of(
             this->context.calls, [&](const auto* call) { return call->hasOpenAttempt(incarnation, since); });
     };
+    context.quarantine.isRegistered = [this](const quarantine::Incarnation& incarnation) {
+        const auto& directory = this->context.directory;
+        const auto found = directory.targets().find(incarnation.target);
+        return found != directory.targets().end() && !found->second->isReplaced
+            && found->second->registration.startedUnixMs == incarnation.startedUnixMs
+            && directory.freshness.isProved(BootClock::now());
+    };
 }
 
 Status Forwarder::authenticate(ForwardRequest& request, BootClock::time_point now) const
--- a/src/quarantine/PromptEvidence.h
+++ b/src/quarantine/PromptEvidence.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -38,7 +39,11 @@
     std::string target;
     int64_t startedUnixMs = 0;
 
-    auto operator<=>(const Incarnation&) const = default;
+    bool operator==(const Incarnation&) const = default;
+    bool operator<(const Incarnation& other) const
+    {
+        return std::tie(this->target, this->startedUnixMs) < std::tie(other.target, other.startedUnixMs);
+    }
 };
 
 struct BeginningRequest {
--- a/src/quarantine/PromptQuarantine.cpp
+++ b/src/quarantine/PromptQuarantine.cpp
@@ -21,6 +21,9 @@
     constexpr milliseconds gatherTime { 60 };
     /// How long open attempts at the target delay the report: a target that ended has none after that.
     constexpr milliseconds maxGatherTime { 600 };
+    /// The platform removes the registration of a target that ended after three of its heartbeats, 1.2 s apart on the
+    /// sites known; a target that is registered for this long after its reported end goes on.
+    constexpr milliseconds registrationTimeout { 10000 };
     /// Limit on the requests in one report, about 40 bytes each. An engine begins 10 to 20 within the begin window.
     constexpr size_t maxReportedRequests = 32;
     /// Limit on the answered parts in one report, 8 bytes each.
@@ -204,6 +207,19 @@
     const auto key = this->reportKeyPrefix + std::to_string(++this->lastReport);
     this->evidence.add(key, report, std::nullopt);
     this->reportPublisher.write(key, toRecord(report));
+    QTimer::singleShot(
+        registrationTimeout, this, [this, key, incarnation] { this->withdrawIfRegistered(key, incarnation); });
+    this->scheduleUpdate();
+}
+
+/// Withdraws the report on a target that did not end: its connections to this instance were cut.
+void PromptQuarantine::withdrawIfRegistered(const std::string& key, const Incarnation& incarnation)
+{
+    if (!this->isRegistered || !this->isRegistered(incarnation))
+        return;
+    logChange(LogLevel::Info, "report on a target withdrawn, which goes on", { { "target", incarnation.target } });
+    this->evidence.remove(key);
+    this->reportPublisher.remove(key);
     this->scheduleUpdate();
 }
 
--- a/src/quarantine/PromptQuarantine.h
+++ b/src/quarantine/PromptQuarantine.h
@@ -56,6 +56,8 @@
 
     /// Whether an attempt that was sent to the process before @p since is still open.
     std::function<bool(const Incarnation& incarnation, Clock::time_point since)> hasOpenAttempt;
+    /// Whether the process is known to be registered still.
+    std::function<bool(const Incarnation& incarnation)> isRegistered;
     std::function<void()> onQuarantined; ///< called when a part has been quarantined
     /// Decides at once which parts are quarantined, instead of shortly after the latest record or proof.
     void update();
@@ -71,6 +73,7 @@
     void gatherDue();
     void scheduleGathering();
     void report(const Incarnation& incarnation, const Gathering& gathering);
+    void withdrawIfRegistered(const std::string& key, const Incarnation& incarnation);
     void onRecordDone(const std::string& key, bool isWritten);
     void publishSound(PartHash part);
     void scheduleUpdate();
--- a/src/quarantine/RecordPublisher.cpp
+++ b/src/quarantine/RecordPublisher.cpp
@@ -14,8 +14,9 @@
     constexpr std::chrono::milliseconds callTimeout { 1000 };
     /// Records that wait at the same time; as many ends of targets at once are an outage, which other records show.
     constexpr size_t maxWaiting = 32;
-    /// Together with the backoff these bridge an outage of the service of about ten seconds.
-    constexpr int maxFailures = 6;
+    /// With the backoff of three seconds in the end these bridge an outage of the service of a minute.
+    constexpr int maxFailures = 20;
+    constexpr int maxDoublings = 3;
 
 }
 
@@ -30,6 +31,16 @@
 }
 
 void RecordPublisher::write(const std::string& key, const std::string& value)
+{
+    this->enqueue({ key, value });
+}
+
+void RecordPublisher::remove(const std::string& key)
+{
+    this->enqueue({ key, std::nullopt });
+}
+
+void RecordPublisher::enqueue(Record record)
 {
     if (this->waiting.size() >= maxWaiting) {
         // The first record may be the one that is being written.
@@ -38,7 +49,7 @@
         this->waiting.erase(oldest);
         this->finish(dropped, false);
     }
-    this->waiting.push_back({ key, value });
+    this->waiting.push_back(std::move(record));
     this->writeNext();
 }
 
@@ -81,24 +92,31 @@
     this->nextCallAt = Clock::now() + this->timings.writeInterval;
     this->metrics.platformCalls.Increment();
     const auto& record = this->waiting.front();
-    this->store.put(
-        record.key, record.value, *this->lease, Clock::now() + callTimeout, [this](const store::WriteResult& result) {
-            this->isCallInFlight = false;
-            if (!std::holds_alternative<Success>(result)) {
-                this->onFailure("writing the record failed");
-                return;
-            }
-            const auto written = std::move(this->waiting.front());
-            this->waiting.pop_front();
-            this->finish(written, true);
-            this->writeNext();
-        });
+    const auto deadline = Clock::now() + callTimeout;
+    const auto done = [this](const store::WriteResult& result) { this->onWritten(result); };
+    if (record.value)
+        this->store.put(record.key, *record.value, *this->lease, deadline, done);
+    else
+        this->store.remove(record.key, deadline, done);
+}
+
+void RecordPublisher::onWritten(const store::WriteResult& result)
+{
+    this->isCallInFlight = false;
+    if (!std::holds_alternative<Success>(result)) {
+        this->onFailure("writing the record failed");
+        return;
+    }
+    const auto written = std::move(this->waiting.front());
+    this->waiting.pop_front();
+    this->finish(written, true);
+    this->writeNext();
 }
 
 void RecordPublisher::onFailure(const char* reason)
 {
     auto& record = this->waiting.front();
-    const auto backoff = this->timings.retryBackoff * (1 << record.failures);
+    const auto backoff = this->timings.retryBackoff * (1 << std::min(record.failures, maxDoublings));
     ++record.failures;
     logChange(LogLevel::Warning, "prompt evidence not published",
         { { "key", record.key }, { "reason", reason }, { "failures", std::to_string(record.failures) } });
@@ -116,7 +134,7 @@
 {
     if (!isWritten)
         logChange(LogLevel::Warning, "prompt evidence dropped", { { "key", record.key } });
-    if (this->onDone)
+    if (record.value && this->onDone)
         this->onDone(record.key, isWritten);
 }
 
--- a/src/quarantine/RecordPublisher.h
+++ b/src/quarantine/RecordPublisher.h
@@ -21,7 +21,7 @@
     std::chrono::seconds leaseTtl { 1800 };
     /// Between the starts of two writes.
     std::chrono::milliseconds writeInterval { 250 };
-    /// After a failed call, doubled with each further one.
+    /// After a failed call, doubled with each further one up to eight times this.
     std::chrono::milliseconds retryBackoff { 400 };
 };
 
@@ -32,19 +32,23 @@
 
     /// Writes @p value to @p key soon. The oldest record that waits is dropped when too many do.
     void write(const std::string& key, const std::string& value);
-    /// Called once for each record: whether it was written.
+    /// Removes @p key soon, after the writes that wait.
+    void remove(const std::string& key);
+    /// Called once for each record to be written: whether it was.
     std::function<void(const std::string& key, bool isWritten)> onDone;
 
 private:
     struct Record {
         std::string key;
-        std::string value;
+        std::optional<std::string> value; ///< nullopt to remove the key
         int failures = 0;
     };
 
+    void enqueue(Record record);
     void writeNext();
     void grantLease();
     void put();
+    void onWritten(const store::WriteResult& result);
     void onFailure(const char* reason);
     void finish(const Record& record, bool isWritten);
 
