--- a/tests/QuarantineTest.cpp
+++ b/tests/QuarantineTest.cpp
@@ -182,6 +182,42 @@
     cr_assert_geq(after, before / 2, "served before: %.2f, after the crashes: %.2f", before, after);
 }
 
+/// No instance has seen the shared part answered when the first engines end.
+Test(quarantine, partsThatAllRequestsShareAreServedWhenCrashesComeFirst)
+{
+    CrashSite site;
+    for (size_t entry = 0; entry < instances; ++entry)
+        site.sendDeadly(entry);
+    site.play(13s, true);
+    const auto ended = QDateTime::currentMSecsSinceEpoch();
+    site.waitForAnswers();
+    const auto counted = site.countedFrom() + contactTime.count();
+    const auto arrivals = site.times("deadly_arrivals");
+    const auto late = std::ranges::count_if(arrivals, [counted](int64_t time) { return time > counted; });
+    cr_assert_leq(late, maxLateArrivals, "%d requests with the part reached engines late; %d crashes",
+        static_cast<int>(late), static_cast<int>(site.times("crashes").size()));
+    // Without crashes all are served.
+    const auto after = site.servedShare(site.countedFrom() + 2 * contactTime.count(), ended);
+    cr_assert_geq(after, 0.5, "served after the crashes: %.2f", after);
+}
+
+/// Only requests with both parts come until the quarantine, so that nothing tells the shared part from the bad one.
+Test(quarantine, sharedPartIsServedAfterACrashThatItCouldHaveCaused)
+{
+    CrashSite site;
+    for (const size_t entry : { 0u, 1u })
+        require(waitFor(site.sendDeadly(entry)), "no answer");
+    runFor(1s);
+    site.play(12s, true);
+    const auto ended = QDateTime::currentMSecsSinceEpoch();
+    site.waitForAnswers();
+    const auto after = site.servedShare(site.countedFrom() + 2 * contactTime.count(), ended);
+    cr_assert_geq(after, 0.5, "served after the crashes: %.2f", after);
+    const auto counted = site.countedFrom() + contactTime.count();
+    const auto arrivals = site.times("deadly_arrivals");
+    cr_assert_leq(std::ranges::count_if(arrivals, [counted](int64_t time) { return time > counted; }), maxLateArrivals);
+}
+
 Test(quarantine, instancesThatStartAfterTheCrashesRefuseToo)
 {
     CrashSite site;
