Try a prompt part that explains no more than another

Cause: when all requests until the quarantine carried both the bad part and a part that sound requests share, both explain the same ends and both were refused. No answer with the sound one was under way, so nothing cleared it, and its callers were refused for as long as the reports exist.

Change: a request with exactly one of such equally good explanations is sent from time to time: its answer clears the part, or one more end makes that part the better explanation, and the other one is released. Instances try after a delay by their name, those that reported first, each at most once in two seconds. Requests of this kind that wait at an engine are not withdrawn.

Ruled out: quarantining only the part that stands last in the prompt (the bad part may stand anywhere); trying parts that alone explain the ends (each trial may end an engine, and the users allow three).

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -258,23 +258,28 @@
 
 bool ForwardCall::failIfQuarantined()
 {
-    const auto part = this->context.quarantine.findQuarantined(this->sharedParts);
+    const auto part = this->context.quarantine.refuse(this->sharedParts, Clock::now());
     if (!part)
         return false;
-    this->fail({ ErrorKind::PromptQuarantined, "prompt part " + quarantine::toText(*part) + " crashes targets",
-        this->execution(), retryAfterQuarantine });
+    this->failQuarantined(*part);
     return true;
 }
 
+void ForwardCall::failQuarantined(quarantine::PartHash part)
+{
+    this->fail({ ErrorKind::PromptQuarantined, "prompt part " + quarantine::toText(part) + " crashes targets",
+        this->execution(), retryAfterQuarantine });
+}
+
 void ForwardCall::onPromptsQuarantined()
 {
-    if (!this->isAwaitingEngine() || !this->attempt->call
-        || !this->context.quarantine.findQuarantined(this->sharedParts))
+    const auto part = this->context.quarantine.withdraw(this->sharedParts);
+    if (!part || !this->isAwaitingEngine() || !this->attempt->call)
         return;
     this->mayHaveRun = this->mayHaveRun || this->attempt->call->requestSent();
     this->attempt->call->cancel();
     this->endAttempt("withdrawn: a part of the prompt is quarantined");
-    this->failIfQuarantined();
+    this->failQuarantined(*part);
 }
 
 bool ForwardCall::hasOpenAttempt(const quarantine::Incarnation& incarnation, Clock::time_point since) const
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -95,8 +95,9 @@
     void resumeReading();
 
     quarantine::Incarnation incarnation() const;
-    /// Ends the request if a part of its prompt is quarantined. Returns whether it did.
+    /// Ends the request if it must not be sent, because a part of its prompt is quarantined. Returns whether it did.
     bool failIfQuarantined();
+    void failQuarantined(quarantine::PartHash part);
     /// Reports the attempt if the target closed its connection. Returns the error with which the request ends if it may
     /// be the cause, so that it is not sent to another target.
     std::optional<Error> reportBrokenAttempt(const http::CallFailure& failure);
--- a/src/quarantine/PromptEvidence.cpp
+++ b/src/quarantine/PromptEvidence.cpp
@@ -165,7 +165,7 @@
         if (best.empty())
             return decided;
         for (const auto& explanation : best) {
-            decided[explanation.part] = { explanation.part, explanation.ends, explanation.requests };
+            decided[explanation.part] = { explanation.part, explanation.ends, explanation.requests, best.size() > 1 };
             for (const auto& [incarnation, beginning] : this->evidence.at(explanation.part).requestsByEnd)
                 explained.insert(incarnation);
         }
@@ -197,6 +197,31 @@
     return found == parts.end() ? std::nullopt : std::optional(*found);
 }
 
+std::optional<PartHash> PromptEvidence::findDecisive(std::span<const PartHash> parts) const
+{
+    std::optional<PartHash> found;
+    for (const auto part : parts) {
+        const auto known = this->quarantined.find(part);
+        if (known == this->quarantined.end() || found == part)
+            continue;
+        if (found || !known->second.isTied)
+            return std::nullopt;
+        found = part;
+    }
+    return found;
+}
+
+bool PromptEvidence::isReportedUnder(PartHash part, std::string_view keyPrefix) const
+{
+    return std::ranges::any_of(this->reports, [&](const auto& entry) {
+        const auto& [key, report] = entry;
+        return key.starts_with(keyPrefix)
+            && std::ranges::any_of(report.content.beginning, [part](const BeginningRequest& request) {
+                   return std::ranges::find(request.parts, part) != request.parts.end();
+               });
+    });
+}
+
 std::optional<PartHash> PromptEvidence::findSuspected(
     std::span<const PartHash> parts, uint64_t request, const Incarnation& incarnation) const
 {
--- a/src/quarantine/PromptEvidence.h
+++ b/src/quarantine/PromptEvidence.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <unordered_map>
 #include <unordered_set>
@@ -63,6 +64,7 @@
     PartHash part = 0;
     size_t ends = 0; ///< ends of targets that the part explains
     size_t requests = 0; ///< distinct requests with the part that were beginning there
+    bool isTied = false; ///< another part explains the ends as well
 };
 
 /// The difference between two decisions.
@@ -94,6 +96,11 @@
     }
     /// The first of @p parts that is quarantined.
     std::optional<PartHash> findQuarantined(std::span<const PartHash> parts) const;
+    /// Whether a request with @p parts would tell a quarantined part from another one that explains the same ends:
+    /// it has one quarantined part, which is tied. Returns that part.
+    std::optional<PartHash> findDecisive(std::span<const PartHash> parts) const;
+    /// Whether a report whose key begins with @p keyPrefix names @p part.
+    bool isReportedUnder(PartHash part, std::string_view keyPrefix) const;
     /// Whether other targets ended while they began other requests with one of @p parts, so that @p request, which was
     /// beginning when @p incarnation ended, may be the cause. Returns the part.
     std::optional<PartHash> findSuspected(
--- a/src/quarantine/PromptQuarantine.cpp
+++ b/src/quarantine/PromptQuarantine.cpp
@@ -36,6 +36,13 @@
     constexpr size_t endsWorthAProof = minEnds - 1;
     /// Random delay of a proof, in which that of another instance mostly arrives.
     constexpr int maxProofDelayMs = 400;
+    /// Between two trials of a part at one instance: the answer or the end of the first one is known by then.
+    constexpr milliseconds trialInterval { 2000 };
+    /// Instances try a part after a delay by their name, so that few do before the result of the first is known, half a
+    /// second later. Those that reported the part are few and come first.
+    constexpr uint64_t reporterTrialSlots = 8;
+    constexpr uint64_t trialSlots = 32;
+    constexpr milliseconds trialSlotTime { 250 };
     /// Between two decisions, each 0.9 ms after 64 ends, so that a burst of records and proofs takes 1.8 % of a core.
     constexpr milliseconds updateDelay { 50 };
 
@@ -264,6 +271,30 @@
     this->soundPublisher.write(std::string(soundPrefix) + toText(part), this->instance);
 }
 
+Clock::time_point PromptQuarantine::firstTrialAt(PartHash part, Clock::time_point now) const
+{
+    const auto number = fastHash(this->instance, part);
+    if (this->evidence.isReportedUnder(part, this->reportKeyPrefix))
+        return now + trialSlotTime * (number % reporterTrialSlots);
+    return now + trialSlotTime * (reporterTrialSlots + number % trialSlots);
+}
+
+std::optional<PartHash> PromptQuarantine::refuse(const std::vector<PartHash>& parts, Clock::time_point now)
+{
+    const auto quarantined = this->evidence.findQuarantined(parts);
+    const auto decisive = quarantined ? this->evidence.findDecisive(parts) : std::nullopt;
+    if (!decisive)
+        return quarantined;
+    const auto [next, isNew] = this->nextTrials.try_emplace(*decisive);
+    if (isNew)
+        next->second = this->firstTrialAt(*decisive, now);
+    if (now < next->second)
+        return quarantined;
+    next->second = now + trialInterval;
+    logChange(LogLevel::Info, "quarantined prompt part tried", { { "part", toText(*decisive) } });
+    return std::nullopt;
+}
+
 std::optional<PartHash> PromptQuarantine::findSuspected(const BrokenAttempt& attempt) const
 {
     if (!attempt.isBeginning || this->evidence.isEmpty())
@@ -289,6 +320,8 @@
             { { "part", toText(part) },
                 { "reason",
                     this->evidence.isProved(part) ? "a prompt with it was answered" : "the evidence expired" } });
+    for (const auto part : changes.released)
+        this->nextTrials.erase(part);
     this->metrics.quarantinedParts.Set(static_cast<double>(this->evidence.quarantinedCount()));
     if (!changes.added.empty() && this->onQuarantined)
         this->onQuarantined();
--- a/src/quarantine/PromptQuarantine.h
+++ b/src/quarantine/PromptQuarantine.h
@@ -51,6 +51,15 @@
     {
         return this->evidence.findQuarantined(parts);
     }
+    /// The quarantined part for which a request with @p parts must not be sent; nullopt if it may be sent now. Lets a
+    /// request pass from time to time that tells a part from others which explain the same ends.
+    std::optional<PartHash> refuse(const std::vector<PartHash>& parts, Clock::time_point now);
+    /// The quarantined part for which a request with @p parts that waits at a target is withdrawn. One that tells the
+    /// part from others stays, since its target may begin it at any time anyway.
+    std::optional<PartHash> withdraw(const std::vector<PartHash>& parts) const
+    {
+        return this->evidence.findDecisive(parts) ? std::nullopt : this->evidence.findQuarantined(parts);
+    }
     /// The part for which the request of @p attempt may be the cause of the target's end.
     std::optional<PartHash> findSuspected(const BrokenAttempt& attempt) const;
 
@@ -76,6 +85,7 @@
     void withdrawIfRegistered(const std::string& key, const Incarnation& incarnation);
     void onRecordDone(const std::string& key, bool isWritten);
     void publishSound(PartHash part);
+    Clock::time_point firstTrialAt(PartHash part, Clock::time_point now) const;
     void scheduleUpdate();
 
     std::string instance;
@@ -86,6 +96,7 @@
     RecordPublisher soundPublisher;
     std::map<Incarnation, Gathering> gatherings;
     std::set<PartHash> soundInProgress; ///< parts whose proof is scheduled or being written
+    std::map<PartHash, Clock::time_point> nextTrials; ///< of the quarantined parts that may be told from others
     /// Distinguishes the keys of this process from those of an earlier one of the same instance.
     std::string reportKeyPrefix;
     uint64_t lastReport = 0;
--- a/tests/QuarantinePartsTest.cpp
+++ b/tests/QuarantinePartsTest.cpp
@@ -138,6 +138,27 @@
     cr_assert(reports.isQuarantined(bad));
 }
 
+Test(promptEvidence, requestWithOneOfTwoTiedPartsIsDecisive)
+{
+    Reports reports;
+    for (const auto* target : { "a", "b", "c" })
+        reports.add(target, { { shared, bad } });
+    const auto decisive
+        = [&reports](const std::vector<PartHash>& parts) { return reports.evidence.findDecisive(parts).value_or(0); };
+    reports.evidence.update();
+    cr_assert_eq(decisive({ shared, other }), shared);
+    cr_assert_eq(decisive({ shared, shared }), shared);
+    cr_assert_eq(decisive({ bad }), bad);
+    cr_assert_eq(decisive({ shared, bad }), 0, "it tells nothing new");
+    cr_assert_eq(decisive({ other }), 0, "it is not refused");
+    // One more end, and the part that is in all of them is the explanation.
+    reports.add("d", { { bad } });
+    reports.evidence.update();
+    cr_assert_eq(decisive({ bad }), 0);
+    cr_assert(reports.isQuarantined(bad));
+    cr_assert_not(reports.isQuarantined(shared));
+}
+
 Test(promptEvidence, proofClearsOnlyEarlierReports)
 {
     Reports reports;
@@ -672,6 +693,28 @@
     cr_assert_eq(site.store.writes.size(), 1);
 }
 
+Test(promptQuarantine, partThatExplainsNoMoreThanAnotherIsTriedOneRequestAtATime)
+{
+    QuarantineSite site;
+    auto& quarantine = site.quarantine;
+    for (const auto* target : { "a", "b", "c" })
+        site.breakAttempt(target, std::string("r") + target, { shared, bad });
+    cr_assert(waitUntil([&] { return quarantine.findQuarantined({ bad }).has_value(); }, 1s));
+    cr_assert(waitUntil([&] { return !quarantine.refuse({ shared, other }, Clock::now()); }, 3s));
+    const auto triedAt = Clock::now();
+    cr_assert(quarantine.refuse({ shared, other }, triedAt).has_value());
+    cr_assert(quarantine.refuse({ shared, other }, triedAt + 1s).has_value());
+    cr_assert_not(quarantine.refuse({ shared, other }, triedAt + 2s));
+    cr_assert(quarantine.refuse({ shared, bad }, triedAt + 1min).has_value());
+    cr_assert_not(quarantine.withdraw({ shared }));
+    cr_assert(quarantine.withdraw({ shared, bad }).has_value());
+    quarantine.onSound({ shared });
+    quarantine.update();
+    cr_assert_not(quarantine.refuse({ shared }, triedAt + 1min));
+    cr_assert(quarantine.refuse({ bad }, triedAt + 1min).has_value(), "nothing else explains the ends");
+    cr_assert(quarantine.withdraw({ bad }).has_value());
+}
+
 Test(promptQuarantine, partsWithoutEvidenceCauseNoWrites)
 {
     QuarantineSite site;
