Reuse no kept connection that has received anything since

Callers saw: requests that may not be repeated were answered with 502, and others took a retry from the budget, because they were written to a connection that its target had already closed or reset. A second, late copy of an answer was taken as the answer to the next call; in forwarding its id gave it away, and the attempt was lost.

Cause: whether a connection may be reused was judged by what the event loop had seen of it. In a busy event loop the end of a connection, or bytes on it, wait in the system.

Change: the system is asked for unhandled bytes or the end of the connection before it is reused; such a connection is closed and the next one, or a new one, is taken.

Ruled out: asking when the request is written as well; both happen in the same iteration of the event loop, and what arrives in between cannot be told from what arrives just after the write.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -2,8 +2,10 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
+#include <cerrno>
 #include <charconv>
 #include <limits>
+#include <sys/socket.h>
 
 namespace dragonfly::http {
 
@@ -35,6 +37,15 @@
         return now + std::chrono::seconds(seconds) - idleMargin;
     }
 
+    /// Whether the system holds bytes or the end of the connection for @p socket that the event loop has not handled.
+    bool hasUnhandledInput(const QTcpSocket& socket)
+    {
+        char byte = 0;
+        const auto count
+            = ::recv(static_cast<int>(socket.socketDescriptor()), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+        return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
     std::string serialize(const Endpoint& endpoint, const Request& request)
     {
         std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
@@ -80,7 +91,7 @@
 bool ClientConnection::isReusable(Clock::time_point now) const
 {
     return now < this->idleDeadline && !this->number && this->socket.state() == QAbstractSocket::ConnectedState
-        && !this->socket.bytesAvailable();
+        && !this->socket.bytesAvailable() && !hasUnhandledInput(this->socket);
 }
 
 void ClientConnection::start(uint64_t number, const Request& request, const CallOptions& options, CallEvents events)
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -72,8 +72,8 @@
     void setDeadline(Deadline deadline);
     void setPaused(bool paused);
 
-    /// Whether a call can be started at @p now: the connection is idle and open, has no unread bytes, and the
-    /// target's idle timeout has not passed.
+    /// Whether a call can be started at @p now: the connection is idle and open, nothing was received on it since, and
+    /// the target's idle timeout has not passed.
     bool isReusable(Clock::time_point now) const;
     Clock::time_point idleSince() const
     {
--- a/tests/ClientAnswerTest.cpp
+++ b/tests/ClientAnswerTest.cpp
@@ -245,3 +245,37 @@
         }
     }
 }
+
+namespace {
+
+/// Two calls; the event loop does not run between them, while the first connection receives what @p afterFirst ends it
+/// with. Returns the outcome of the second.
+Outcome callAfterUnhandledInput(Ending afterFirst, const std::string& strayBytes)
+{
+    ensureApplication();
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+    const RawServer server(
+        { { head + "first", afterFirst, 20ms, strayBytes }, { head + "other", Ending::Close, 0ms } });
+    http::ClientPool pool;
+    cr_assert(call(pool, server).complete);
+    std::this_thread::sleep_for(60ms);
+    return call(pool, server);
+}
+
+}
+
+Test(clientAnswer, connectionThatWasClosedMeanwhileIsNotReused)
+{
+    for (const auto ending : { Ending::Close, Ending::Reset }) {
+        const auto outcome = callAfterUnhandledInput(ending, "");
+        cr_expect(outcome.complete, "%s", outcome.failure ? outcome.failure->detail.c_str() : "");
+        cr_expect_eq(outcome.body, "other");
+    }
+}
+
+Test(clientAnswer, lateSecondAnswerIsNotTakenByTheNextCall)
+{
+    const auto outcome = callAfterUnhandledInput(Ending::KeepOpen, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst");
+    cr_expect(outcome.complete, "%s", outcome.failure ? outcome.failure->detail.c_str() : "");
+    cr_expect_eq(outcome.body, "other", "%s", outcome.body.c_str());
+}
