--- a/tests/DirectoryTest.cpp
+++ b/tests/DirectoryTest.cpp
@@ -474,3 +474,52 @@
     cr_assert(waitUntil([&] { return fixture.directory.wantedWeights("m") == 2; }, 5s));
     cr_assert_leq(fixture.directory.replacementOf("m", 1)->notBefore, replacedAt);
 }
+
+Test(directorySync, replacementIsNotTakenForLaterThanItWasWhenAFirstReadReturnsOnlyTheLastOfTwoVersions)
+{
+    Fixture fixture;
+    fixture.store.set("config", "4");
+    fixture.store.set("targets/a", "ready");
+    fixture.store.set("weights/m", "2"); // replaces version 1
+    const auto replacedAt = BootClock::now();
+    runFor(500ms);
+    fixture.store.failEveryNthPage = 2; // the targets are read, the weights are not
+    fixture.store.onPageRead = [&] {
+        if (fixture.store.pageRequests < 3)
+            return;
+        fixture.store.failEveryNthPage = 0;
+        fixture.store.onPageRead = nullptr;
+        fixture.store.set("weights/m", "3");
+    };
+    fixture.sync.start();
+    cr_assert(waitUntil([&] { return fixture.directory.wantedWeights("m") == 3; }, 5s));
+    const auto replacement = fixture.directory.replacementOf("m", 1);
+    cr_assert(!replacement->isTimeKnown() || replacement->notBefore <= replacedAt, "taken for %d ms later",
+        static_cast<int>((replacement->notBefore - replacedAt) / 1ms));
+}
+
+Test(directorySync, replacementIsNotTakenForLaterThanItWasWhenARereadReturnsOnlyTheLastOfTwoVersions)
+{
+    Fixture fixture;
+    fixture.start();
+    fixture.store.isDown = true;
+    runFor(2100ms); // until the watch in progress has failed
+    fixture.store.set("weights/m", "2"); // replaces version 1
+    const auto replacedAt = BootClock::now();
+    runFor(1s);
+    fixture.store.pageRequests = 0;
+    fixture.store.failEveryNthPage = 2; // the targets are read, the weights are not
+    fixture.store.onPageRead = [&] {
+        if (fixture.store.pageRequests < 3)
+            return;
+        fixture.store.failEveryNthPage = 0;
+        fixture.store.onPageRead = nullptr;
+        fixture.store.set("weights/m", "3");
+    };
+    fixture.store.historyIsGone = true;
+    fixture.store.isDown = false;
+    cr_assert(waitUntil([&] { return fixture.directory.wantedWeights("m") == 3; }, 5s));
+    const auto replacement = fixture.directory.replacementOf("m", 1);
+    cr_assert(!replacement->isTimeKnown() || replacement->notBefore <= replacedAt, "taken for %d ms later",
+        static_cast<int>((replacement->notBefore - replacedAt) / 1ms));
+}
--- a/tests/ForwardPartsTest.cpp
+++ b/tests/ForwardPartsTest.cpp
@@ -331,7 +331,7 @@
     pool.advance(2s);
     cr_assert(pool.choose().has_value(), "a new leader had no time to confirm them yet");
     pool.advance(1s);
-    pool.bootNow += 10ms; // the directory learned of the replacement shortly after the pool's start
+    pool.bootNow = pool.directory.replacementOf("m", 1)->notAfter + 3s;
     cr_assert_not(pool.choose().has_value());
     pool.directory.confirmReplacedVersion("m", 1, true);
     cr_assert(pool.choose().has_value());
--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -503,6 +503,68 @@
     }
 }
 
+Test(forward, requestIsWithdrawnBeforeItBeginsOnUnconfirmedWeights, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site;
+    const std::string settings = "forwarding: { weightsTime: 8s }\n";
+    site.publish({ forwardKey }, 12000);
+    setAll(site.engines, { { "load_ms", 60000 } }); // one engine loads, so none has the new weights
+    site.startEntry(true, settings);
+    site.setWantedWeights(2);
+    const auto replacedAt = Clock::now();
+    runFor(2s); // until the leader has confirmed the former weights
+    site.entries[0]->kill();
+    while (Clock::now() < replacedAt + 7s)
+        runFor(50ms);
+    site.startEntry(true, settings); // the confirmation has ended
+    const auto startedAt = Clock::now();
+    setAll(site.engines, { { "work_ms", 9000 } });
+    const auto waiting = site.send({ .id = "r1", .path = "/once/x", .deadlineMs = 12000 }, 1);
+    cr_assert(waitFor(waiting, 12s));
+    cr_assert_lt(Clock::now(), startedAt + 3500ms,
+        "status %d, waited at the engine for %d ms, %d ms after the replacement", waiting->status,
+        static_cast<int>((Clock::now() - startedAt) / 1ms), static_cast<int>((Clock::now() - replacedAt) / 1ms));
+}
+
+namespace {
+
+/// A request that may be repeated waits at an engine that does not answer. The other engine must get it 400 ms later,
+/// which is twice the route's target latency, whether or not weights change meanwhile.
+void checkSilentEngineIsGivenUp(bool weightsChange)
+{
+    const Application application;
+    ForwardSite site;
+    site.startEntry(true);
+    setAll(site.engines, { { "work_ms", 9000 } });
+    const auto waiting = site.send({ .id = "r1", .path = "/ask/x", .deadlineMs = 6000 });
+    const auto sentAt = Clock::now();
+    runFor(200ms);
+    setAll(site.engines, { { "work_ms", 5 } });
+    int version = 1;
+    while (!waiting->ended && Clock::now() < sentAt + 5s) {
+        const auto value = QString("{\"model\":\"other\",\"version\":%1}").arg(++version);
+        if (weightsChange)
+            site.controlStore({ { "put", QJsonObject { { "key", "op/version/other" }, { "value", value } } } });
+        runFor(100ms);
+    }
+    cr_assert_eq(
+        waiting->status, 200, "status %d after %d ms", waiting->status, static_cast<int>(waiting->took().count()));
+    cr_assert_lt(waiting->took(), 1500ms, "answered after %d ms", static_cast<int>(waiting->took().count()));
+}
+
+}
+
+Test(forward, silentEngineIsGivenUpInTime, .timeout = 60)
+{
+    checkSilentEngineIsGivenUp(false);
+}
+
+Test(forward, silentEngineIsGivenUpInTimeWhileWeightsChange, .timeout = 60)
+{
+    checkSilentEngineIsGivenUp(true);
+}
+
 Test(forward, replacedWeightsExpireInTimeAfterAFreeze, .timeout = 60)
 {
     const Application application;
--- a/tests/RelayTest.cpp
+++ b/tests/RelayTest.cpp
@@ -278,9 +278,10 @@
     Follower follower;
     const auto before = BootClock::now();
     follower.watch();
+    const auto queried = BootClock::now();
     runFor(200ms);
     follower.reply(25, 900ms, true, 1500ms);
-    cr_assert_leq(std::get<store::Changes>(*follower.result).asOf, before + 100ms - 1500ms);
+    cr_assert_leq(std::get<store::Changes>(*follower.result).asOf, queried - 1500ms);
     cr_assert_geq(std::get<store::Changes>(*follower.result).asOf, before - 1500ms);
     follower.watch();
     follower.reply(26, 900ms);
@@ -342,6 +343,15 @@
         "queried again after its exclusion, since it may query the service itself by now");
 }
 
+Test(relayedSource, replyWithOldRecordsAndARecentProofIsRejected)
+{
+    Follower follower;
+    follower.watch();
+    cr_assert_eq(follower.queriedPeer(), "large");
+    follower.reply(25, 100ms, true, 10s);
+    cr_assert_not(follower.result.has_value(), "accepted records that the peer last saw complete 10 s ago");
+}
+
 Test(relayedSource, staleReplyIsAcceptedWhileServiceFails)
 {
     Follower follower;
--- a/tests/WeightsPartsTest.cpp
+++ b/tests/WeightsPartsTest.cpp
@@ -1,8 +1,11 @@
-// Unit tests of leader election and rollout planning.
+// Unit tests of leader election, rollout planning and the confirmation of replaced weights.
 
+#include "tests/support/Process.h"
 #include "weights/LeaderLease.h"
 #include "weights/RolloutPlan.h"
+#include "weights/WeightsRollout.h"
 
+#include <QCoreApplication>
 #include <criterion/criterion.h>
 #include <random>
 #include <set>
@@ -126,3 +129,188 @@
     cr_assert_eq(maxParallelLoads(12, { 0.2, 1400ms, 0s }), 2);
     cr_assert_eq(maxParallelLoads(2, { 0.2, 1400ms, 4s }), 1, "at least one engine");
 }
+
+namespace {
+
+class NoEngines : public EngineApi {
+public:
+    http::Request reportRequest(const std::string&) const override
+    {
+        return {};
+    }
+    Result<EngineReport> readReport(const http::ResponseHead&, std::string_view) const override
+    {
+        return EngineReport {};
+    }
+    http::Request orderRequest(const LoadOrder&) const override
+    {
+        return {};
+    }
+    OrderOutcome readOrderAnswer(const http::ResponseHead&) const override
+    {
+        return OrderOutcome::Unknown;
+    }
+};
+
+/// Answers at once. Refuses calls as told.
+class RefusingStore : public store::WatchableStore {
+public:
+    int refusedConfirmationLeases = 0; ///< how many are refused
+    int refusedConfirmations = 0; ///< how many writes of confirmations are refused
+    int refusedClaims = 0;
+    int claims = 0;
+    std::set<std::string> written;
+
+    void compareAndSwapLeased(const std::string&, int64_t, const std::string&, int64_t, Deadline,
+        std::function<void(store::LeasedSwapResult)> done) override
+    {
+        this->isLeader = true;
+        done(store::Swapped { ++this->revision });
+    }
+    void compareAndSwap(const std::string& key, int64_t expected, const std::string& value, Deadline,
+        std::function<void(store::SwapResult)> done) override
+    {
+        ++this->claims;
+        if (this->refusedClaims-- > 0) {
+            done(store::StoreFailure::NotExecuted);
+            return;
+        }
+        auto& current = this->swapped[key];
+        if (current.modRevision != expected) {
+            done(store::Conflict { current });
+            return;
+        }
+        current = { key, value, ++this->revision };
+        this->written.insert(key);
+        done(store::Swapped { current.modRevision });
+    }
+    void grantLease(std::chrono::seconds, Deadline, std::function<void(store::LeaseResult)> done) override
+    {
+        if (this->isLeader && this->refusedConfirmationLeases-- > 0)
+            done(store::StoreFailure::NotExecuted);
+        else
+            done(++this->revision);
+    }
+    void put(const std::string& key, const std::string&, int64_t, Deadline,
+        std::function<void(store::WriteResult)> done) override
+    {
+        if (this->refusedConfirmations-- > 0) {
+            done(store::StoreFailure::NotExecuted);
+            return;
+        }
+        this->written.insert(key);
+        done(Success {});
+    }
+    void renewLease(int64_t lease, Deadline, std::function<void(store::LeaseResult)> done) override
+    {
+        done(lease);
+    }
+    void endLease(int64_t, Deadline, std::function<void(store::WriteResult)>) override
+    {
+    }
+    void read(const std::vector<store::ReadRequest>&, Deadline, std::function<void(store::ReadResult)>) override
+    {
+    }
+    void remove(const std::string&, Deadline, std::function<void(store::WriteResult)>) override
+    {
+    }
+    void readPage(const std::string&, const std::string&, Deadline, std::function<void(store::PageResult)>) override
+    {
+    }
+    void watch(
+        const std::string&, int64_t, Clock::time_point, Deadline, std::function<void(store::WatchResult)>) override
+    {
+    }
+    void checkRevision(const std::string&, int64_t, Deadline, std::function<void(store::CheckResult)>) override
+    {
+    }
+    Clock::time_point lastOutageEnd() const override
+    {
+        return {};
+    }
+
+private:
+    bool isLeader = false;
+    int64_t revision = 40;
+    std::map<std::string, store::KeyValue> swapped;
+};
+
+int argumentCount = 0;
+
+struct RolloutFixture {
+    QCoreApplication application { argumentCount, nullptr };
+    RefusingStore store;
+    NoEngines api;
+    observe::Metrics metrics;
+    directory::Directory directory { 3s };
+    WeightsRollout rollout { { "entry-0", timings, 15s, 0.2 }, store, api, directory, metrics };
+
+    void lead()
+    {
+        directory::Registration registration;
+        registration.id = "e0";
+        registration.service = "engines";
+        registration.weights["m"] = 1;
+        this->directory.registerTarget(registration);
+        this->directory.setWantedWeights({ "m", 2 }, BootClock::now());
+        this->rollout.applyLeaderKeyState(false);
+    }
+    bool isConfirmed()
+    {
+        return testing::waitUntil(
+            [this] { return this->store.written.contains("dragonfly/may-still-answer/m/1"); }, 2s);
+    }
+};
+
+}
+
+Test(weightsRollout, replacedWeightsAreConfirmedByTheLeader)
+{
+    RolloutFixture fixture;
+    fixture.lead();
+    cr_assert(fixture.isConfirmed());
+}
+
+Test(weightsRollout, confirmationIsTriedAgainAfterARefusedLease)
+{
+    RolloutFixture fixture;
+    fixture.store.refusedConfirmationLeases = 1;
+    fixture.lead();
+    cr_assert(fixture.isConfirmed(), "no confirmation after one refused call");
+}
+
+Test(weightsRollout, confirmationIsTriedAgainAfterARefusedWrite)
+{
+    RolloutFixture fixture;
+    fixture.store.refusedConfirmations = 1;
+    fixture.lead();
+    cr_assert(fixture.isConfirmed(), "no confirmation after one refused call");
+}
+
+Test(weightsRollout, refusedClaimsAreTriedAgainWithABackoff)
+{
+    RolloutFixture fixture;
+    fixture.store.refusedClaims = 100;
+    fixture.lead();
+    testing::runFor(2400ms);
+    cr_assert_leq(fixture.store.claims, 5, "%d claims in 2 s", fixture.store.claims);
+}
+
+Test(weightsRollout, weightsThatALeaderSawReplacedAreNotConfirmedByOneThatDoesNotKnowTheirAge)
+{
+    RolloutFixture fixture;
+    fixture.directory.setWantedWeights({ "m", 2 }, BootClock::now());
+    fixture.rollout.applyLeaderKeyState(false); // the first leader; no engine runs the model
+    testing::runFor(1s);
+    // All instances restart; the replacement may be as old as its first leader was.
+    directory::Directory directory { 3s };
+    WeightsRollout next { { "entry-1", timings, 15s, 0.2 }, fixture.store, fixture.api, directory, fixture.metrics };
+    directory.setWantedWeights({ "m", 2 }, {});
+    directory::Registration registration;
+    registration.id = "e0";
+    registration.service = "engines";
+    registration.weights["m"] = 1;
+    directory.registerTarget(registration);
+    next.applyLeaderKeyState(false);
+    cr_assert_not(fixture.isConfirmed(), "confirmed weights of unknown age that an earlier leader saw replaced");
+}
