Date replaced weights by the first version that a read may have missed

Cause: a read of all records returns only the last of several versions. If version 2 and then 3 were named while an instance started or had lost the history, version 1 was dated by 3, although 2 had replaced it earlier.

Change: a named version is dated by the last moment at which all that the instance knew was complete, not by its own revision. In the first read that is unknown.

Ruled out: dating by the record's creation; the platform keeps one record and overwrites it.

--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -348,8 +348,10 @@
         logChange(
             LogLevel::Error, "invalid weights record refused", { { "key", pair.key }, { "reason", error->detail } });
     else
+        // A read of all records returns only the last of several versions, and the first of them replaced the weights.
+        // So not the record's own revision counts, but the first that was not known yet.
         this->directory.setWantedWeights(
-            std::get<WantedWeights>(decoded), this->revisionTimes.lowerBound(pair.modRevision));
+            std::get<WantedWeights>(decoded), this->revisionTimes.lowerBound(this->watchedRevision + 1));
 }
 
 /// Until then, targets keep their place although their registrations are missing.
