Repeat a confirmation of replaced weights whose call failed

Cause: the leader noted a confirmation before its calls and kept the note when they failed. One refused or lost call, and nobody confirmed these weights. Instances that restarted then refused requests from 3 s after their start until engines had loaded.

Change: a failed call is logged and repeated after half a second, for the time that is then left.

Ruled out: repeating at each step of the rollout, every 150 ms, while the service refuses calls.

--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -25,6 +25,8 @@
     constexpr std::chrono::milliseconds renewalRetryInterval { 100 };
     /// Confirmations for replaced weights with a shorter time to live are not worth their calls.
     constexpr std::chrono::seconds minConfirmationTtl { 2 };
+    /// Before the next attempt to confirm replaced weights after a failed call.
+    constexpr std::chrono::milliseconds confirmationRetryInterval { 500 };
     /// Longest time between a replacement and the start of the first instance that learns of it, if no instance ran
     /// meanwhile: a restart and the first read.
     constexpr std::chrono::milliseconds maxUnobservedTime { 2000 };
@@ -153,14 +155,25 @@
     this->metrics.platformCalls.Increment();
     this->store.grantLease(timeToLive, Clock::now() + callTimeout, [this, key](const store::LeaseResult& result) {
         const auto* lease = std::get_if<int64_t>(&result);
-        if (!lease)
+        if (!lease) {
+            this->retryConfirmation(key);
             return;
+        }
         this->metrics.platformCalls.Increment();
-        this->store.put(
-            key, this->settings.instance, *lease, Clock::now() + callTimeout, [](const store::WriteResult&) {});
+        this->store.put(key, this->settings.instance, *lease, Clock::now() + callTimeout,
+            [this, key](const store::WriteResult& result) {
+                if (!std::holds_alternative<Success>(result))
+                    this->retryConfirmation(key);
+            });
     });
 }
 
+void WeightsRollout::retryConfirmation(const std::string& key)
+{
+    logChange(LogLevel::Warning, "confirmation of replaced weights failed", { { "key", key } });
+    this->confirmedKeys[key] = BootClock::now() + confirmationRetryInterval;
+}
+
 void WeightsRollout::applyLeaderKeyState(bool exists)
 {
     this->leaderExists = exists;
--- a/src/weights/WeightsRollout.h
+++ b/src/weights/WeightsRollout.h
@@ -81,6 +81,7 @@
     void confirmReplacedWeights();
     void claimConfirmation(const std::string& model, uint64_t wanted);
     std::optional<BootClock::time_point> confirmationEnd(const std::string& model, uint64_t version) const;
+    void retryConfirmation(const std::string& key);
     void confirmMayStillAnswer(const std::string& model, uint64_t version, std::chrono::seconds timeToLive);
     void advanceRollout();
     void planModel(const std::string& model, uint64_t wanted);
@@ -108,7 +109,8 @@
     QTimer rolloutTimer;
     std::map<std::string, Load> loads; ///< by target id
     std::chrono::milliseconds loadTime; ///< moving average of the time from an order until its weights are seen
-    std::map<std::string, BootClock::time_point> confirmedKeys; ///< expiry by key written below mayStillAnswerPrefix
+    /// By key below mayStillAnswerPrefix: when it may be written again, because it has expired or could not be written.
+    std::map<std::string, BootClock::time_point> confirmedKeys;
     std::map<std::string, ConfirmedFor> confirmedFor; ///< by model
     bool leaderExists = true; ///< whether the leader key exists, as last observed; true until it is known
     bool isAcquiring = false;
