Wait between claims of a confirmation that fail

Cause: while the service refused the claim by which a leader becomes the one to confirm replaced weights, it was written again at each step of the rollout, every 150 ms, with a warning each, against the write limit of all instances.

Change: the next claim is written at the earliest when the call before must have failed, 0.8 s later.

Ruled out: an own timer; the rollout's steps are frequent enough. Figures: weightsRollout/refusedClaimsAreTriedAgainWithABackoff failed with 14 claims in 2.4 s, where 5 are allowed, and passes. Conclusion: fixed.

--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -73,7 +73,7 @@
         auto& confirmed = this->confirmedFor[key.substr(confirmedForPrefix.size())];
         if (record.modRevision > confirmed.revision && exists)
             confirmed = { std::strtoull(record.value.c_str(), nullptr, 10), record.modRevision, std::nullopt,
-                confirmed.isWriting };
+                confirmed.nextClaimAt };
         return;
     }
     const auto slash = key.rfind('/');
@@ -111,17 +111,16 @@
 void WeightsRollout::claimConfirmation(const std::string& model, uint64_t wanted)
 {
     auto& confirmed = this->confirmedFor[model];
-    if (confirmed.isWriting)
+    if (Clock::now() < confirmed.nextClaimAt)
         return;
-    confirmed.isWriting = true;
+    confirmed.nextClaimAt = Clock::now() + callTimeout; // at the latest, the call has failed by then
     this->metrics.platformCalls.Increment();
     const auto key = std::string(confirmedForPrefix) + model;
     this->store.compareAndSwap(key, confirmed.revision, std::to_string(wanted), Clock::now() + callTimeout,
         [this, key, model, wanted, former = confirmed.version](const store::SwapResult& result) {
             auto& claimed = this->confirmedFor[model];
-            claimed.isWriting = false;
             if (const auto* swapped = std::get_if<store::Swapped>(&result))
-                claimed = { wanted, swapped->modRevision, former, false };
+                claimed = { wanted, swapped->modRevision, former, {} };
             else if (const auto* conflict = std::get_if<store::Conflict>(&result))
                 this->applyRecord(
                     { key, conflict->current.value, conflict->current.modRevision }, conflict->current.modRevision > 0);
--- a/src/weights/WeightsRollout.h
+++ b/src/weights/WeightsRollout.h
@@ -73,7 +73,7 @@
         /// If this instance wrote the record: the version of the record before. Versions from that one on had not been
         /// replaced when it was written.
         std::optional<uint64_t> formerVersion;
-        bool isWriting = false;
+        Deadline nextClaimAt; ///< no claim is written before
     };
 
     /// Publishes which replaced weights may still answer, and for how long, to instances that are started later and
