Claim the confirmation of each named version, with or without engines

Cause: that a leader had seen a replacement was recorded only while an engine with the old weights was registered. If none was when the version was named, and all instances and then an engine came back, a leader that did not know the age confirmed the old weights as if they had just been replaced.

Change: the leader claims each wanted version of each model when it learns of it.

Ruled out: more writes; it stays one for each named version, and one for the version that a fleet starts with. Conclusion: fixed; found by the review.

--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -92,10 +92,9 @@
             const auto wanted = this->directory.wantedWeights(model);
             if (version >= wanted)
                 continue;
-            if (this->confirmedFor[model].version < wanted) {
-                this->claimConfirmation(model, wanted);
-                continue;
-            }
+            const auto confirmed = this->confirmedFor.find(model);
+            if (confirmed == this->confirmedFor.end() || confirmed->second.version < wanted)
+                continue; // not claimed yet
             const auto end = this->confirmationEnd(model, version);
             if (!end)
                 continue;
@@ -107,6 +106,23 @@
     }
 }
 
+void WeightsRollout::claimConfirmations()
+{
+    for (const auto& [model, wanted] : this->directory.allWantedWeights()) {
+        if (this->confirmedFor[model].version < wanted)
+            this->claimConfirmation(model, wanted);
+    }
+}
+
+bool WeightsRollout::hasUnclaimedVersions() const
+{
+    const auto& wanted = this->directory.allWantedWeights();
+    return std::any_of(wanted.begin(), wanted.end(), [this](const auto& entry) {
+        const auto confirmed = this->confirmedFor.find(entry.first);
+        return confirmed == this->confirmedFor.end() || confirmed->second.version < entry.second;
+    });
+}
+
 /// Records that the versions of @p model below @p wanted are confirmed, before they are. Only one instance succeeds.
 void WeightsRollout::claimConfirmation(const std::string& model, uint64_t wanted)
 {
@@ -256,7 +272,8 @@
 
 void WeightsRollout::scheduleRollout()
 {
-    if (this->leadership.current() && !this->rolloutTimer.isActive() && this->hasOutdatedEngines())
+    const bool hasWork = this->hasOutdatedEngines() || this->hasUnclaimedVersions();
+    if (this->leadership.current() && !this->rolloutTimer.isActive() && hasWork)
         this->rolloutTimer.start(0);
 }
 
@@ -285,12 +302,13 @@
         const bool isGone = found == this->directory.targets().end();
         load = isGone ? this->loads.erase(load) : std::next(load);
     }
+    this->claimConfirmations();
     this->confirmReplacedWeights();
     if (this->leadership.maySendOrders(BootClock::now())) {
         for (const auto& [model, wanted] : this->directory.allWantedWeights())
             this->planModel(model, wanted);
     }
-    if (this->hasOutdatedEngines())
+    if (this->hasOutdatedEngines() || this->hasUnclaimedVersions())
         this->rolloutTimer.start(rolloutInterval);
 }
 
--- a/src/weights/WeightsRollout.h
+++ b/src/weights/WeightsRollout.h
@@ -79,6 +79,10 @@
     /// Publishes which replaced weights may still answer, and for how long, to instances that are started later and
     /// cannot know it.
     void confirmReplacedWeights();
+    /// Claims the confirmation of each wanted version, whether or not any engine runs the model: one that returns later
+    /// may have the weights that it had before.
+    void claimConfirmations();
+    bool hasUnclaimedVersions() const;
     void claimConfirmation(const std::string& model, uint64_t wanted);
     std::optional<BootClock::time_point> confirmationEnd(const std::string& model, uint64_t version) const;
     void retryConfirmation(const std::string& key);
