Withdraw requests that wait on unconfirmed weights in time

Cause: weights of unknown age answer for 3 s without a confirmation, but a request that was sent in that time waited at its engine for the whole time of replaced weights. A confirmation that came after the request was sent did not count for it either, nor its end.

Change: such a request is withdrawn when the 3 s are over, unless a confirmation arrives; then until the confirmation ends. The directory reports the beginning of a confirmation too.

Ruled out: withdrawing at the start of the 3 s; most such requests begin at once.

--- a/src/directory/Directory.cpp
+++ b/src/directory/Directory.cpp
@@ -116,9 +116,9 @@
 
 void Directory::confirmReplacedVersion(const std::string& model, uint64_t version, bool mayStillAnswer)
 {
-    if (mayStillAnswer)
-        this->confirmedReplacedVersions[model].insert(version);
-    else if (this->confirmedReplacedVersions[model].erase(version) && this->onWeightsChanged)
+    auto& confirmed = this->confirmedReplacedVersions[model];
+    const bool changes = mayStillAnswer ? confirmed.insert(version).second : confirmed.erase(version) > 0;
+    if (changes && this->onWeightsChanged)
         this->onWeightsChanged();
 }
 
--- a/src/directory/Directory.h
+++ b/src/directory/Directory.h
@@ -75,7 +75,8 @@
     }
 
     std::function<void()> onRoutesChanged; ///< called when a configuration comes into force
-    /// Called when wanted weights or those of a target change, or when the confirmation of a replaced version ends.
+    /// Called when wanted weights or those of a target change, or when the confirmation of a replaced version begins or
+    /// ends.
     std::function<void()> onWeightsChanged;
 
 private:
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -224,13 +224,17 @@
     if (!replacement)
         return Deadline::max();
     const auto ttl = this->context.settings.replacedWeightsTtl;
-    if (replacement->isTimeKnown())
-        return toDeadline(replacement->notBefore + ttl - withdrawalMargin);
-    // The time of a replacement before this instance started is unknown, but a confirmation by another instance ends
-    // a margin before the weights may no longer answer. Learning of that end takes up to half of the margin.
-    auto expiry = replacement->notAfter + ttl;
-    if (const auto confirmationEndedAt = this->attempt->confirmationEndedAt)
-        expiry = std::min(expiry, *confirmationEndedAt + directory::replacedWeightsMargin / 2);
+    // A confirmation ends a margin before the weights may no longer answer. Learning of that end takes up to half of
+    // the margin.
+    constexpr auto learningTime = directory::replacedWeightsMargin / 2;
+    auto expiry = replacement->isTimeKnown()
+        ? replacement->notBefore + ttl
+        : replacement->notAfter + directory::unconfirmedWeightsPeriod + withdrawalMargin;
+    if (this->attempt->isConfirmed) {
+        const auto confirmationEndedAt = this->attempt->confirmationEndedAt;
+        const auto confirmed = confirmationEndedAt ? *confirmationEndedAt + learningTime : BootClock::time_point::max();
+        expiry = std::max(expiry, std::min(confirmed, replacement->notAfter + ttl));
+    }
     return toDeadline(expiry - withdrawalMargin);
 }
 
@@ -251,7 +255,9 @@
 {
     if (!this->isAwaitingEngine() || !this->attempt->call)
         return;
-    if (this->attempt->isConfirmed && !this->attempt->confirmationEndedAt && !this->isConfirmed())
+    if (this->isConfirmed())
+        this->attempt->isConfirmed = true;
+    else if (this->attempt->isConfirmed && !this->attempt->confirmationEndedAt)
         this->attempt->confirmationEndedAt = BootClock::now();
     this->attempt->call->setDeadline(this->progressDeadline());
 }
--- a/src/forward/TargetChooser.cpp
+++ b/src/forward/TargetChooser.cpp
@@ -163,7 +163,8 @@
         // instance confirms it, or for a short time, until a leader can have done so, if no engine runs newer ones.
         if (query.directory.isReplacedVersionConfirmed(query.metadata.model, version))
             return true;
-        return version >= newest && query.bootNow - replacement->notAfter < directory::unconfirmedWeightsPeriod;
+        return version >= newest
+            && query.bootNow - replacement->notAfter + expectedDelay < directory::unconfirmedWeightsPeriod;
     }
 
     /// The newest version that any engine of @p services runs, including engines that are not usable now.
