Do not give a silent engine more time when weights change

Cause: whenever the wanted weights, an engine's weights or a registration changed, also of another model, the time in which an engine has to answer started anew for all waiting requests. While that happened often, callers of requests that may be repeated got 504 from one silent engine although another one was idle.

Change: the time is granted when the request is sent and at each event, and kept; changes of weights only shorten the wait.

Ruled out: a longer time to answer.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -197,10 +197,17 @@
     return dispatch;
 }
 
+/// Grants the attempt the time for its next progress. Returns when it is abandoned.
+Deadline ForwardCall::startProgressTimeout()
+{
+    this->attempt->progressDeadline = this->responseDeadline();
+    return this->attemptDeadline();
+}
+
 /// When the attempt is abandoned.
-Deadline ForwardCall::progressDeadline() const
+Deadline ForwardCall::attemptDeadline() const
 {
-    const auto deadline = this->responseDeadline();
+    const auto deadline = this->attempt->progressDeadline;
     return this->isAwaitingEngine() ? std::min(deadline, this->beginDeadline()) : deadline;
 }
 
@@ -259,7 +266,7 @@
         this->attempt->isConfirmed = true;
     else if (this->attempt->isConfirmed && !this->attempt->confirmationEndedAt)
         this->attempt->confirmationEndedAt = BootClock::now();
-    this->attempt->call->setDeadline(this->progressDeadline());
+    this->attempt->call->setDeadline(this->attemptDeadline());
 }
 
 bool ForwardCall::failIfQuarantined()
@@ -361,7 +368,7 @@
         this->attempt->isConfirmed = this->isConfirmed();
         this->context.awaitingEngines.insert(this);
     }
-    http::CallOptions options { now + connectTimeout, this->progressDeadline() };
+    http::CallOptions options { now + connectTimeout, this->startProgressTimeout() };
     if (!this->isRepeatable())
         options.minIdleSince = now - (this->isStream() ? maxIdleTimeForStreams : maxIdleTime);
     http::CallEvents events;
@@ -403,7 +410,7 @@
         this->streamBegun = true;
         this->request.exchange->beginStream(head.status, this->context.dialect.answerHeaders(head));
     }
-    this->attempt->call->setDeadline(this->progressDeadline());
+    this->attempt->call->setDeadline(this->startProgressTimeout());
 }
 
 /// Whether the answer lacks the id of this request. A refusal may come without any request id.
@@ -471,7 +478,7 @@
         this->readingPaused = true;
         this->attempt->call->setPaused(true);
     }
-    this->attempt->call->setDeadline(this->progressDeadline());
+    this->attempt->call->setDeadline(this->startProgressTimeout());
 }
 
 void ForwardCall::recordFirstEvent()
@@ -516,7 +523,7 @@
     if (!this->attempt || !this->attempt->call)
         return;
     this->attempt->call->setPaused(false);
-    this->attempt->call->setDeadline(this->progressDeadline());
+    this->attempt->call->setDeadline(this->startProgressTimeout());
 }
 
 void ForwardCall::onComplete()
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -44,6 +44,7 @@
         std::optional<http::Call> call;
         entry::TargetLoad load;
         Clock::time_point sentAt;
+        Deadline progressDeadline; ///< the attempt makes progress before, or is abandoned
         std::string weights; ///< description of the requested weights for the log line of the request
         bool isSent = false; ///< a byte of the request was written
         http::ResponseHead head;
@@ -60,7 +61,8 @@
     bool mayTryAnotherTarget();
     bool acquireRetry(const directory::Registration& target, Clock::time_point now);
     void send(TargetChoice choice);
-    Deadline progressDeadline() const;
+    Deadline startProgressTimeout();
+    Deadline attemptDeadline() const;
     Deadline responseDeadline() const;
     Deadline beginDeadline() const;
     bool isAwaitingEngine() const;
