Follow no peer whose records are old

Cause: a peer counted as reliable by the age of its proof, which is about the configuration only. While its watches got no answers and its checks did, those who followed it learned of no draining target and no named weights, for as long as that lasted.

Change: the age of its records, which replies now carry, counts too: at most 3.2 s, a watch and the way. Peers of an older version report none and count as before.

Ruled out: the same limit while the service does not answer; any peer's records are then better than none.

--- a/src/relay/RelayedSource.cpp
+++ b/src/relay/RelayedSource.cpp
@@ -17,6 +17,9 @@
     constexpr std::chrono::milliseconds replyGracePeriod { 300 };
     /// A peer renews its proof each second, so one with an older proof has lost the platform's service.
     constexpr std::chrono::milliseconds maxPeerProofAge { 1600 };
+    /// A peer watches all records for up to 2 s at a time. One whose records are older gets no answers to its watches,
+    /// although its proofs, which are only about the configuration, are renewed.
+    constexpr std::chrono::milliseconds maxPeerRecordsAge { 3200 };
     /// Maximum age of a peer's proof that answers a check. Leaves enough of the proof's validity to query the service
     /// when no newer proof arrives.
     constexpr std::chrono::milliseconds maxCheckProofAge { 2400 };
@@ -136,7 +139,8 @@
         return;
     }
     // While the service does not answer, stale or relayed data is accepted too: the age of the proof bounds its use.
-    const bool isReliable = reply.first_hand() && age <= maxPeerProofAge;
+    const std::chrono::milliseconds recordsAge(reply.revision_age_ms()); // 0 from peers that do not report it
+    const bool isReliable = reply.first_hand() && age <= maxPeerProofAge && recordsAge <= maxPeerRecordsAge;
     if (!isReliable && !watch.isFallback) {
         this->excludePeer("no direct connection to the platform", ExclusionReason::Stale);
         return;
