Do not take the end of a connection for proof of a sound prompt

Cause: an answer may come with neither a length nor chunks. When its engine crashes between two events and the system closes the connection in order, the answer looks complete, and the crash cleared the part that had caused it.

Change: a complete answer proves the prompt sound only if something else than its connection delimits it.

Ruled out: treating such answers as broken; callers must get them. Figures: answerProgress/answerThatEndsWithItsConnectionProvesNothing is new; the condition did not exist before. Not played with a crashing engine.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -79,12 +79,6 @@
         return parts;
     }
 
-    /// Whether a complete answer proves that its target survived the prompt.
-    bool provesSoundness(int status)
-    {
-        return status >= statusOk && status < firstRedirect;
-    }
-
 }
 
 ForwardCall::ForwardCall(ForwardContext& context, ForwardRequest request)
@@ -546,7 +540,7 @@
     this->mayHaveRun = true;
     const bool isSuccess = status >= statusOk && status < firstRedirect;
     const bool isUnusable = (isSuccess && !answer.isStamped) || answer.isEncoded || impliesNotRun(status);
-    if (!isUnusable && provesSoundness(status))
+    if (!isUnusable && quarantine::provesSoundness(this->attempt->head))
         this->context.quarantine.onSound(this->sharedParts);
     const bool isTargetFailure = isUnusable || status >= firstServerError;
     if (isTargetFailure)
--- a/tests/QuarantinePartsTest.cpp
+++ b/tests/QuarantinePartsTest.cpp
@@ -754,3 +754,15 @@
     quarantine.update();
     cr_assert_not(quarantine.findQuarantined({ bad }));
 }
+
+Test(answerProgress, answerThatEndsWithItsConnectionProvesNothing)
+{
+    http::ResponseHead head;
+    head.status = 200;
+    cr_assert(provesSoundness(head));
+    head.endsWithConnection = true;
+    cr_assert_not(provesSoundness(head), "the end may be that of a crashed target");
+    head = {};
+    head.status = 500;
+    cr_assert_not(provesSoundness(head));
+}
