Let a known time of a replacement decide alone how long requests wait

Change: a known time counts alone, as before; confirmations count for weights of unknown age only.

Ruled out: letting a confirmation outweigh a bound that is far too early (nothing received for long, or a peer of an older version before a naming). It would keep engines in use there, but trusts the end of a lease over a bound.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -225,17 +225,15 @@
     if (!replacement)
         return Deadline::max();
     const auto ttl = this->context.settings.replacedWeightsTtl;
+    if (replacement->isTimeKnown())
+        return toDeadline(replacement->notBefore + ttl - withdrawalMargin);
+    if (!this->attempt->isConfirmed)
+        return toDeadline(replacement->notAfter + directory::unconfirmedWeightsPeriod);
     // A confirmation ends a margin before the weights may no longer answer. Learning of that end takes up to half of
     // the margin.
-    constexpr auto learningTime = directory::replacedWeightsMargin / 2;
-    auto expiry = replacement->isTimeKnown()
-        ? replacement->notBefore + ttl
-        : replacement->notAfter + directory::unconfirmedWeightsPeriod + withdrawalMargin;
-    if (this->attempt->isConfirmed) {
-        const auto confirmationEndedAt = this->attempt->confirmationEndedAt;
-        const auto confirmed = confirmationEndedAt ? *confirmationEndedAt + learningTime : BootClock::time_point::max();
-        expiry = std::max(expiry, std::min(confirmed, replacement->notAfter + ttl));
-    }
+    auto expiry = replacement->notAfter + ttl;
+    if (const auto confirmationEndedAt = this->attempt->confirmationEndedAt)
+        expiry = std::min(expiry, *confirmationEndedAt + directory::replacedWeightsMargin / 2);
     return toDeadline(expiry - withdrawalMargin);
 }
 
