Order more loads at once while engines carry out orders late

Cause: an engine that got an order without answering it kept its place among those that may load at once until it had carried the order out, seconds later. The time of a load, from which the number of places follows, was counted from accepted orders only.

Change: a load counts from the first order that got no answer, and while such an order is pending, its age counts as the time of a load.

Ruled out: not counting engines whose report says that they are idle; their orders would all be carried out at once. With orders that are all late for 30 s it may still take longer.

--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -314,15 +314,23 @@
 
 RolloutPace WeightsRollout::pace() const
 {
-    return { this->settings.parallelShare, this->loadTime,
+    // Engines may carry out an order much later than it was sent, and occupy their places in the rollout until then.
+    auto loadTime = this->loadTime;
+    for (const auto& [id, load] : this->loads) {
+        if (load.unansweredSince)
+            loadTime = std::max(
+                loadTime, std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - *load.unansweredSince));
+    }
+    return { this->settings.parallelShare, loadTime,
         this->settings.replacedWeightsGracePeriod - directory::replacedWeightsMargin };
 }
 
 void WeightsRollout::recordLoadTime(const Load& load)
 {
-    if (!load.orderedAt)
+    const auto since = load.unansweredSince ? load.unansweredSince : load.orderedAt;
+    if (!since)
         return;
-    const auto sample = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - *load.orderedAt);
+    const auto sample = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - *since);
     this->loadTime += (sample - this->loadTime) / loadTimeSmoothingDivisor;
 }
 
@@ -418,23 +426,27 @@
 
 void WeightsRollout::sendOrder(const directory::TargetPointer& target, const LoadOrder& order)
 {
+    const auto sentAt = Clock::now();
     this->loads[order.targetId].isCallInFlight = true;
     logChange(LogLevel::Info, "order sent to engine to load weights",
         { { "target", order.targetId }, { "model", order.model }, { "version", std::to_string(order.version) },
             { "token", std::to_string(order.fencingToken) },
             { "orders_before", std::to_string(order.acceptedBefore) } });
     this->callEngine(*target, this->api.orderRequest(order),
-        [this, target, order](const http::ResponseHead* head, std::string_view) {
-            this->onOrdered(target, order, head ? this->api.readOrderAnswer(*head) : OrderOutcome::Unknown);
+        [this, target, order, sentAt](const http::ResponseHead* head, std::string_view) {
+            this->onOrdered(target, order, head ? this->api.readOrderAnswer(*head) : OrderOutcome::Unknown, sentAt);
         });
 }
 
-void WeightsRollout::onOrdered(const directory::TargetPointer& target, const LoadOrder& order, OrderOutcome outcome)
+void WeightsRollout::onOrdered(
+    const directory::TargetPointer& target, const LoadOrder& order, OrderOutcome outcome, Clock::time_point sentAt)
 {
     const auto load = this->loads.find(order.targetId);
     if (load == this->loads.end())
         return;
     load->second.isCallInFlight = false;
+    if (outcome == OrderOutcome::Unknown && !load->second.unansweredSince)
+        load->second.unansweredSince = sentAt;
     switch (outcome) {
     case OrderOutcome::Accepted:
         load->second.orderedAt = Clock::now();
--- a/src/weights/WeightsRollout.h
+++ b/src/weights/WeightsRollout.h
@@ -57,6 +57,7 @@
     struct Load {
         uint64_t version = 0;
         std::optional<Clock::time_point> orderedAt; ///< when an order was accepted
+        std::optional<Clock::time_point> unansweredSince; ///< when the first order that got no answer was sent
         Deadline checkAt; ///< query the engine again if its new weights have not been seen by then
         bool isCallInFlight = false; ///< a report query or an order is in flight
     };
@@ -93,7 +94,8 @@
     void onReport(
         const directory::TargetPointer& target, const std::string& model, uint64_t version, const EngineReport& report);
     void sendOrder(const directory::TargetPointer& target, const LoadOrder& order);
-    void onOrdered(const directory::TargetPointer& target, const LoadOrder& order, OrderOutcome outcome);
+    void onOrdered(
+        const directory::TargetPointer& target, const LoadOrder& order, OrderOutcome outcome, Clock::time_point sentAt);
     /// Sends one call to an engine. @p done receives a null head if no complete answer came.
     void callEngine(const directory::Target& target, const http::Request& request,
         std::function<void(const http::ResponseHead*, std::string_view)> done);
--- a/standins/target.cpp
+++ b/standins/target.cpp
@@ -3,7 +3,8 @@
 // It registers itself in the metadata store through the store's control interface. POST /control accepts
 // {"answer": "good" | "close" | "reset" | "error" | "busy" | "silent" | "foreign" | "unstamped" | "encoded" |
 // "oversized" | "close-in-stream"}, {"draining": bool}, {"work_ms": N}, {"load_ms": N}, {"events": N}, {"event_ms": N},
-// {"replaced_by": id} and {"checks_fencing": bool}. GET /control returns counts, the received orders and the last
+// {"replaced_by": id}, {"checks_fencing": bool} and {"order_delay_ms": N}, with which orders get no answer and are
+// carried out N ms later. GET /control returns counts, the received orders and the last
 // request.
 //
 // {"deadly_part": ID} names a shared part of prompts that ends the target "crash_after_ms" after it begins an answer to
@@ -72,7 +73,7 @@
         else if (request.target == "/api/report")
             this->handleReport(*exchange);
         else if (request.target == "/api/order")
-            this->handleOrder(*exchange);
+            this->handleOrder(exchange);
         else
             this->serve(exchange);
     }
@@ -248,8 +249,19 @@
                 { "seq", static_cast<qint64>(this->acceptedOrders) } });
     }
 
-    void handleOrder(http::Exchange& exchange)
+    void handleOrder(const http::ExchangePointer& exchange)
     {
+        if (!this->orderDelayMs) {
+            this->carryOutOrder(exchange);
+            return;
+        }
+        QTimer::singleShot(
+            this->orderDelayMs, &this->timerContext, [this, exchange] { this->carryOutOrder(exchange); });
+    }
+
+    void carryOutOrder(const http::ExchangePointer& pointer)
+    {
+        auto& exchange = *pointer;
         const auto body = parseJson(exchange.request().body);
         const auto fencingToken = body["fencing_token"].toInteger();
         this->orders.append(QJsonObject { { "holder", body["holder"] }, { "fencing_token", body["fencing_token"] },
@@ -286,6 +298,7 @@
         this->events = body["events"].toInt(this->events);
         this->eventMs = body["event_ms"].toInt(this->eventMs);
         this->loadMs = body["load_ms"].toInt(this->loadMs);
+        this->orderDelayMs = body["order_delay_ms"].toInt(this->orderDelayMs);
         if (body.contains("deadly_part"))
             this->deadlyPart = body["deadly_part"].toString();
         this->crashAfterMs = body["crash_after_ms"].toInt(this->crashAfterMs);
@@ -342,6 +355,7 @@
     int events = 6; ///< events of each stream
     int eventMs = 5; ///< interval between two events
     int loadMs = 150; ///< time to load ordered weights
+    int orderDelayMs = 0; ///< orders get no answer in time and are carried out after this
     int executions = 0;
     int executionsWhileDraining = 0;
     int cancelled = 0;
--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -421,6 +421,24 @@
     cr_assert_eq(site.sendAndWait({ "s1", "/ask/x" }, holder == "entry-0" ? 1 : 0)->status, 200);
 }
 
+Test(forward, rolloutEndsInTimeWhenOrdersAreCarriedOutLate, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site;
+    for (int i = 2; i < 10; ++i)
+        site.addEngine();
+    site.startEntry(true, "forwarding: { weightsTime: 12s }\n");
+    runFor(4s); // until it holds the lease and may send orders
+    setAll(site.engines, { { "order_delay_ms", 4000 } });
+    site.setWantedWeights(2);
+    const auto updated = [&] {
+        return std::count_if(site.engines.begin(), site.engines.end(),
+            [](const auto& engine) { return control(engine->address())["version"].toInt() == 2; });
+    };
+    // When 1.5 times the time of replaced weights is over, at most a tenth of the engines may still have them.
+    cr_assert(waitUntil([&] { return updated() >= 9; }, 18s), "%d of 10", static_cast<int>(updated()));
+}
+
 Test(forward, requestIsWithdrawnBeforeItBeginsOnExpiredWeights, .timeout = 60)
 {
     const Application application;
