Follow a peer that has just lost its own source

A peer whose own source falls silent has records of up to 7.1 s ago until its first watch at the service ends, while its proofs are recent. With the limit of 3.2 s on that age such a peer was not followed, and an instance without the service had no other.

Change: 7.1 s, from the times that the switch takes.

Figures: relayedSource/replyOfAPeerThatHasJustLostItsOwnSourceIsAccepted fails with 3.2 s and passes; records of 10 s are rejected as before. Conclusion: suspected cause, not shown. Draining targets may be learned up to 7 s late behind such a peer: open.

--- a/src/relay/RelayedSource.cpp
+++ b/src/relay/RelayedSource.cpp
@@ -17,9 +17,10 @@
     constexpr std::chrono::milliseconds replyGracePeriod { 300 };
     /// A peer renews its proof each second, so one with an older proof has lost the platform's service.
     constexpr std::chrono::milliseconds maxPeerProofAge { 1600 };
-    /// A peer watches all records for up to 2 s at a time. One whose records are older gets no answers to its watches,
-    /// although its proofs, which are only about the configuration, are renewed.
-    constexpr std::chrono::milliseconds maxPeerRecordsAge { 3200 };
+    /// A peer whose records are older gets no answers to its watches, although its proofs, which are only about the
+    /// configuration, are renewed. Allows for a peer that has just lost its own source: what it had may be 2.8 s old,
+    /// two silent peers take 1.6 s, and its first watch at the service 2.7 s.
+    constexpr std::chrono::milliseconds maxPeerRecordsAge { 7100 };
     /// Maximum age of a peer's proof that answers a check. Leaves enough of the proof's validity to query the service
     /// when no newer proof arrives.
     constexpr std::chrono::milliseconds maxCheckProofAge { 2400 };
--- a/tests/RelayTest.cpp
+++ b/tests/RelayTest.cpp
@@ -352,6 +352,14 @@
     cr_assert_not(follower.result.has_value(), "accepted records that the peer last saw complete 10 s ago");
 }
 
+Test(relayedSource, replyOfAPeerThatHasJustLostItsOwnSourceIsAccepted)
+{
+    Follower follower;
+    follower.watch();
+    follower.reply(25, 100ms, true, 6s); // its first watch at the service has not ended yet
+    cr_assert_eq(std::get<store::Changes>(*follower.result).revision, 25);
+}
+
 Test(relayedSource, staleReplyIsAcceptedWhileServiceFails)
 {
     Follower follower;
