--- a/src/quarantine/PromptEvidence.h
+++ b/src/quarantine/PromptEvidence.h
@@ -86,7 +86,7 @@
     /// Forgets the published proof, whose record was removed.
     void removePublishedSound(PartHash part);
 
-    /// Decides anew which parts are quarantined. The functions below refer to the latest decision.
+    /// Decides again which parts are quarantined. The functions below refer to the latest decision.
     QuarantineChanges update();
 
     /// Whether there is no report at all.
@@ -96,7 +96,7 @@
     }
     /// The first of @p parts that is quarantined.
     std::optional<PartHash> findQuarantined(std::span<const PartHash> parts) const;
-    /// Whether a request with @p parts would tell a quarantined part from another one that explains the same ends:
+    /// Whether a request with @p parts would distinguish a quarantined part from another that explains the same ends:
     /// it has one quarantined part, which is tied. Returns that part.
     std::optional<PartHash> findDecisive(std::span<const PartHash> parts) const;
     /// Whether a report whose key begins with @p keyPrefix names @p part.
--- a/src/quarantine/PromptQuarantine.h
+++ b/src/quarantine/PromptQuarantine.h
@@ -52,9 +52,9 @@
         return this->evidence.findQuarantined(parts);
     }
     /// The quarantined part for which a request with @p parts must not be sent; nullopt if it may be sent now. Lets a
-    /// request pass from time to time that tells a part from others which explain the same ends.
+    /// request pass from time to time that distinguishes a part from others with the same ends.
     std::optional<PartHash> refuse(const std::vector<PartHash>& parts, Clock::time_point now);
-    /// The quarantined part for which a request with @p parts that waits at a target is withdrawn. One that tells the
+    /// The quarantined part for which a request with @p parts that waits at a target is withdrawn. One that tests the
     /// part from others stays, since its target may begin it at any time anyway.
     std::optional<PartHash> withdraw(const std::vector<PartHash>& parts) const
     {
