--- a/src/quarantine/PromptQuarantine.h
+++ b/src/quarantine/PromptQuarantine.h
@@ -54,8 +54,8 @@
     /// The quarantined part for which a request with @p parts must not be sent; nullopt if it may be sent now. Lets a
     /// request pass from time to time that distinguishes a part from others with the same ends.
     std::optional<PartHash> refuse(const std::vector<PartHash>& parts, Clock::time_point now);
-    /// The quarantined part for which a request with @p parts that waits at a target is withdrawn. One that separates the
-    /// part from others stays, since its target may begin it at any time anyway.
+    /// The quarantined part for which a request with @p parts that waits at a target is withdrawn. One that separates
+    /// the part from others stays, since its target may begin it at any time anyway.
     std::optional<PartHash> withdraw(const std::vector<PartHash>& parts) const
     {
         return this->evidence.findDecisive(parts) ? std::nullopt : this->evidence.findQuarantined(parts);
