Log the request limits that targets name in their answers

Cause: targets may name the requests a second that they take from all instances together. Nothing read that, and no log or metric could tell an instance that ignores a limit from one that does not know it. Change: the header codec reads the limit; src/limits keeps it by process of a target; changes are logged and counted in dragonfly_limited_targets. Requests are sent as before. Incarnation moves from quarantine to directory, for both. What ends a limit: an answer without one to a request that was sent after the limit was last named; an earlier one may have been composed before. Several limits in one answer, text, and negative or infinite numbers limit nothing and are logged once.

--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -61,7 +61,9 @@
     , registry(this->store, this->ranking, this->metrics)
     , rollout(rolloutSettings(this->settings), this->store, this->engines, this->directory, this->metrics)
     , quarantine(this->settings.instance, this->store, this->metrics)
-    , forwarding(this->settings.forwarding.requests, this->directory, this->headers, this->metrics, this->quarantine)
+    , limits(this->metrics)
+    , forwarding(this->settings.forwarding.requests, this->directory, this->headers, this->metrics, this->quarantine,
+          this->limits)
     , forwarder(this->forwarding)
     , server(settings.server, [this](const http::ExchangePointer& exchange) { this->forwarder.handle(exchange); })
 {
--- a/src/daemon/ForwardingDaemon.h
+++ b/src/daemon/ForwardingDaemon.h
@@ -73,6 +73,7 @@
     relay::InstanceRegistry registry;
     weights::WeightsRollout rollout;
     quarantine::PromptQuarantine quarantine;
+    limits::RequestLimits limits;
     forward::ForwardContext forwarding;
     forward::Forwarder forwarder;
     http::Server server;
--- a/src/forward/Dialect.h
+++ b/src/forward/Dialect.h
@@ -58,6 +58,9 @@
     std::string targetId;
     std::optional<TargetLoadReport> load;
     std::optional<uint64_t> weightsVersion;
+    /// Requests a second that the target takes from all instances together, for as long as its answers name a limit.
+    std::optional<double> requestLimit;
+    bool hasInvalidLimit = false; ///< a limit is named but cannot be read
     bool isClosing = false; ///< the target closes the connection after this answer
 };
 
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -429,7 +429,10 @@
         observe::logChange(LogLevel::Warning, "target id mismatch",
             { { "expected", target.registration.id }, { "found", answer.targetId },
                 { "address", target.registration.endpoint.toString() } });
+        return;
     }
+    this->context.limits.onAnswer(
+        this->incarnation(), { answer.requestLimit, answer.hasInvalidLimit }, this->attempt->sentAt, Clock::now());
 }
 
 void ForwardCall::onBody(std::string_view bytes)
--- a/src/forward/ForwardContext.h
+++ b/src/forward/ForwardContext.h
@@ -6,6 +6,7 @@
 #include "forward/Dialect.h"
 #include "forward/RetryWindow.h"
 #include "http/Http.h"
+#include "limits/Limits.h"
 #include "observe/Observe.h"
 #include "quarantine/Quarantine.h"
 #include "routing/Routing.h"
@@ -29,12 +30,13 @@
 
 struct ForwardContext {
     ForwardContext(const ForwardSettings& settings, directory::Directory& directory, const Dialect& dialect,
-        observe::Metrics& metrics, quarantine::PromptQuarantine& quarantine)
+        observe::Metrics& metrics, quarantine::PromptQuarantine& quarantine, limits::RequestLimits& limits)
         : settings(settings)
         , directory(directory)
         , dialect(dialect)
         , metrics(metrics)
         , quarantine(quarantine)
+        , limits(limits)
         , prefixIndex(settings.prefixSlots)
     {
     }
@@ -50,6 +52,7 @@
     const Dialect& dialect;
     observe::Metrics& metrics;
     quarantine::PromptQuarantine& quarantine;
+    limits::RequestLimits& limits;
     routing::PrefixIndex prefixIndex;
     http::ClientPool targets;
     QObject loop; ///< context object of deferred calls, which are dropped when it is destroyed
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -77,6 +77,7 @@
           "Reports published on targets that ended while they began answers"))
     , quarantinedParts(gauge(
           *registry, "dragonfly_quarantined_parts", "Prompt parts that are kept from targets because they crash them"))
+    , limitedTargets(gauge(*registry, "dragonfly_limited_targets", "Targets whose answers name a limit of requests"))
     , sharedRegistry(std::move(registry))
 {
     auto& family = prometheus::BuildCounter()
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -57,6 +57,7 @@
     prometheus::Gauge& claimsUnreachable;
     prometheus::Counter& targetEndReports;
     prometheus::Gauge& quarantinedParts;
+    prometheus::Gauge& limitedTargets;
 
     const std::shared_ptr<prometheus::Registry>& registry() const
     {
--- a/src/quarantine/PromptEvidence.h
+++ b/src/quarantine/PromptEvidence.h
@@ -6,6 +6,8 @@
 // quarantined part explains is no evidence against other parts. A decision depends on the reports and proofs only, so
 // instances with the same records decide alike. No I/O and no clock.
 
+#include "directory/Incarnation.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -14,7 +16,6 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -35,17 +36,7 @@
 /// Limit on the reported requests that are kept: 64 ends with 64 beginning requests each, about 0.5 MB.
 inline constexpr size_t maxKeptRequests = 4096;
 
-/// One process of a target.
-struct Incarnation {
-    std::string target;
-    int64_t startedUnixMs = 0;
-
-    bool operator==(const Incarnation&) const = default;
-    bool operator<(const Incarnation& other) const
-    {
-        return std::tie(this->target, this->startedUnixMs) < std::tie(other.target, other.startedUnixMs);
-    }
-};
+using directory::Incarnation;
 
 struct BeginningRequest {
     uint64_t request = 0; ///< hash of the request's id
--- a/tests/PlatformAdapterTest.cpp
+++ b/tests/PlatformAdapterTest.cpp
@@ -183,7 +183,8 @@
 Test(adapter, platformNamesDoNotOccurInSrc)
 {
     const char* names[] = { "X-Dragonflyarch-", "Kv-From", "/api/", "op/config", "op/version", "\"servers/", "api_keys",
-        "fencing_token\"", "opcode", "kv_store", "max_attempts", "traffic_split", "switch_mode", "Expect-Instance" };
+        "fencing_token\"", "opcode", "kv_store", "Server-Limit", "Store-Era", "max_attempts", "traffic_split",
+        "switch_mode", "Expect-Instance" };
     for (const auto& entry : std::filesystem::recursive_directory_iterator(SOURCE_FOLDER "/src")) {
         if (!entry.is_regular_file())
             continue;
@@ -193,3 +194,25 @@
             cr_assert(text.str().find(name) == std::string::npos, "'%s' occurs in %s", name, entry.path().c_str());
     }
 }
+
+Test(headerCodec, readsRequestLimitsAndDistrustsUnreadableOnes)
+{
+    const HeaderCodec codec;
+    const auto limitOf = [&](const std::string& text) {
+        return codec.parseAnswer({ 200, { { "Server-Limit", text } } });
+    };
+    for (const auto& [text, expected] : { std::pair("4.7", 4.7), { "0", 0.0 }, { "0.2", 0.2 }, { "1e9", 1e9 } }) {
+        const auto answer = limitOf(text);
+        cr_assert(answer.requestLimit == expected, "%s", text);
+        cr_assert(!answer.hasInvalidLimit, "%s", text);
+    }
+    for (const auto* text : { "", "-1", "-0", "inf", "nan", "many", "5 a second", "4,7" }) {
+        const auto answer = limitOf(text);
+        cr_assert(!answer.requestLimit, "%s", text);
+        cr_assert(answer.hasInvalidLimit, "%s", text);
+    }
+    const auto contradictory = codec.parseAnswer({ 200, { { "Server-Limit", "5" }, { "Server-Limit", "9" } } });
+    cr_assert(!contradictory.requestLimit && contradictory.hasInvalidLimit);
+    const auto unlimited = codec.parseAnswer({ 200, {} });
+    cr_assert(!unlimited.requestLimit && !unlimited.hasInvalidLimit);
+}
