--- a/standins/target.cpp
+++ b/standins/target.cpp
@@ -3,9 +3,9 @@
 // It registers itself in the metadata store through the store's control interface. POST /control accepts
 // {"answer": "good" | "close" | "reset" | "error" | "busy" | "silent" | "foreign" | "unstamped" | "encoded" |
 // "oversized" | "close-in-stream"}, {"draining": bool}, {"work_ms": N}, {"load_ms": N}, {"events": N}, {"event_ms": N},
-// {"replaced_by": id}, {"checks_fencing": bool} and {"order_delay_ms": N}, with which orders get no answer and are
-// carried out N ms later. GET /control returns counts, the received orders and the last
-// request.
+// {"replaced_by": id}, {"limit": text} with the request limit that answers name ("" for none), {"checks_fencing": bool}
+// and {"order_delay_ms": N}, with which orders get no answer and are carried out N ms later. GET /control returns
+// counts, the ids and times of all arrivals, the received orders and the last request.
 //
 // {"deadly_part": ID} names a shared part of prompts that ends the target "crash_after_ms" after it begins an answer to
 // a request with it; {"crash": true} ends the target at once. The target then closes every connection, refuses
@@ -133,6 +133,8 @@
         headers.add("X-Dragonflyarch-Attempt-Id", this->mode == "foreign" ? "somebody-else" : requestId);
         if (this->mode != "unstamped")
             headers.add("X-Dragonflyarch-Response-Stamp", "stamp-of-" + requestId);
+        if (!this->limit.isEmpty())
+            headers.add("Server-Limit", this->limit.toStdString());
         if (this->mode == "encoded")
             headers.add("Content-Encoding", "gzip");
         if (!this->settings.model.empty())
@@ -151,6 +153,7 @@
         const auto& request = exchange->request();
         const auto requestId = request.headers.valueOr("X-Dragonflyarch-Attempt-Id", "");
         this->arrivals.append(QString::fromStdString(std::string(requestId)));
+        this->arrivalTimes.append(QDateTime::currentMSecsSinceEpoch());
         const auto headers = this->answerHeaders(request);
         if (this->hasDeadlyPart(request))
             this->deadlyArrivals.append(QDateTime::currentMSecsSinceEpoch());
@@ -299,6 +302,8 @@
         this->eventMs = body["event_ms"].toInt(this->eventMs);
         this->loadMs = body["load_ms"].toInt(this->loadMs);
         this->orderDelayMs = body["order_delay_ms"].toInt(this->orderDelayMs);
+        if (body.contains("limit"))
+            this->limit = body["limit"].toString();
         if (body.contains("deadly_part"))
             this->deadlyPart = body["deadly_part"].toString();
         this->crashAfterMs = body["crash_after_ms"].toInt(this->crashAfterMs);
@@ -313,7 +318,7 @@
         for (const auto& requestId : this->ids)
             seen.append(QString::fromStdString(requestId));
         respondJson(exchange, 200,
-            { { "arrivals", this->arrivals }, { "runs", this->executions },
+            { { "arrivals", this->arrivals }, { "arrival_times", this->arrivalTimes }, { "runs", this->executions },
                 { "distinct", static_cast<int>(this->ids.size()) }, { "ids", seen },
                 { "while_draining", this->executionsWhileDraining }, { "cancelled", this->cancelled },
                 { "version", static_cast<qint64>(this->version) }, { "orders", this->orders },
@@ -360,11 +365,13 @@
     int executionsWhileDraining = 0;
     int cancelled = 0;
     QJsonArray arrivals; ///< request ids in the order of arrival, including those of refused requests
+    QJsonArray arrivalTimes; ///< of the same, in milliseconds since the Unix epoch
     std::set<std::string> ids;
     std::vector<http::ExchangePointer> unanswered; ///< requests received in mode "silent", kept open
     QJsonArray orders;
     QJsonObject lastRequest;
     int lifetime = 0; ///< number of crashes that the target has returned from
+    QString limit; ///< request limit that answers name; empty: none
     QString deadlyPart; ///< empty: no part ends the target
     int crashAfterMs = 60;
     int restartAfterMs = 1500;
