Keep what all instances send to a target within the limit that it names

Callers saw nothing; a target in need got up to 72 requests in 4 s where 37 were allowed, and went on getting as many as before it named its limit. Cause: no instance took notice of the limit. Class: a bound on the fleet that no part of the fleet is responsible for. All instances rank all instances for each target alike, nearest first; a few senders divide the limit, the others only look now and then whether it holds. Each attempt asks before it is sent, on every path to a target. Targets at their limit stay sources of cached prefixes. With no target left the request is refused at once, with the time of the next free request as Retry-After. Ruled out: equal shares (one request from each of 320 instances is 320 at once), shares by reports or permits (messages on the path of a request), backing off by refusals (such targets refuse nothing). Instances that have not received the limit still send freely.

--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -80,6 +80,12 @@
         this->forwarder.updateBeginDeadlines();
         this->rollout.scheduleRollout();
     };
+    this->limits.standingOf = [this](const directory::Registration& target) {
+        const auto& regions = this->settings.forwarding.requests.regions;
+        const auto region = regions.find(target.dataCentre);
+        const routing::Place place { region == regions.end() ? "" : region->second, target.dataCentre };
+        return this->ranking.standingFor(target.id, place, Clock::now());
+    };
     this->sync.followedPrefix = ownKeyPrefix;
     this->sync.onFollowedRecord
         = [this](const store::KeyValue& record, bool exists) { this->onOwnRecord(record, exists); };
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -51,6 +51,10 @@
     /// Retry-After of a refused request: the time in which a busy target completes some requests.
     constexpr milliseconds retryAfterRefusal { 300 };
 
+    /// Bound of the Retry-After of a request that no target's limit lets pass: another instance, which a retry may
+    /// reach, may have more of its share left.
+    constexpr milliseconds maxRetryAfterLimit { 1000 };
+
     /// Shared parts of a prompt that are looked at; prompts have a few, and reports carry all of them.
     constexpr size_t maxSharedParts = 64;
     /// Retry-After of a request with a quarantined part: long, because only an answer to a prompt with the part, or the
@@ -137,11 +141,11 @@
         return;
     const ChoiceQuery query { this->context.directory, *this->request.routes, *this->request.route,
         this->request.metadata, this->request.organisation, this->context.settings.place,
-        this->context.settings.regions, this->context.prefixIndex, this->triedTargets,
+        this->context.settings.regions, this->context.prefixIndex, this->triedTargets, this->context.limits,
         this->context.settings.replacedWeightsTtl, QRandomGenerator::global()->generate64(), now, BootClock::now() };
     auto choice = chooseTarget(this->context.settings.policy, query);
     if (!choice) {
-        this->fail({ ErrorKind::NoTarget, "no usable target for this request", this->execution(), retryAfterRefusal });
+        this->failWithoutTarget(nextSendAt(query), now);
         return;
     }
     if (this->sends && !this->acquireRetry(choice->target->registration, now)) {
@@ -152,6 +156,17 @@
     this->send(std::move(*choice));
 }
 
+/// @param nextSendAt when a usable target's limit lets a request pass; nullopt if there is no usable target
+void ForwardCall::failWithoutTarget(std::optional<Clock::time_point> nextSendAt, Clock::time_point now)
+{
+    if (!nextSendAt) {
+        this->fail({ ErrorKind::NoTarget, "no usable target for this request", this->execution(), retryAfterRefusal });
+        return;
+    }
+    const auto retryAfter = std::clamp(remaining(*nextSendAt, now), retryAfterRefusal, maxRetryAfterLimit);
+    this->fail({ ErrorKind::Overloaded, "every usable target is at its request limit", this->execution(), retryAfter });
+}
+
 /// Whether the request has a grant for a retry at @p target. A grant that no attempt has used yet stays valid within
 /// its service.
 bool ForwardCall::acquireRetry(const directory::Registration& target, Clock::time_point now)
@@ -345,6 +360,7 @@
     if (this->triedTargets.empty())
         this->context.retryWindowOf(registration.service).recordFirstSend(now);
     this->triedTargets.push_back(registration.id);
+    this->context.limits.recordSend(registration, now);
     const auto request = this->context.dialect.dispatch(this->request.exchange->request(), this->dispatchFor(choice));
     const auto& metadata = this->request.metadata;
     const auto uncachedTokens
@@ -432,7 +448,7 @@
         return;
     }
     this->context.limits.onAnswer(
-        this->incarnation(), { answer.requestLimit, answer.hasInvalidLimit }, this->attempt->sentAt, Clock::now());
+        target.registration, { answer.requestLimit, answer.hasInvalidLimit }, this->attempt->sentAt, Clock::now());
 }
 
 void ForwardCall::onBody(std::string_view bytes)
@@ -639,9 +655,10 @@
     if (!this->attempt->isSent)
         this->context.metrics.attemptsUnsent.Increment();
     this->appendToLog(choice.target->registration.id + " (" + std::string(routing::toString(choice.policyChoice.reason))
-        + ", " + std::to_string(choice.candidates) + " candidates, weights " + this->attempt->weights + ", cached "
-        + std::to_string(choice.policyChoice.cachedTokens) + "/" + std::to_string(this->request.metadata.promptTokens)
-        + (choice.fetchCacheFrom ? ", fetched" : "") + ", "
+        + ", " + std::to_string(choice.candidates) + " candidates"
+        + (choice.atLimit ? ", " + std::to_string(choice.atLimit) + " at their limits" : "") + ", weights "
+        + this->attempt->weights + ", cached " + std::to_string(choice.policyChoice.cachedTokens) + "/"
+        + std::to_string(this->request.metadata.promptTokens) + (choice.fetchCacheFrom ? ", fetched" : "") + ", "
         + (firstEvent ? "first event after " + std::to_string(firstEvent->count()) + " of " : "")
         + std::to_string(took.count()) + " ms, " + (this->attempt->isSent ? "sent" : "not sent") + "): " + outcome);
     this->attempt.reset();
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -58,6 +58,7 @@
     };
 
     void nextAttempt();
+    void failWithoutTarget(std::optional<Clock::time_point> nextSendAt, Clock::time_point now);
     bool mayTryAnotherTarget();
     bool acquireRetry(const directory::Registration& target, Clock::time_point now);
     void send(TargetChoice choice);
--- a/src/forward/TargetChooser.cpp
+++ b/src/forward/TargetChooser.cpp
@@ -1,6 +1,7 @@
 #include "forward/TargetChooser.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace dragonfly::forward {
 
@@ -84,6 +85,8 @@
     struct CandidateSet {
         std::vector<TargetPointer> targets; ///< in the order of the candidates
         std::vector<Candidate> candidates;
+        /// For each candidate, whether its limit lets no request pass now. It may still hold the prefix of the prompt.
+        std::vector<bool> atLimit;
         std::vector<size_t> versionIndexes; ///< for each candidate, an index into prefixesByVersion
         std::vector<PromptPrefixes> prefixesByVersion;
     };
@@ -209,6 +212,7 @@
             candidate.surcharge = staleWeightsSurcharge(query, version);
             candidate.target = static_cast<uint32_t>(set.targets.size());
             set.candidates.push_back(candidate);
+            set.atLimit.push_back(!query.limits.maySend(target->registration, query.now));
             set.versionIndexes.push_back(index);
             set.targets.push_back(std::move(target));
         }
@@ -263,6 +267,18 @@
         return order;
     }
 
+    /// Adds the targets of the first service of the route that has one that lets a request pass, and those of the
+    /// services before it, which are at their limits.
+    void addCandidates(CandidateSet& set, const ChoiceQuery& query)
+    {
+        const auto services = serviceOrder(query.route, query.random);
+        const auto newest = newestWeights(query, services);
+        for (const auto& service : services) {
+            if (std::ranges::all_of(set.atLimit, std::identity()))
+                addCandidates(set, query, service, newest);
+        }
+    }
+
     const directory::CacheStore* findCacheStore(const directory::RouteTable& routes)
     {
         for (const auto& service : routes.services()) {
@@ -309,28 +325,29 @@
 std::optional<TargetChoice> chooseTarget(const routing::Policy& policy, const ChoiceQuery& query)
 {
     CandidateSet set;
-    const auto services = serviceOrder(query.route, query.random);
-    const auto newest = newestWeights(query, services);
-    for (const auto& service : services) {
-        if (set.candidates.empty())
-            addCandidates(set, query, service, newest);
-    }
+    addCandidates(set, query);
     estimateCachedTokens(set, query);
+    std::vector<Candidate> sendable;
+    for (size_t c = 0; c < set.candidates.size(); ++c) {
+        if (!set.atLimit[c])
+            sendable.push_back(set.candidates[c]);
+    }
     routing::RoutingRequest routingRequest;
     routingRequest.promptTokens = query.metadata.promptTokens;
     routingRequest.random = query.random;
-    for (const auto& candidate : set.candidates)
+    for (const auto& candidate : sendable)
         routingRequest.knownTokens = std::max(routingRequest.knownTokens, candidate.cachedTokens);
     for (const auto& prefixes : set.prefixesByVersion)
         routingRequest.sharedPrefixTokens = std::max(routingRequest.sharedPrefixTokens, prefixes.sharedTokens());
-    const auto choice = routing::chooseTarget(policy, set.candidates, routingRequest);
+    const auto choice = routing::chooseTarget(policy, sendable, routingRequest);
     if (!choice)
         return std::nullopt;
     const auto& prefixes = set.prefixesByVersion[set.versionIndexes[choice->target]];
     TargetChoice result;
     result.target = set.targets[choice->target];
     result.policyChoice = *choice;
-    result.candidates = set.candidates.size();
+    result.candidates = sendable.size();
+    result.atLimit = set.candidates.size() - sendable.size();
     result.weightsVersion = prefixes.version;
     if (!result.weightsVersion)
         return result; // a plain service keeps no cache
@@ -341,6 +358,18 @@
     return result;
 }
 
+std::optional<Clock::time_point> nextSendAt(const ChoiceQuery& query)
+{
+    CandidateSet set;
+    addCandidates(set, query);
+    std::optional<Clock::time_point> earliest;
+    for (const auto& target : set.targets) {
+        const auto next = query.limits.nextSendAt(target->registration, query.now);
+        earliest = std::min(earliest.value_or(next), next);
+    }
+    return earliest;
+}
+
 void rememberPrompt(routing::PrefixIndex& memory, const TargetChoice& choice, Clock::time_point now)
 {
     const auto targetId = shortTargetId(*choice.target);
--- a/src/forward/TargetChooser.h
+++ b/src/forward/TargetChooser.h
@@ -3,6 +3,7 @@
 
 #include "directory/Directory.h"
 #include "forward/Dialect.h"
+#include "limits/Limits.h"
 #include "routing/Routing.h"
 
 namespace dragonfly::forward {
@@ -18,6 +19,7 @@
     const std::map<std::string, std::string>& regions; ///< region of each data centre
     const routing::PrefixIndex& prefixIndex;
     const std::vector<std::string>& excluded; ///< ids of the targets of earlier attempts
+    limits::RequestLimits& limits;
     std::chrono::milliseconds replacedWeightsTtl { 0 }; ///< how long replaced weights may still answer
     uint64_t random = 0; ///< a new random number for each attempt
     Clock::time_point now;
@@ -29,6 +31,7 @@
     directory::TargetPointer target;
     routing::Choice policyChoice;
     size_t candidates = 0; ///< number of targets that were compared
+    size_t atLimit = 0; ///< number of targets left out because this instance has used its share of their limits
     uint64_t weightsVersion = 0; ///< the version that the target must run; 0 for a plain service
     std::string cacheSalt; ///< empty for a plain service
     std::vector<uint64_t> prefixes; ///< hashes of the prompt's prefixes under cacheSalt, shortest first
@@ -40,6 +43,10 @@
 /// The best usable target of the route's services; nullopt when there is none.
 std::optional<TargetChoice> chooseTarget(const routing::Policy& policy, const ChoiceQuery& query);
 
+/// The earliest time at which the limit of a usable target lets a request of the route pass; nullopt if there is no
+/// usable target, whether or not it is at its limit.
+std::optional<Clock::time_point> nextSendAt(const ChoiceQuery& query);
+
 /// Records in @p memory that the selected target now holds the prompt's prefixes.
 void rememberPrompt(routing::PrefixIndex& memory, const TargetChoice& choice, Clock::time_point now);
 
--- a/src/relay/PeerRanking.cpp
+++ b/src/relay/PeerRanking.cpp
@@ -12,6 +12,10 @@
         return std::make_tuple(-static_cast<int64_t>(peer.capacity), fastHash(peer.instance), peer.instance);
     }
 
+    /// How long an instance counts after its record was removed. One that goes on notices the loss within a renewal of
+    /// its lease, 20 s, and writes its record again within some retries.
+    constexpr std::chrono::milliseconds removedPeerRetention { 30000 };
+
     /// 0 in the same data centre, 1 in the same region, else 2.
     int distance(const routing::Place& from, const routing::Place& to)
     {
@@ -28,6 +32,7 @@
         return;
     this->peers[peer.instance] = peer;
     this->unregistered.erase(peer.instance);
+    this->removed.erase(peer.instance);
 }
 
 void PeerRanking::addUnregistered(const Peer& peer)
@@ -37,15 +42,43 @@
         return;
     this->peers[peer.instance] = peer;
     this->unregistered.insert(peer.instance);
+    this->removed.erase(peer.instance);
 }
 
-void PeerRanking::remove(const std::string& instance)
+void PeerRanking::remove(const std::string& instance, Clock::time_point now)
 {
-    this->peers.erase(instance);
+    std::erase_if(this->removed, [now](const auto& each) { return each.second.countedUntil <= now; });
+    if (const auto found = this->peers.find(instance); found != this->peers.end()) {
+        this->removed[instance] = { found->second.place, now + removedPeerRetention };
+        this->peers.erase(found);
+    }
     this->unregistered.erase(instance);
     this->exclusions.erase(instance);
 }
 
+limits::Standing PeerRanking::standingFor(
+    const std::string& target, const routing::Place& place, Clock::time_point now) const
+{
+    const auto orderOf = [&](const std::string& instance, const routing::Place& from) {
+        return std::make_tuple(distance(from, place), fastHash(instance, fastHash(target)), instance);
+    };
+    const auto own = orderOf(this->self.instance, this->self.place);
+    limits::Standing standing { 0, 0, 0 };
+    const auto count = [&](const std::string& instance, const routing::Place& from) {
+        ++standing.instances;
+        standing.local += from.dataCentre == place.dataCentre;
+        standing.rank += orderOf(instance, from) < own;
+    };
+    count(this->self.instance, this->self.place);
+    for (const auto& [instance, peer] : this->peers)
+        count(instance, peer.place);
+    for (const auto& [instance, peer] : this->removed) {
+        if (peer.countedUntil > now)
+            count(instance, peer.place);
+    }
+    return standing;
+}
+
 std::optional<std::string> PeerRanking::findAddress(const std::string& instance) const
 {
     const auto found = this->peers.find(instance);
--- a/src/relay/PeerRanking.h
+++ b/src/relay/PeerRanking.h
@@ -6,6 +6,7 @@
 // rank higher than itself unless the platform's service does not answer, so the highest one queries the service.
 
 #include "base/Base.h"
+#include "limits/SendShare.h"
 #include "routing/View.h"
 
 #include <map>
@@ -49,7 +50,11 @@
     /// Adds a peer that has sent a query and is not registered yet as far as this instance knows. It is removed when it
     /// does not answer a query, because no removed record would tell that it is gone.
     void addUnregistered(const Peer& peer);
-    void remove(const std::string& instance);
+    void remove(const std::string& instance, Clock::time_point now = Clock::now());
+    /// The place of this instance among all instances for a target at @p place: the nearest first, in an order that is
+    /// the same at all instances and differs between targets. Includes instances whose records were removed recently:
+    /// they may go on, and write their records again.
+    limits::Standing standingFor(const std::string& target, const routing::Place& place, Clock::time_point now) const;
     /// The address of a peer; nothing when the peer is unknown.
     std::optional<std::string> findAddress(const std::string& instance) const;
     /// Excludes @p instance from the choice until @p until.
@@ -78,6 +83,11 @@
     std::map<std::string, Peer> peers; ///< keyed by instance
     std::set<std::string> unregistered; ///< the instances among the peers that were added by a query
     std::map<std::string, Exclusion> exclusions; ///< keyed by instance
+    struct RemovedPeer {
+        routing::Place place;
+        Deadline countedUntil;
+    };
+    std::map<std::string, RemovedPeer> removed; ///< keyed by instance; no other member has it
 };
 
 }
--- a/tests/ForwardPartsTest.cpp
+++ b/tests/ForwardPartsTest.cpp
@@ -72,8 +72,8 @@
     {
         const auto& routes = *this->directory.routes();
         const ChoiceQuery query { this->directory, routes, *routes.findRoute("a.example", path), this->metadata,
-            this->organisation, this->place, this->regions, this->prefixIndex, this->excluded, 15s, random, this->now,
-            this->bootNow };
+            this->organisation, this->place, this->regions, this->prefixIndex, this->excluded, this->limits, 15s,
+            random, this->now, this->bootNow };
         return chooseTarget(routing::LeastCost {}, query);
     }
 
@@ -84,6 +84,8 @@
     }
 
     const directory::Organisation* organisation = nullptr;
+    observe::Metrics metrics;
+    limits::RequestLimits limits { this->metrics };
 };
 
 }
--- a/tests/LimitTest.cpp
+++ b/tests/LimitTest.cpp
@@ -115,3 +115,39 @@
     cr_assert_geq(most, 1, "the engine is not used any more");
     cr_assert_eq(limited.served(), static_cast<int>(limited.answers.size()), "other engines can take the rest");
 }
+
+Test(limits, targetIsUsedInFullAgainAfterItsLimitEnds, .timeout = 120)
+{
+    LimitedSite limited;
+    auto& engine = *limited.site.engines[0];
+    LimitedSite::limit(engine, QString::number(limitPerSecond));
+    limited.play(6s);
+    const auto endedAt = LimitedSite::limit(engine, "");
+    limited.play(6s);
+    require(waitForAll(limited.answers, 20s), "not all requests were answered");
+    const auto most = maxArrivalsInWindow(LimitedSite::arrivalTimes(engine), endedAt + contactTime.count());
+    cr_assert_gt(most, allowedArrivals(limitPerSecond));
+}
+
+Test(limits, requestsBeyondTheLimitsOfAllTargetsAreRefusedAtOnce, .timeout = 120)
+{
+    LimitedSite limited;
+    int64_t namedAt = 0;
+    for (const auto& service : limited.site.services)
+        namedAt = LimitedSite::limit(*service, QString::number(limitPerSecond));
+    limited.play(8s, "/read/x");
+    require(waitForAll(limited.answers, 20s), "not all requests were answered");
+    for (const auto& service : limited.site.services)
+        cr_assert_leq(maxArrivalsInWindow(LimitedSite::arrivalTimes(*service), namedAt + contactTime.count()),
+            allowedArrivals(limitPerSecond));
+    int refused = 0;
+    for (const auto& answer : limited.answers) {
+        if (answer->status == 200)
+            continue;
+        ++refused;
+        cr_assert_eq(answer->status, 503);
+        cr_assert_not(answer->header("Retry-After").empty());
+    }
+    cr_assert_gt(refused, 0);
+    cr_assert_eq(limited.served() + refused, static_cast<int>(limited.answers.size()));
+}
