--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -292,6 +292,10 @@
         this->directory.apply(std::move(std::get<Deployment>(decoded)));
         this->metrics.configApplied.Increment();
         this->metrics.configRevision.Set(static_cast<double>(this->directory.routes()->version()));
+    } else if (pair.modRevision < this->deploymentRevision) {
+        logChange(LogLevel::Warning, "configuration record left out",
+            { { "revision", std::to_string(pair.modRevision) },
+                { "revision_in_force", std::to_string(this->deploymentRevision) } });
     }
     if (isFromRead && pair.modRevision == this->deploymentRevision)
         this->directory.freshness.prove(readAt);
