--- a/standins/metadatastore.cpp
+++ b/standins/metadatastore.cpp
@@ -1,8 +1,10 @@
 // Stand-in for the users' metadata store: serves /api/kv-* calls with revisions, leases and watches.
 //
 // POST /control accepts {"mode": "up" | "busy" | "silent" | "lose-answers"}, {"compact": true},
-// {"put": {"key", "value"}} and {"remove": key}; operators and targets write through put and remove.
-// GET /control returns {"calls": N, "role": value of the leader lease's key}.
+// {"put": {"key", "value"}} and {"remove": key}; operators and targets write through put and remove. {"save": true}
+// copies everything; {"restore": true} returns to that copy, with its revisions and leases, and {"as_if_lost": [key,
+// ...]} then removes keys from it. All answers name the number of returns in "Store-Era". GET /control returns
+// {"calls": N, "role": value of the leader lease's key}.
 
 #include "standins/KeyValueTable.h"
 #include "standins/Program.h"
@@ -63,7 +65,7 @@
             return;
         }
         if (this->mode == Mode::Busy) {
-            respondJson(*exchange, 503, { { "error", "busy" } });
+            this->respond(*exchange, { 503, { { "error", "busy" } } });
             return;
         }
         const QUrlQuery query(url);
@@ -75,7 +77,7 @@
         if (this->mode == Mode::LoseAnswers)
             exchange->abort();
         else
-            respondJson(*exchange, answer.status, answer.body);
+            this->respond(*exchange, answer);
     }
 
 private:
@@ -86,6 +88,28 @@
         dragonfly::Deadline deadline;
     };
 
+    void respond(http::Exchange& exchange, const Answer& answer) const
+    {
+        exchange.respond(answer.status,
+            { { "Content-Type", "application/json" }, { "Store-Era", std::to_string(this->era) } },
+            toJson(answer.body));
+    }
+
+    /// Returns to the saved copy. Its leases run on from now.
+    void restore(const QJsonArray& lostKeys)
+    {
+        this->table = this->saved;
+        for (const auto& key : lostKeys)
+            this->table.values.erase(key.toString().toStdString());
+        for (auto& [id, lease] : this->table.leases)
+            lease.deadline = Clock::now() + lease.timeToLive;
+        std::erase_if(this->history, [this](const Event& event) { return event.revision > this->table.revision; });
+        ++this->era;
+        for (const auto& watch : this->watches)
+            watch.exchange->abort();
+        this->watches.clear();
+    }
+
     QJsonObject itemOf(const std::string& key) const
     {
         const auto& stored = this->table.values.at(key);
@@ -195,8 +219,8 @@
     void watch(const http::ExchangePointer& exchange, const QUrlQuery& query)
     {
         const auto after = query.queryItemValue("after").toLongLong();
-        if (after < this->oldestRevision) {
-            respondJson(*exchange, 410, {});
+        if (after < this->oldestRevision || after > this->table.revision) {
+            this->respond(*exchange, { 410, {} });
             return;
         }
         const milliseconds wait(query.queryItemValue("wait_ms").toInt());
@@ -222,8 +246,8 @@
             }
             if (events.isEmpty() && Clock::now() < watch.deadline)
                 return false;
-            respondJson(*watch.exchange, 200,
-                { { "events", events }, { "current_rev", static_cast<qint64>(this->table.revision) } });
+            this->respond(*watch.exchange,
+                { 200, { { "events", events }, { "current_rev", static_cast<qint64>(this->table.revision) } } });
             return true;
         });
     }
@@ -249,6 +273,10 @@
             this->put(put["key"].toString().toStdString(), put["value"].toString().toStdString(), 0);
         if (body.contains("remove"))
             this->remove(body["remove"].toString().toStdString());
+        if (body["save"].toBool())
+            this->saved = this->table;
+        if (body["restore"].toBool())
+            this->restore(body["as_if_lost"].toArray());
         if (body["compact"].toBool()) {
             this->history.clear();
             this->oldestRevision = this->table.revision + 1;
@@ -261,6 +289,8 @@
 
     Mode mode = Mode::Up;
     KeyValueTable table;
+    KeyValueTable saved;
+    int64_t era = 1; ///< one more than the number of returns to a copy
     std::deque<Event> history;
     int64_t oldestRevision = 0; ///< events before this revision have been discarded
     std::vector<Watch> watches;
