--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -222,6 +222,7 @@
     status["records_from"] = toQString(this->source.followedInstance().value_or("platform"));
     status["known_instances"] = static_cast<qint64>(this->ranking.size());
     status["platform_reachable"] = this->sync.isReachable();
+    status["platform_era"] = static_cast<qint64>(this->sync.storeEra());
     const auto& routes = this->directory.routes();
     status["config_version"] = routes ? static_cast<qint64>(routes->version()) : 0;
     status["config_age_ms"] = age ? static_cast<qint64>(age->count()) : -1;
--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -37,6 +37,9 @@
     /// two seconds.
     constexpr std::chrono::milliseconds registrationGracePeriod { 2200 };
 
+    /// How long removed targets are remembered. A copy to which the store returns is some seconds old.
+    constexpr std::chrono::minutes removedTargetRetention { 10 };
+
     std::chrono::milliseconds jitter(std::chrono::milliseconds bound)
     {
         return std::chrono::milliseconds(QRandomGenerator::global()->bounded(static_cast<int>(bound.count()) + 1));
@@ -84,6 +87,8 @@
 void DirectorySync::readAll()
 {
     ++this->readId;
+    ++this->watchId;
+    this->watchTimer.stop();
     this->readRevision = std::numeric_limits<int64_t>::max();
     this->readDeployment.reset();
     this->listed.clear();
@@ -116,13 +121,22 @@
     const PagePosition& position, BootClock::time_point queriedAt, const store::PageResult& result)
 {
     const auto* page = std::get_if<store::Page>(&result);
-    this->recordCall(page);
-    if (!page) {
+    const bool isUsable = page && !this->isOutdated(page->revision);
+    this->recordCall(isUsable);
+    if (!isUsable) {
         this->failedPages.push_back(position);
         if (!this->retryTimer.isActive())
             this->retryTimer.start(this->backoff());
         return;
     }
+    if (store::eraOf(page->revision) > this->era) {
+        const bool isFirstPage = this->readRevision == std::numeric_limits<int64_t>::max();
+        this->enterEra(store::eraOf(page->revision));
+        if (!isFirstPage) {
+            this->readAll(); // the pages before are of an earlier era
+            return;
+        }
+    }
     this->readRevision = std::min(this->readRevision, page->revision);
     this->revisionTimes.observe(page->revision, queriedAt);
     for (const auto& pair : page->pairs) {
@@ -144,16 +158,23 @@
     if (this->readDeployment)
         this->applyDeployment(this->readDeployment->first, this->readDeployment->second);
     std::vector<std::string> removed;
-    for (const auto& [key, revision] : this->targetRevisions) {
+    for (const auto& [key, known] : this->targetRecords) {
         // A record written after the read began may be missing from its pages.
-        if (!this->listed.contains(key) && revision <= this->readRevision)
+        if (!this->listed.contains(key) && known.revision <= this->readRevision)
             removed.push_back(key);
     }
     for (const auto& key : removed)
         this->applyTarget({ { key, {}, this->readRevision }, true });
-    for (const auto& key : std::set(this->followed)) {
-        if (!this->listed.contains(key))
+    const bool isAfterReturn = std::exchange(this->isReadingAfterReturn, false);
+    for (const auto& [key, known] : std::map(this->followed)) {
+        if (this->listed.contains(key))
+            continue;
+        if (isAfterReturn && this->onFollowedRecordLost) {
+            this->followed.erase(key);
+            this->onFollowedRecordLost(key);
+        } else {
             this->applyFollowed({ key, {}, this->readRevision }, false);
+        }
     }
     this->history.completeWholeRead(this->listed, this->readRevision);
     if (this->onWholeRead)
@@ -170,7 +191,10 @@
     const auto until = now + maxWatchDuration;
     this->nextWatchAt = now + minWatchInterval;
     this->records.watch("", this->watchedRevision, until, until + watchTimeoutMargin,
-        [this](const store::WatchResult& result) { this->onWatchResult(result); });
+        [this, id = ++this->watchId](const store::WatchResult& result) {
+            if (id == this->watchId)
+                this->onWatchResult(result);
+        });
 }
 
 void DirectorySync::onWatchResult(const store::WatchResult& result)
@@ -183,12 +207,18 @@
         return;
     }
     const auto* changes = std::get_if<store::Changes>(&result);
-    this->recordCall(changes);
-    if (!changes) {
+    const bool isUsable = changes && !this->isOutdated(changes->revision);
+    this->recordCall(isUsable);
+    if (!isUsable) {
         // The next watch continues after the last known revision, or gets HistoryGone if that is no longer possible.
         this->watchTimer.start(this->backoff());
         return;
     }
+    if (store::eraOf(changes->revision) > this->era) {
+        this->enterEra(store::eraOf(changes->revision));
+        this->readAll();
+        return;
+    }
     for (const auto& change : changes->changes)
         this->applyChange(change);
     this->revisionTimes.observe(changes->revision, changes->asOf);
@@ -241,22 +271,65 @@
     }
     const auto queriedAt = BootClock::now();
     this->records.checkRevision(this->decoder.deploymentKey(), this->deploymentRevision, Clock::now() + callTimeout,
-        [this, queriedAt](const store::CheckResult& result) { this->onRevisionChecked(result, queriedAt); });
+        [this, queriedAt, expected = this->deploymentRevision](
+            const store::CheckResult& result) { this->onRevisionChecked(result, expected, queriedAt); });
 }
 
-void DirectorySync::onRevisionChecked(const store::CheckResult& result, BootClock::time_point queriedAt)
+void DirectorySync::onRevisionChecked(
+    const store::CheckResult& result, int64_t expected, BootClock::time_point queriedAt)
 {
     const bool answered = !std::holds_alternative<store::StoreFailure>(result);
     this->recordCall(answered);
-    if (const auto* conflict = std::get_if<store::Conflict>(&result)) {
+    const auto* conflict = std::get_if<store::Conflict>(&result);
+    const bool isNewEra = conflict && store::eraOf(conflict->current.modRevision) > this->era;
+    if (isNewEra || std::holds_alternative<store::HistoryGone>(result)) {
+        if (isNewEra)
+            this->enterEra(store::eraOf(conflict->current.modRevision));
+        if (isNewEra || !this->pendingSections)
+            this->readAll();
+    } else if (conflict) {
         this->history.record({ conflict->current, false });
         this->applyDeployment(conflict->current, queriedAt);
-    } else if (const auto* unchanged = std::get_if<store::Unchanged>(&result))
+    } else if (const auto* unchanged = std::get_if<store::Unchanged>(&result);
+               unchanged && expected == this->revisionInForce()) {
         this->directory.freshness.prove(queriedAt - unchanged->age);
+    }
     this->revisionCheckTimer.start(
         answered ? revisionCheckInterval : revisionCheckRetryDelay + jitter(revisionCheckRetryDelay));
 }
 
+DirectorySync::RecordVersion DirectorySync::versionOf(const store::KeyValue& pair)
+{
+    return { pair.modRevision, fastHash(pair.value) };
+}
+
+bool DirectorySync::RecordVersion::isSameWriteInCopy(const RecordVersion& returned) const
+{
+    return store::eraOf(returned.revision) > store::eraOf(this->revision)
+        && store::revisionWithinEra(returned.revision) == store::revisionWithinEra(this->revision)
+        && returned.valueHash == this->valueHash;
+}
+
+/// Whether an answer was composed before the platform's store last returned from an older copy.
+bool DirectorySync::isOutdated(int64_t revision) const
+{
+    return store::eraOf(revision) < this->era;
+}
+
+void DirectorySync::enterEra(int64_t newEra)
+{
+    const auto former = std::exchange(this->era, newEra);
+    if (!this->watchedRevision)
+        return; // nothing was known before
+    logChange(LogLevel::Warning, "the platform's store has returned from an older copy",
+        { { "era", std::to_string(newEra) }, { "former_era", std::to_string(former) },
+            { "known_revision", std::to_string(store::revisionWithinEra(this->watchedRevision)) } });
+    this->isReadingAfterReturn = true;
+    this->gracePeriodEnd = Clock::now() + registrationGracePeriod;
+    if (this->onStoreReturned)
+        this->onStoreReturned();
+}
+
 void DirectorySync::applyChange(const store::Change& change)
 {
     const auto& key = change.pair.key;
@@ -289,23 +362,30 @@
             return;
         }
         this->deploymentRevision = pair.modRevision;
-        this->directory.apply(std::move(std::get<Deployment>(decoded)));
-        this->metrics.configApplied.Increment();
-        this->metrics.configRevision.Set(static_cast<double>(this->directory.routes()->version()));
+        const auto version = std::get<Deployment>(decoded).version;
+        if (this->directory.apply(std::move(std::get<Deployment>(decoded))))
+            this->metrics.configApplied.Increment();
+        const auto inForce = this->directory.routes()->version();
+        this->metrics.configRevision.Set(static_cast<double>(inForce));
+        this->isRecordInForce = version == inForce;
+        if (!this->isRecordInForce)
+            logChange(LogLevel::Warning, "configuration record left out",
+                { { "reason", "a newer version is in force" }, { "version", std::to_string(version) },
+                    { "version_in_force", std::to_string(inForce) } });
     } else if (pair.modRevision < this->deploymentRevision) {
         logChange(LogLevel::Warning, "configuration record left out",
-            { { "revision", std::to_string(pair.modRevision) },
-                { "revision_in_force", std::to_string(this->deploymentRevision) } });
+            { { "reason", "a later record is known" }, { "revision", std::to_string(pair.modRevision) },
+                { "known_revision", std::to_string(this->deploymentRevision) } });
     }
-    if (isFromRead && pair.modRevision == this->deploymentRevision)
+    if (isFromRead && this->isRecordInForce && pair.modRevision == this->deploymentRevision)
         this->directory.freshness.prove(readAt);
 }
 
 void DirectorySync::applyTarget(const store::Change& change)
 {
     const auto& key = change.pair.key;
-    const auto known = this->targetRevisions.find(key);
-    if (known != this->targetRevisions.end() && change.pair.modRevision < known->second)
+    const auto known = this->targetRecords.find(key);
+    if (known != this->targetRecords.end() && change.pair.modRevision < known->second.revision)
         return;
     const auto id = key.substr(this->decoder.registrationPrefix().size());
     if (change.isRemoval) {
@@ -316,13 +396,21 @@
             this->scheduleAbsentTargetRemoval();
             return;
         }
-        this->targetRevisions.erase(key);
-        this->directory.removeTarget(id);
+        this->forgetTarget(key);
         return;
     }
+    const auto version = versionOf(change.pair);
+    if (const auto removed = this->removedTargets.find(key); removed != this->removedTargets.end()) {
+        if (removed->second.last.isSameWriteInCopy(version)) {
+            logChange(LogLevel::Info, "older target record left out",
+                { { "key", key }, { "reason", "the record was removed before the store returned" } });
+            return;
+        }
+        this->removedTargets.erase(removed);
+    }
     this->absentTargets.erase(key);
-    const bool isNew = known == this->targetRevisions.end() || change.pair.modRevision > known->second;
-    this->targetRevisions[key] = change.pair.modRevision;
+    const bool isNew = known == this->targetRecords.end() || change.pair.modRevision > known->second.revision;
+    this->targetRecords[key] = version;
     auto decoded = this->decoder.decodeRegistration(key, change.pair.value);
     if (const auto* error = errorOf(decoded)) {
         // The state of a target registered under this key before is no longer known, so it is removed.
@@ -332,15 +420,49 @@
         this->directory.removeTarget(id);
         return;
     }
-    this->directory.registerTarget(std::move(std::get<Registration>(decoded)));
+    auto& registration = std::get<Registration>(decoded);
+    if (this->isOlderTargetRecord(registration)) {
+        if (isNew)
+            logChange(LogLevel::Info, "older target record left out",
+                { { "key", key }, { "reason", "a later record of the process is known" } });
+        return;
+    }
+    this->directory.registerTarget(std::move(registration));
+}
+
+bool DirectorySync::isOlderTargetRecord(const Registration& registration) const
+{
+    const auto found = this->directory.targets().find(registration.id);
+    if (found == this->directory.targets().end())
+        return false;
+    const auto& known = found->second->registration;
+    return known.startedUnixMs == registration.startedUnixMs && registration.sequence
+        && registration.sequence < known.sequence;
+}
+
+/// Removes the target whose record under @p key is gone.
+void DirectorySync::forgetTarget(const std::string& key)
+{
+    const auto now = Clock::now();
+    std::erase_if(this->removedTargets, [now](const auto& each) { return each.second.rememberedUntil <= now; });
+    if (const auto known = this->targetRecords.find(key); known != this->targetRecords.end()) {
+        this->removedTargets[key] = { known->second, now + removedTargetRetention };
+        this->targetRecords.erase(known);
+    }
+    this->directory.removeTarget(key.substr(this->decoder.registrationPrefix().size()));
 }
 
 void DirectorySync::applyFollowed(const store::KeyValue& record, bool exists)
 {
-    if (exists)
-        this->followed.insert(record.key);
-    else
+    if (!exists) {
         this->followed.erase(record.key);
+    } else {
+        auto& known = this->followed[record.key];
+        const auto version = versionOf(record);
+        if (known.isSameWriteInCopy(version))
+            return;
+        known = version;
+    }
     if (this->onFollowedRecord)
         this->onFollowedRecord(record, exists);
 }
@@ -373,8 +495,7 @@
         const auto& [key, deadline] = absent;
         if (deadline > now)
             return false;
-        this->targetRevisions.erase(key);
-        this->directory.removeTarget(key.substr(this->decoder.registrationPrefix().size()));
+        this->forgetTarget(key);
         return true;
     });
     this->scheduleAbsentTargetRemoval();
--- a/src/directory/Registration.h
+++ b/src/directory/Registration.h
@@ -16,6 +16,7 @@
     uint32_t slots = 0; ///< maximum number of requests in one batch
     bool isDraining = false;
     int64_t startedUnixMs = 0; ///< distinguishes two processes with the same id; 0: unknown
+    uint64_t sequence = 0; ///< a record of the same process with a lower number is older; 0: unknown
     std::map<std::string, uint64_t> weights; ///< version that the target runs, by model
 };
 
--- a/src/store/HttpTransport.cpp
+++ b/src/store/HttpTransport.cpp
@@ -25,7 +25,10 @@
         request.headers.add("Content-Type", "application/json");
     auto reply = std::make_shared<HttpReply>();
     http::CallEvents events;
-    events.onHead = [reply](const http::ResponseHead& head) { reply->status = head.status; };
+    events.onHead = [reply](const http::ResponseHead& head) {
+        reply->status = head.status;
+        reply->headers = head.headers;
+    };
     events.onBody = [reply](std::string_view bytes) { reply->body.append(bytes); };
     events.onComplete = [reply, done] { done(std::move(*reply)); };
     events.onFailure = [this, done](const http::CallFailure& failure) {
--- a/src/store/HttpTransport.h
+++ b/src/store/HttpTransport.h
@@ -9,6 +9,7 @@
 
 struct HttpReply {
     int status = 0;
+    http::Headers headers;
     std::string body;
 };
 
--- a/src/store/KeyValueStore.h
+++ b/src/store/KeyValueStore.h
@@ -2,6 +2,7 @@
 // Interfaces of the platform's key-value service. Calls are asynchronous: the event loop invokes each callback once.
 
 #include "base/Base.h"
+#include "store/Revision.h"
 
 #include <functional>
 #include <optional>
@@ -13,7 +14,9 @@
 struct KeyValue {
     std::string key;
     std::string value;
-    int64_t modRevision = 0; ///< increases with each write to the key; 0: the key does not exist
+    /// Increases with each write to the key, also when the store returns from an older copy (Revision.h); 0: the key
+    /// does not exist.
+    int64_t modRevision = 0;
 };
 
 /// Why a call has no result, and whether it may have taken effect.
@@ -86,7 +89,8 @@
     BootClock::time_point asOf;
 };
 
-/// The store has discarded the requested changes; the caller must read all records again.
+/// The store has discarded the requested changes, or has returned from a copy that may lack some; the caller must read
+/// all records again.
 struct HistoryGone { };
 
 /// The lease of a write does not exist or has expired; nothing was written.
@@ -101,7 +105,7 @@
     std::chrono::milliseconds age { 0 }; ///< how long before the check this was last confirmed; 0: by the check itself
 };
 
-using CheckResult = std::variant<Unchanged, Conflict, StoreFailure>;
+using CheckResult = std::variant<Unchanged, Conflict, HistoryGone, StoreFailure>;
 
 /// Reads and watches records: a store, or a peer that replicates them.
 class RecordSource {
--- a/standins/target.cpp
+++ b/standins/target.cpp
@@ -332,7 +332,7 @@
             { "address", QString::fromStdString(this->address) },
             { "zone", QString::fromStdString(this->settings.dataCentre) }, { "slots", 8 },
             { "state", this->isDraining ? "draining" : "ready" }, { "models", this->models() },
-            { "born", 1000 + this->lifetime }, { "seq", 1 } };
+            { "born", 1000 + this->lifetime }, { "seq", ++this->registrations } };
         this->sendToStore({ { "put",
             QJsonObject { { "key", QString::fromStdString("servers/" + this->registeredId()) },
                 { "value", QString::fromStdString(toJson(record)) } } } });
@@ -370,6 +370,7 @@
     std::vector<http::ExchangePointer> unanswered; ///< requests received in mode "silent", kept open
     QJsonArray orders;
     QJsonObject lastRequest;
+    int registrations = 0; ///< records written
     int lifetime = 0; ///< number of crashes that the target has returned from
     QString limit; ///< request limit that answers name; empty: none
     QString deadlyPart; ///< empty: no part ends the target
--- a/tests/DirectoryTest.cpp
+++ b/tests/DirectoryTest.cpp
@@ -63,13 +63,34 @@
 
     void set(const std::string& key, const std::string& value)
     {
-        this->records[key] = { value, ++this->revision };
-        this->history.push_back({ { key, value, this->revision }, false });
+        ++this->revision;
+        this->records[key] = { value, this->storeRevision() };
+        this->history.push_back({ { key, value, this->storeRevision() }, false });
     }
     void erase(const std::string& key)
     {
         this->records.erase(key);
-        this->history.push_back({ { key, {}, ++this->revision }, true });
+        ++this->revision;
+        this->history.push_back({ { key, {}, this->storeRevision() }, true });
+    }
+    void save()
+    {
+        this->savedRecords = this->records;
+        this->savedRevision = this->revision;
+    }
+    /// Returns to the saved copy, in the next era.
+    void returnToCopy()
+    {
+        ++this->era;
+        this->revision = this->savedRevision;
+        this->records = this->savedRecords;
+        for (auto& [key, record] : this->records)
+            record.revision = store::revisionInEra(this->era, store::revisionWithinEra(record.revision));
+        this->history.clear();
+    }
+    int64_t storeRevision() const
+    {
+        return store::revisionInEra(this->era, this->revision);
     }
 
     bool isDown = false; ///< every call fails
@@ -90,7 +111,7 @@
             return;
         }
         store::Page page;
-        page.revision = this->revision;
+        page.revision = this->storeRevision();
         for (const auto& [key, record] : this->records) {
             if (!key.starts_with(prefix) || key <= after)
                 continue;
@@ -107,12 +128,12 @@
     void watch(const std::string&, int64_t after, Clock::time_point waitUntil, Deadline,
         std::function<void(store::WatchResult)> done) override
     {
-        if (std::exchange(this->historyIsGone, false)) {
+        if (std::exchange(this->historyIsGone, false) || store::eraOf(after) < this->era) {
             this->answer<store::WatchResult>(store::HistoryGone {}, std::move(done));
             return;
         }
         store::Changes changes;
-        changes.revision = this->revision;
+        changes.revision = this->storeRevision();
         changes.asOf = BootClock::now();
         for (const auto& change : this->history) {
             if (change.pair.modRevision > after && !this->watchesOmitChanges)
@@ -130,7 +151,10 @@
         const std::string& key, int64_t expected, Deadline, std::function<void(store::CheckResult)> done) override
     {
         const auto& record = this->records[key];
-        if (record.revision == expected)
+        if (record.revision != expected
+            && store::revisionWithinEra(record.revision) == store::revisionWithinEra(expected))
+            this->answer<store::CheckResult>(store::HistoryGone {}, std::move(done));
+        else if (record.revision == expected)
             this->answer<store::CheckResult>(store::Unchanged {}, std::move(done));
         else
             this->answer<store::CheckResult>(
@@ -180,7 +204,10 @@
 
     std::map<std::string, Record> records;
     std::vector<store::Change> history;
-    int64_t revision = 10;
+    int64_t revision = 10; ///< within the era
+    int64_t era = 0;
+    std::map<std::string, Record> savedRecords;
+    int64_t savedRevision = 0;
     QObject loop;
 };
 
@@ -523,3 +550,65 @@
     cr_assert(!replacement->isTimeKnown() || replacement->notBefore <= replacedAt, "taken for %d ms later",
         static_cast<int>((replacement->notBefore - replacedAt) / 1ms));
 }
+
+Test(directorySync, storeThatReturnsWithAnOlderConfigurationNeitherReplacesNorProvesTheNewerOne)
+{
+    Fixture fixture;
+    fixture.start();
+    fixture.store.save();
+    fixture.store.set("config", "5");
+    require(waitUntil([&] { return fixture.version() == 5; }, 2s), "5 is not in force");
+    fixture.store.returnToCopy();
+    runFor(3200ms); // longer than a proof is valid
+    cr_assert_eq(fixture.version(), 5);
+    cr_assert_not(fixture.directory.freshness.isProved(BootClock::now()));
+    fixture.store.set("config", "5");
+    cr_assert(waitUntil([&] { return fixture.directory.freshness.isProved(BootClock::now()); }, 2s));
+    fixture.store.set("config", "6");
+    cr_assert(waitUntil([&] { return fixture.version() == 6; }, 2s));
+}
+
+Test(directorySync, recordsThatAReturnedStoreLostAreReportedAsLostNotAsRemoved)
+{
+    Fixture fixture;
+    std::vector<std::string> lost;
+    std::vector<std::string> removed;
+    int returns = 0;
+    fixture.sync.followedPrefix = "own/";
+    fixture.sync.onStoreReturned = [&] { ++returns; };
+    fixture.sync.onFollowedRecordLost = [&](const std::string& key) { lost.push_back(key); };
+    fixture.sync.onFollowedRecord = [&](const store::KeyValue& record, bool exists) {
+        if (!exists)
+            removed.push_back(record.key);
+    };
+    fixture.start();
+    fixture.store.set("own/a", "1");
+    runFor(600ms);
+    fixture.store.save();
+    fixture.store.set("own/b", "1");
+    runFor(600ms);
+    fixture.store.returnToCopy();
+    cr_assert(waitUntil([&] { return returns == 1 && fixture.sync.isReachable(); }, 3s));
+    cr_assert_eq(lost, (std::vector<std::string> { "own/b" }));
+    cr_assert(removed.empty());
+    fixture.store.erase("own/a");
+    cr_assert(waitUntil([&] { return removed == std::vector<std::string> { "own/a" }; }, 2s));
+}
+
+Test(directorySync, answersFromBeforeTheReturnAreIgnored)
+{
+    Fixture fixture;
+    fixture.start();
+    fixture.store.save();
+    fixture.store.answerDelay = 300ms;
+    fixture.store.historyIsGone = true; // the answers to the whole read that follows are on their way for long
+    fixture.store.set("targets/d", "ready");
+    runFor(400ms);
+    fixture.store.answerDelay = 1ms;
+    fixture.store.returnToCopy();
+    fixture.store.set("config", "6");
+    cr_assert(waitUntil([&] { return fixture.version() == 6; }, 3s));
+    runFor(500ms);
+    cr_assert(fixture.sync.isReachable());
+    cr_assert_eq(fixture.directory.targets().contains("d"), false, "its record was lost");
+}
--- a/tests/RestoredStoreTest.cpp
+++ b/tests/RestoredStoreTest.cpp
@@ -36,6 +36,16 @@
         runFor(silence);
         this->site.controlStore({ { "restore", true }, { "as_if_lost", lostKeys }, { "mode", "up" } });
     }
+    /// Waits until every instance has read the records of the @p returns th return.
+    void waitUntilRead(int returns = 1)
+    {
+        const auto hasRead = [&](size_t entry) {
+            const auto status = this->instanceStatus(entry);
+            return status["platform_era"].toInt() == 1 + returns && status["platform_reachable"].toBool();
+        };
+        for (size_t entry = 0; entry < this->site.entries.size(); ++entry)
+            require(waitUntil([&] { return hasRead(entry); }, 10s), "the returned store was not read");
+    }
     void put(const QString& key, const QString& value)
     {
         this->site.controlStore({ { "put", QJsonObject { { "key", key }, { "value", value } } } });
@@ -146,7 +156,7 @@
     control(draining.address(), { { "draining", true } });
     runFor(1s);
     restored.restore();
-    runFor(1s);
+    restored.waitUntilRead();
     const auto before = restored.runsOf(draining);
     for (int i = 0; i < 20; ++i)
         cr_assert_eq(restored.statusOf({ requestId(i), "/read/x" }), 200);
@@ -161,7 +171,7 @@
     restored.remove("servers/service-0");
     runFor(1s);
     restored.restore();
-    runFor(1s);
+    restored.waitUntilRead();
     const auto before = restored.runsOf(gone);
     for (int i = 0; i < 20; ++i)
         cr_assert_eq(restored.statusOf({ requestId(i), "/read/x" }), 200);
@@ -214,6 +224,6 @@
     };
     require(waitUntil(knowEachOther, 10s), "the instances do not know each other");
     restored.restore();
-    runFor(1s);
+    restored.waitUntilRead();
     cr_assert(waitUntil(knowEachOther, 5s));
 }
--- /dev/null
+++ b/tests/StoreClientTest.cpp
@@ -0,0 +1,115 @@
+// The client of the platform's metadata store against answers of several eras of the store.
+
+#include "platform/StoreClient.h"
+#include "standins/Program.h"
+#include "tests/support/Process.h"
+
+#include <QJsonArray>
+#include <criterion/criterion.h>
+
+using namespace testing;
+using namespace dragonfly;
+using namespace std::chrono_literals;
+
+namespace {
+
+int argumentCount = 0;
+
+/// Answers each call with the same status, body and era.
+struct ScriptedStore {
+    QCoreApplication application { argumentCount, nullptr };
+    int status = 200;
+    QJsonObject body;
+    std::string era; ///< empty: no such header
+    std::string lastTarget;
+    std::string lastBody;
+    http::Server server { {}, [this](const http::ExchangePointer& exchange) {
+                             this->lastTarget = exchange->request().target;
+                             this->lastBody = exchange->request().body;
+                             http::Headers headers;
+                             if (!this->era.empty())
+                                 headers.add("Store-Era", this->era);
+                             exchange->respond(this->status, headers, standins::toJson(this->body));
+                         } };
+    http::ClientPool pool;
+    platform::StoreClient client { std::get<Endpoint>(this->server.listenShared({ "127.0.0.1", 0 })), &this->pool };
+
+    void answer(const std::string& answeredEra, const QJsonObject& answeredBody, int answeredStatus = 200)
+    {
+        this->era = answeredEra;
+        this->body = answeredBody;
+        this->status = answeredStatus;
+    }
+    store::WatchResult watch(int64_t after)
+    {
+        std::optional<store::WatchResult> result;
+        this->client.watch(
+            "", after, Clock::now(), Clock::now() + 2s, [&](const store::WatchResult& received) { result = received; });
+        require(waitUntil([&] { return result.has_value(); }, 3s), "no result");
+        return *result;
+    }
+    store::CheckResult check(int64_t expected)
+    {
+        std::optional<store::CheckResult> result;
+        this->client.checkRevision(
+            "k", expected, Clock::now() + 2s, [&](const store::CheckResult& received) { result = received; });
+        require(waitUntil([&] { return result.has_value(); }, 3s), "no result");
+        return *result;
+    }
+};
+
+const QJsonObject emptyChanges { { "events", QJsonArray() }, { "current_rev", 7 } };
+
+}
+
+Test(revision, risesWithTheEraAndKeepsItsPlaceWithinIt)
+{
+    const auto former = store::revisionInEra(1, 900);
+    const auto later = store::revisionInEra(2, 3);
+    cr_assert_gt(later, former);
+    cr_assert_eq(store::eraOf(later), 2);
+    cr_assert_eq(store::revisionWithinEra(later), 3);
+    cr_assert_eq(store::revisionInEra(2, 0), 0, "0 names no content");
+    cr_assert_eq(store::revisionInEra(0, 900), 900);
+    cr_assert_lt(store::revisionInEra(store::maxEra, 900), int64_t { 1 } << 53);
+}
+
+Test(storeClient, watchAcrossAReturnOfTheStoreHasNoHistory)
+{
+    ScriptedStore store;
+    store.answer("3", emptyChanges);
+    const auto same = store.watch(store::revisionInEra(3, 6));
+    cr_assert_eq(std::get<store::Changes>(same).revision, store::revisionInEra(3, 7));
+    cr_assert(store.lastTarget.find("after=6&") != std::string::npos, "%s", store.lastTarget.c_str());
+    cr_assert(std::holds_alternative<store::HistoryGone>(store.watch(store::revisionInEra(2, 6))));
+    cr_assert(std::holds_alternative<store::HistoryGone>(store.watch(store::revisionInEra(1, 6))));
+    cr_assert(std::holds_alternative<store::StoreFailure>(store.watch(store::revisionInEra(4, 6))));
+}
+
+Test(storeClient, reusedRevisionIsNotTakenForUnchanged)
+{
+    ScriptedStore store;
+    store.answer("2", { { "revision", 9 } });
+    cr_assert(std::holds_alternative<store::Unchanged>(store.check(store::revisionInEra(2, 5))));
+    cr_assert(store.lastBody.find("\"revision\":5") != std::string::npos, "%s", store.lastBody.c_str());
+    cr_assert(std::holds_alternative<store::HistoryGone>(store.check(store::revisionInEra(1, 5))));
+    cr_assert(std::holds_alternative<store::StoreFailure>(store.check(store::revisionInEra(3, 5))));
+    const QJsonArray items { QJsonObject { { "key", "k" }, { "value", "" }, { "revision", 4 } } };
+    store.answer("2", { { "items", items } }, 412);
+    const auto conflict = std::get<store::Conflict>(store.check(store::revisionInEra(1, 5)));
+    cr_assert_eq(conflict.current.modRevision, store::revisionInEra(2, 4));
+}
+
+Test(storeClient, answerWithoutAReadableEraIsNoAnswerOfTheStore)
+{
+    ScriptedStore store;
+    for (const auto* era : { "", "x", "-1", "1.5", "99999999999" }) {
+        store.answer(era, emptyChanges);
+        cr_assert(std::holds_alternative<store::StoreFailure>(store.watch(store::revisionInEra(1, 6))), "%s", era);
+    }
+    store.answer("", {}, 503);
+    cr_assert_eq(
+        std::get<store::StoreFailure>(store.watch(store::revisionInEra(1, 6))), store::StoreFailure::NotExecuted);
+    store.answer("", emptyChanges);
+    cr_assert_eq(std::get<store::Changes>(store.watch(6)).revision, 7, "a store that counts no eras");
+}
