Give up leases when the store returns from an older copy

Cause: leases that were granted in the lost seconds do not exist any more, and their ids may be granted again to others. A leader whose renewals succeed on such an id goes on, while another one may be elected; ending such a lease removes another instance's records. An instance noticed the loss of its record only by a whole read that listed the record before. Class: an identity from before a return, used after it. Change: on a return, the leader ends its leadership and instances register again, without ending their former leases; a registration that was under way is repeated; the leader confirms replaced weights again. A lost claim of a version keeps its version, and its record is written anew with the next one; before, no claim of a later version could succeed. Ruled out: keeping leadership where the key survived in the copy, which saves one lease time of a roll-out and needs a proof that the lease is the same one. Conclusion: no lease is used across a return that this instance knows of. Between the return and that, at most about a second, a renewal may extend another's lease once.

--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -92,11 +92,8 @@
     this->source.onServiceFollowed = [this] { this->sync.checkRevisionNow(); };
     this->registry.onAddressReleased = [this](const std::string& address) { this->peers.drop(address); };
     this->sync.onProgress = [this] { this->relay.answerPendingQueries(); };
-    this->sync.onWholeRead = [this] {
-        const auto* leaderKey = weights::WeightsRollout::leaderKey;
-        this->rollout.applyLeaderKeyState(this->sync.hasFollowedRecord(leaderKey));
-        this->quarantine.update();
-    };
+    this->sync.onWholeRead = [this] { this->onWholeRead(); };
+    this->sync.onStoreReturned = [this] { this->onStoreReturned(); };
     this->server.onRefusal = [this](ErrorKind kind) {
         this->metrics.failed(kind).Increment();
         observe::logRequest(observe::RequestOutcome::Refused,
@@ -177,6 +174,18 @@
         this->rollout.applyRecord(record, exists);
 }
 
+void ForwardingDaemon::onStoreReturned()
+{
+    this->registry.onStoreReturned();
+    this->rollout.onStoreReturned();
+}
+
+void ForwardingDaemon::onWholeRead()
+{
+    this->rollout.applyLeaderKeyState(this->sync.hasFollowedRecord(weights::WeightsRollout::leaderKey));
+    this->quarantine.update();
+}
+
 void ForwardingDaemon::applyRoutes()
 {
     const auto& limits = this->directory.routes()->limits();
--- a/src/daemon/ForwardingDaemon.h
+++ b/src/daemon/ForwardingDaemon.h
@@ -46,6 +46,8 @@
     Status startPeers();
     void onPeerMessage(const pb::PeerMessage& message);
     void onOwnRecord(const store::KeyValue& record, bool exists);
+    void onStoreReturned();
+    void onWholeRead();
     void applyRoutes();
     bool isReady() const;
     void updateReadiness();
--- a/src/relay/InstanceRegistry.cpp
+++ b/src/relay/InstanceRegistry.cpp
@@ -92,6 +92,18 @@
     this->ranking.add(*peer);
 }
 
+void InstanceRegistry::onStoreReturned()
+{
+    if (this->isStopping)
+        return;
+    this->isRegistrationOutdated = this->isRegistering;
+    // The lease is not ended: another instance may have been granted one under the same id.
+    this->lease.reset();
+    this->renewalTimer.stop();
+    if (!this->isRegistering)
+        this->registerTimer.start(this->randomJitter());
+}
+
 void InstanceRegistry::removeInstance(const std::string& instance)
 {
     const auto address = this->ranking.findAddress(instance);
@@ -135,6 +147,10 @@
                 return;
             }
             this->isRegistering = false;
+            if (std::exchange(this->isRegistrationOutdated, false)) {
+                this->registerTimer.start(this->randomJitter());
+                return;
+            }
             this->lease = granted;
             this->renewalTimer.start(this->timings.renewalInterval);
             logChange(LogLevel::Info, "instance registered", { { "address", this->ranking.own().address } });
@@ -145,6 +161,7 @@
 {
     logChange(LogLevel::Warning, "instance registration failed", { { "reason", reason } });
     this->isRegistering = false;
+    this->isRegistrationOutdated = false;
     this->registerTimer.start(retryBackoff + this->randomJitter());
 }
 
@@ -153,8 +170,9 @@
     if (!this->lease)
         return;
     this->metrics.platformCalls.Increment();
-    this->store.renewLease(*this->lease, Clock::now() + callTimeout, [this](const store::LeaseResult& result) {
-        if (this->isStopping || !this->lease)
+    const auto renewed = *this->lease;
+    this->store.renewLease(renewed, Clock::now() + callTimeout, [this, renewed](const store::LeaseResult& result) {
+        if (this->isStopping || this->lease != renewed)
             return;
         // The record is removed along with an expired lease; onRecord() then registers again.
         const bool isRenewed = std::holds_alternative<int64_t>(result);
--- a/src/relay/InstanceRegistry.h
+++ b/src/relay/InstanceRegistry.h
@@ -35,6 +35,8 @@
     void stop();
     /// Applies a record below keyPrefix that was written (@p exists) or removed.
     void onRecord(const store::KeyValue& record, bool exists);
+    /// Registers again, because the platform's service has returned from an older copy.
+    void onStoreReturned();
     /// Called when an instance has left @p address; the address may be assigned to another instance afterwards.
     std::function<void(const std::string& address)> onAddressReleased;
 
@@ -54,6 +56,7 @@
     RegistrationTimings timings;
     std::optional<int64_t> lease; ///< lease of this instance's record; empty while it is not registered
     bool isRegistering = false;
+    bool isRegistrationOutdated = false; ///< the registration in progress may have begun before the service returned
     bool isStopping = false;
     QTimer registerTimer;
     QTimer renewalTimer;
--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -71,9 +71,13 @@
     }
     if (key.starts_with(confirmedForPrefix)) {
         auto& confirmed = this->confirmedFor[key.substr(confirmedForPrefix.size())];
-        if (record.modRevision > confirmed.revision && exists)
-            confirmed = { std::strtoull(record.value.c_str(), nullptr, 10), record.modRevision, std::nullopt,
-                confirmed.nextClaimAt };
+        const auto version = std::strtoull(record.value.c_str(), nullptr, 10);
+        if (!exists)
+            confirmed.revision = 0; // the version stays: it was confirmed, whether or not the record was lost
+        else if (version < confirmed.version)
+            confirmed.revision = record.modRevision; // an older copy
+        else if (record.modRevision > confirmed.revision)
+            confirmed = { version, record.modRevision, std::nullopt, confirmed.nextClaimAt };
         return;
     }
     const auto slash = key.rfind('/');
@@ -270,6 +274,14 @@
         acquireBackoff + std::chrono::milliseconds(QRandomGenerator::global()->bounded(acquireJitterMs)));
 }
 
+void WeightsRollout::onStoreReturned()
+{
+    this->confirmedKeys.clear();
+    // The lease is not ended: another instance may have been granted one under the same id.
+    if (this->leadership.current())
+        this->endLeadership("the platform's store has returned from an older copy");
+}
+
 void WeightsRollout::scheduleRollout()
 {
     const bool hasWork = this->hasOutdatedEngines() || this->hasUnclaimedVersions();
--- a/src/weights/WeightsRollout.h
+++ b/src/weights/WeightsRollout.h
@@ -46,6 +46,8 @@
     void applyRecord(const store::KeyValue& record, bool exists);
     /// Applies whether the leader key exists.
     void applyLeaderKeyState(bool exists);
+    /// Ends leadership and forgets what was written, because the platform's service has returned from an older copy.
+    void onStoreReturned();
     /// Schedules a rollout step if this instance is the leader and some engine is outdated. To be called when
     /// the wanted weights or those of a target have changed.
     void scheduleRollout();
--- a/tests/RelayTest.cpp
+++ b/tests/RelayTest.cpp
@@ -587,6 +587,32 @@
     cr_assert(store.renewals.empty());
 }
 
+Test(instanceRegistry, instanceRegistersAgainAfterTheStoreReturnedAndLeavesItsFormerLeaseAlone)
+{
+    Follower follower;
+    FakeRegistryStore store;
+    InstanceRegistry registry(store, follower.ranking, follower.metrics, { 60s, 30ms, 0ms });
+    registry.start();
+    cr_assert(waitUntil([&] { return store.grants.size() == 1; }, 1s));
+    store.grants.front()(int64_t { 7 });
+    store.puts.front()(Success {});
+    cr_assert(waitUntil([&] { return store.renewals.size() == 1; }, 1s));
+    registry.onStoreReturned();
+    store.renewals.front()(int64_t { 7 }); // the id may be that of another instance's lease by now
+    cr_assert(waitUntil([&] { return store.grants.size() == 2; }, 1s));
+    runFor(100ms);
+    cr_assert_eq(store.renewals.size(), 1);
+    cr_assert(store.endedLeases.empty());
+    // A registration that began before a return is repeated after it.
+    registry.onStoreReturned();
+    store.grants.back()(int64_t { 8 });
+    store.puts.back()(Success {});
+    cr_assert(waitUntil([&] { return store.grants.size() == 3; }, 1s));
+    store.grants.back()(int64_t { 9 });
+    store.puts.back()(Success {});
+    cr_assert(waitUntil([&] { return store.renewals.size() == 2; }, 1s));
+}
+
 Test(instanceRegistry, registrationInProgressIsUndoneOnStop)
 {
     Follower follower;
--- a/tests/WeightsPartsTest.cpp
+++ b/tests/WeightsPartsTest.cpp
@@ -12,6 +12,7 @@
 
 using namespace dragonfly;
 using namespace dragonfly::weights;
+using testing::require;
 using namespace std::chrono_literals;
 
 namespace {
@@ -159,12 +160,15 @@
     int refusedConfirmations = 0; ///< how many writes of confirmations are refused
     int refusedClaims = 0;
     int claims = 0;
+    int endedLeases = 0;
+    int acquisitions = 0; ///< of leadership
     std::set<std::string> written;
 
     void compareAndSwapLeased(const std::string&, int64_t, const std::string&, int64_t, Deadline,
         std::function<void(store::LeasedSwapResult)> done) override
     {
         this->isLeader = true;
+        ++this->acquisitions;
         done(store::Swapped { ++this->revision });
     }
     void compareAndSwap(const std::string& key, int64_t expected, const std::string& value, Deadline,
@@ -207,6 +211,7 @@
     }
     void endLease(int64_t, Deadline, std::function<void(store::WriteResult)>) override
     {
+        ++this->endedLeases;
     }
     void read(const std::vector<store::ReadRequest>&, Deadline, std::function<void(store::ReadResult)>) override
     {
@@ -314,3 +319,28 @@
     next.applyLeaderKeyState(false);
     cr_assert_not(fixture.isConfirmed(), "confirmed weights of unknown age that an earlier leader saw replaced");
 }
+
+Test(weightsRollout, leaderOfAStoreThatReturnedBeginsAnewAndLeavesItsFormerLeaseAlone)
+{
+    RolloutFixture fixture;
+    fixture.lead();
+    require(fixture.isConfirmed(), "not a leader");
+    fixture.rollout.onStoreReturned();
+    fixture.store.written.clear();
+    fixture.rollout.applyRecord({ "dragonfly/confirmed-for/m", {}, 0 }, false);
+    fixture.rollout.applyLeaderKeyState(false);
+    cr_assert(testing::waitUntil([&] { return fixture.store.acquisitions == 2; }, 3s));
+    cr_assert_eq(fixture.store.endedLeases, 0);
+    cr_assert(fixture.isConfirmed(), "the confirmation may be lost");
+}
+
+Test(weightsRollout, versionThatWasClaimedBeforeTheStoreLostTheClaimIsNotClaimedAgain)
+{
+    RolloutFixture fixture;
+    fixture.lead();
+    require(fixture.isConfirmed(), "not a leader");
+    const auto claims = fixture.store.claims;
+    fixture.rollout.applyRecord({ "dragonfly/confirmed-for/m", "1", store::revisionInEra(1, 3) }, true);
+    testing::runFor(1500ms);
+    cr_assert_eq(fixture.store.claims, claims);
+}
