Keep evidence against prompt parts when the store loses it

Callers of sound requests would see engines end again: a store that returns from a copy without the reports on ended targets lifts the quarantine of the part that ended them, at all instances at once. Cause: a record that is missing from a whole read counts as removed. Class: absence taken for a decision to remove. Change: a record that was lost in a return stays in force; the instance that wrote a report writes it again, under a new lease, and it keeps its first revision and so its place before or after proofs. Proofs of soundness are not written again, because a later revision would clear later reports; the part's next answer proves it anew. Conclusion: what instances that start after the return do not learn: reports of instances that ended meanwhile.

--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -94,6 +94,7 @@
     this->sync.onProgress = [this] { this->relay.answerPendingQueries(); };
     this->sync.onWholeRead = [this] { this->onWholeRead(); };
     this->sync.onStoreReturned = [this] { this->onStoreReturned(); };
+    this->sync.onFollowedRecordLost = [this](const std::string& key) { this->onOwnRecordLost(key); };
     this->server.onRefusal = [this](ErrorKind kind) {
         this->metrics.failed(kind).Increment();
         observe::logRequest(observe::RequestOutcome::Refused,
@@ -176,13 +177,23 @@
 
 void ForwardingDaemon::onStoreReturned()
 {
+    this->isStoreReturned = true;
     this->registry.onStoreReturned();
     this->rollout.onStoreReturned();
+    this->quarantine.onStoreReturned();
+}
+
+void ForwardingDaemon::onOwnRecordLost(const std::string& key)
+{
+    if (!this->quarantine.onRecordLost(key))
+        this->onOwnRecord({ key, {}, 0 }, false);
 }
 
 void ForwardingDaemon::onWholeRead()
 {
     this->rollout.applyLeaderKeyState(this->sync.hasFollowedRecord(weights::WeightsRollout::leaderKey));
+    if (std::exchange(this->isStoreReturned, false))
+        this->quarantine.publishMissing([this](const std::string& key) { return this->sync.hasFollowedRecord(key); });
     this->quarantine.update();
 }
 
--- a/src/daemon/ForwardingDaemon.h
+++ b/src/daemon/ForwardingDaemon.h
@@ -47,6 +47,7 @@
     void onPeerMessage(const pb::PeerMessage& message);
     void onOwnRecord(const store::KeyValue& record, bool exists);
     void onStoreReturned();
+    void onOwnRecordLost(const std::string& key);
     void onWholeRead();
     void applyRoutes();
     bool isReady() const;
@@ -84,6 +85,7 @@
     QTimer suspensionTimer;
     std::chrono::nanoseconds observedSuspension { 0 }; ///< suspendedTime() when the deadlines were last updated
     QDateTime settingsModifiedAt; ///< modification time of the settings file when it was last read
+    bool isStoreReturned = false; ///< since the last whole read
     Phase phase = Phase::Serving;
     bool wasReady = false;
 };
--- a/src/quarantine/PromptEvidence.cpp
+++ b/src/quarantine/PromptEvidence.cpp
@@ -39,7 +39,7 @@
         kept.sequence = ++this->lastSequence;
     this->requestCount += report.beginning.size() - kept.content.beginning.size();
     kept.content = report;
-    if (revision)
+    if (!kept.revision)
         kept.revision = revision;
     while (this->requestCount > maxKeptRequests)
         this->dropOldest();
@@ -86,7 +86,13 @@
     if (this->publishedSound.size() >= maxProofs && !this->publishedSound.contains(part))
         this->publishedSound.erase(this->publishedSound.begin());
     auto& known = this->publishedSound[part];
-    known = std::max(known, revision);
+    known = { std::max(known.revision, revision), false };
+}
+
+void PromptEvidence::recordLostProof(PartHash part)
+{
+    if (const auto found = this->publishedSound.find(part); found != this->publishedSound.end())
+        found->second.isLost = true;
 }
 
 void PromptEvidence::removePublishedSound(PartHash part)
@@ -97,7 +103,7 @@
 bool PromptEvidence::isClearedByPublication(PartHash part, const Report& report) const
 {
     const auto proof = this->publishedSound.find(part);
-    return proof != this->publishedSound.end() && report.revision && *report.revision < proof->second;
+    return proof != this->publishedSound.end() && report.revision && *report.revision < proof->second.revision;
 }
 
 bool PromptEvidence::isCleared(PartHash part, const Report& report) const
@@ -123,7 +129,9 @@
                 auto& unpublished = this->unpublishedEnds[part];
                 if (soundThere.contains(part))
                     continue;
-                if (!this->isClearedByPublication(part, report))
+                const auto proof = this->publishedSound.find(part);
+                const bool isProofLost = proof != this->publishedSound.end() && proof->second.isLost;
+                if (isProofLost || !this->isClearedByPublication(part, report))
                     unpublished.insert(incarnation);
                 if (!this->isCleared(part, report))
                     this->evidence[part].requestsByEnd[incarnation].insert(request.request);
@@ -222,6 +230,16 @@
     });
 }
 
+std::vector<std::pair<std::string, TargetEndReport>> PromptEvidence::reportsUnder(std::string_view keyPrefix) const
+{
+    std::vector<std::pair<std::string, TargetEndReport>> found;
+    for (const auto& [key, report] : this->reports) {
+        if (key.starts_with(keyPrefix))
+            found.emplace_back(key, report.content);
+    }
+    return found;
+}
+
 std::optional<PartHash> PromptEvidence::findSuspected(
     std::span<const PartHash> parts, uint64_t request, const Incarnation& incarnation) const
 {
--- a/src/quarantine/PromptEvidence.h
+++ b/src/quarantine/PromptEvidence.h
@@ -66,7 +66,8 @@
 
 class PromptEvidence {
 public:
-    /// Adds the report stored under @p key, or updates the revision of a known one.
+    /// Adds the report stored under @p key, or sets the revision of a known one. A report that is written again keeps
+    /// the revision that it had first, and so its place before or after proofs.
     /// @param revision of the record; nullopt if the instance's own report is not written yet
     void add(const std::string& key, const TargetEndReport& report, std::optional<int64_t> revision);
     void remove(const std::string& key);
@@ -74,6 +75,8 @@
     void recordSound(PartHash part);
     /// Records a published proof of soundness: reports with a lower revision are cleared of @p part.
     void recordPublishedSound(PartHash part, int64_t revision);
+    /// Records that the published proof of @p part was lost: it still clears the reports before it, but only here.
+    void recordLostProof(PartHash part);
     /// Forgets the published proof, whose record was removed.
     void removePublishedSound(PartHash part);
 
@@ -96,6 +99,8 @@
     /// beginning when @p incarnation ended, may be the cause. Returns the part.
     std::optional<PartHash> findSuspected(
         std::span<const PartHash> parts, uint64_t request, const Incarnation& incarnation) const;
+    /// The reports whose keys begin with @p keyPrefix.
+    std::vector<std::pair<std::string, TargetEndReport>> reportsUnder(std::string_view keyPrefix) const;
     /// Whether any report names @p part, cleared or not.
     bool isReported(PartHash part) const
     {
@@ -135,6 +140,11 @@
         bool isFormerlySound = false;
     };
 
+    struct PublishedProof {
+        int64_t revision = 0; ///< of the part's record
+        bool isLost = false; ///< the record does not exist any more
+    };
+
     bool isClearedByPublication(PartHash part, const Report& report) const;
     bool isCleared(PartHash part, const Report& report) const;
     void collectEvidence();
@@ -145,7 +155,7 @@
     size_t requestCount = 0; ///< beginning requests in all reports
     uint64_t lastSequence = 0;
     std::unordered_map<PartHash, uint64_t> soundHere; ///< the last sequence at each part's latest proof
-    std::unordered_map<PartHash, int64_t> publishedSound; ///< revision of each part's record
+    std::unordered_map<PartHash, PublishedProof> publishedSound;
     std::unordered_map<PartHash, PartEvidence> evidence; ///< as of the latest update()
     std::unordered_map<PartHash, std::set<Incarnation>> unpublishedEnds; ///< as of the latest update()
     std::map<PartHash, QuarantinedPart> quarantined;
--- a/src/quarantine/PromptQuarantine.cpp
+++ b/src/quarantine/PromptQuarantine.cpp
@@ -115,6 +115,7 @@
         const auto report = exists ? fromRecord(record.value) : std::nullopt;
         if (exists && !report)
             logChange(LogLevel::Warning, "invalid report on an ended target refused", { { "key", record.key } });
+        this->lostReports.erase(record.key);
         if (report)
             this->evidence.add(record.key, *report, record.modRevision);
         else
@@ -134,6 +135,45 @@
     return true;
 }
 
+void PromptQuarantine::onStoreReturned()
+{
+    this->reportPublisher.onStoreReturned();
+    this->soundPublisher.onStoreReturned();
+}
+
+bool PromptQuarantine::onRecordLost(const std::string& key)
+{
+    if (key.starts_with(reportPrefix)) {
+        // The instance that reported the end writes its report again, if it still runs. No lease ends one that is lost.
+        this->lostReports.insert(key);
+        QTimer::singleShot(reportTtl, this, [this, key] { this->expireLostReport(key); });
+        return true;
+    }
+    if (!key.starts_with(soundPrefix))
+        return false;
+    // Not written again, since a later revision would clear later reports too: the part's next answer proves it anew.
+    if (const auto part = parsePart(std::string_view(key).substr(soundPrefix.size())))
+        this->evidence.recordLostProof(*part);
+    this->scheduleUpdate();
+    return true;
+}
+
+void PromptQuarantine::expireLostReport(const std::string& key)
+{
+    if (!this->lostReports.erase(key))
+        return;
+    this->evidence.remove(key);
+    this->scheduleUpdate();
+}
+
+void PromptQuarantine::publishMissing(const std::function<bool(const std::string& key)>& exists)
+{
+    for (const auto& [key, report] : this->evidence.reportsUnder(this->reportKeyPrefix)) {
+        if (!exists(key))
+            this->reportPublisher.write(key, toRecord(report));
+    }
+}
+
 void PromptQuarantine::onAttemptBroken(const BrokenAttempt& attempt)
 {
     if (attempt.parts.empty())
--- a/src/quarantine/PromptQuarantine.h
+++ b/src/quarantine/PromptQuarantine.h
@@ -42,6 +42,13 @@
     /// Applies a record that was written (@p exists) or removed. Returns false if it is not one of this module.
     bool applyRecord(const store::KeyValue& record, bool exists);
 
+    /// To be called when the service has returned from an older copy.
+    void onStoreReturned();
+    /// Keeps what a record said that the service lost in such a return. Returns false if it is not one of this module.
+    bool onRecordLost(const std::string& key);
+    /// Publishes those reports of this instance again that do not exist.
+    void publishMissing(const std::function<bool(const std::string& key)>& exists);
+
     void onAttemptBroken(const BrokenAttempt& attempt);
     /// To be called when a target has proved that it can answer a prompt with @p parts.
     void onSound(const std::vector<PartHash>& parts);
@@ -84,6 +91,7 @@
     void report(const Incarnation& incarnation, const Gathering& gathering);
     void withdrawIfRegistered(const std::string& key, const Incarnation& incarnation);
     void onRecordDone(const std::string& key, bool isWritten);
+    void expireLostReport(const std::string& key);
     void publishSound(PartHash part);
     Clock::time_point firstTrialAt(PartHash part, Clock::time_point now) const;
     void scheduleUpdate();
@@ -95,6 +103,7 @@
     RecordPublisher reportPublisher;
     RecordPublisher soundPublisher;
     std::map<Incarnation, Gathering> gatherings;
+    std::set<std::string> lostReports; ///< keys of reports that the service lost and that were not written again yet
     std::set<PartHash> soundInProgress; ///< parts whose proof is scheduled or being written
     std::map<PartHash, Clock::time_point> nextTrials; ///< of the quarantined parts that may be told from others
     /// Distinguishes the keys of this process from those of an earlier one of the same instance.
--- a/src/quarantine/RecordPublisher.h
+++ b/src/quarantine/RecordPublisher.h
@@ -34,6 +34,11 @@
     void write(const std::string& key, const std::string& value);
     /// Removes @p key soon, after the writes that wait.
     void remove(const std::string& key);
+    /// To be called when the service has returned from an older copy, which may have granted the lease to others.
+    void onStoreReturned()
+    {
+        this->lease.reset();
+    }
     /// Called once for each record to be written: whether it was.
     std::function<void(const std::string& key, bool isWritten)> onDone;
 
--- a/tests/QuarantinePartsTest.cpp
+++ b/tests/QuarantinePartsTest.cpp
@@ -766,3 +766,66 @@
     head.status = 500;
     cr_assert_not(provesSoundness(head));
 }
+
+Test(promptEvidence, lostProofStillClearsTheReportsBeforeItAndIsWorthPublishingAgain)
+{
+    Reports reports;
+    for (const auto* target : { "a", "b", "c" })
+        reports.add(target, { { bad } });
+    reports.evidence.recordPublishedSound(bad, ++reports.revision);
+    reports.evidence.update();
+    cr_assert_not(reports.isQuarantined(bad));
+    cr_assert_eq(reports.evidence.endsWithoutPublishedProof(bad), 0);
+    reports.evidence.recordLostProof(bad);
+    reports.evidence.update();
+    cr_assert_not(reports.isQuarantined(bad));
+    cr_assert_eq(reports.evidence.endsWithoutPublishedProof(bad), 3);
+}
+
+Test(promptEvidence, reportThatIsWrittenAgainStaysBeforeTheProofThatClearedIt)
+{
+    Reports reports;
+    const auto write = [&](int64_t firstRevision) {
+        for (const auto* target : { "a", "b", "c" })
+            reports.evidence.add(target, { { target, 1 }, { { ++reports.requests, { bad } } }, {}, {} }, firstRevision);
+    };
+    write(store::revisionInEra(1, 10));
+    reports.evidence.recordPublishedSound(bad, store::revisionInEra(1, 20));
+    write(store::revisionInEra(2, 5));
+    reports.evidence.update();
+    cr_assert_not(reports.isQuarantined(bad));
+}
+
+Test(promptQuarantine, reportsThatTheStoreLostStayInForceAndOwnOnesArePublishedAgain)
+{
+    QuarantineSite site;
+    auto& quarantine = site.quarantine;
+    for (const auto* target : { "a", "b" })
+        site.breakAttempt(target, std::string("r") + target, { bad });
+    site.grantAll();
+    const auto answerPut = [&](size_t number) {
+        cr_assert(waitUntil([&] { return site.store.puts.size() > number; }, 2s));
+        std::exchange(site.store.puts[number], {})(Success {});
+    };
+    answerPut(0);
+    answerPut(1);
+    const auto foreign = std::string(PromptQuarantine::reportPrefix) + "two/1";
+    const TargetEndReport report { { "c", 1 }, { { 9, { bad } } }, {}, {} };
+    cr_assert(quarantine.applyRecord({ foreign, toRecord(report), 3 }, true));
+    quarantine.update();
+    cr_assert(quarantine.findQuarantined({ bad }).has_value());
+    quarantine.onStoreReturned();
+    const auto own = site.store.writes[0].key;
+    cr_assert(quarantine.onRecordLost(own));
+    cr_assert(quarantine.onRecordLost(foreign));
+    cr_assert_not(quarantine.onRecordLost("dragonfly/order-holder"));
+    quarantine.publishMissing([&](const std::string& key) { return key != own; });
+    quarantine.update();
+    cr_assert(quarantine.findQuarantined({ bad }).has_value());
+    // Under a new lease: the former one may be another instance's.
+    cr_assert(waitUntil([&] { return site.store.grants.size() == 2; }, 2s));
+    site.store.grants.back()(int64_t { 6 });
+    cr_assert(waitUntil([&] { return site.store.writes.size() == 3; }, 2s));
+    cr_assert_eq(site.store.writes[2].key, own);
+    cr_assert_eq(site.store.writes[2].lease, 6);
+}
--- a/tests/QuarantineTest.cpp
+++ b/tests/QuarantineTest.cpp
@@ -266,3 +266,36 @@
     for (const auto& request : site.sound)
         cr_assert_not(isQuarantined(request.answer));
 }
+
+Test(quarantine, partStaysRefusedWhenTheStoreReturnsWithoutTheReports, .timeout = 90)
+{
+    CrashSite site;
+    site.site.controlStore({ { "save", true } });
+    site.play(1s, false);
+    site.play(5s, true);
+    site.waitForAnswers();
+    QJsonArray formerEngines;
+    for (size_t engine = 0; engine < engines; ++engine)
+        formerEngines.append("servers/engine-" + QString::number(engine));
+    site.site.controlStore({ { "restore", true }, { "as_if_lost", formerEngines } });
+    // Engines register again within about two seconds.
+    for (const auto& engine : site.site.engines)
+        control(engine->address("control"), { { "draining", false } });
+    const auto hasRead = [&](size_t entry) {
+        const auto status = get(site.site.entries[entry]->address("admin"), "/status");
+        return waitFor(status) && status->json()["platform_era"].toInt() == 2
+            && status->json()["platform_reachable"].toBool();
+    };
+    for (size_t entry = 0; entry < instances; ++entry)
+        require(waitUntil([&] { return hasRead(entry); }, 10s), "the returned store was not read");
+    runFor(2s); // reports are published at a bounded rate
+    site.waitForEngines();
+    site.site.restartEntry(0);
+    const auto reached = site.times("deadly_arrivals").size();
+    for (size_t entry = 0; entry < instances; ++entry) {
+        const auto answer = site.sendDeadly(entry);
+        require(waitFor(answer), "no answer");
+        cr_assert(isQuarantined(answer), "instance %zu: %d", entry, answer->status);
+    }
+    cr_assert_eq(site.times("deadly_arrivals").size(), reached);
+}
