Notice a return of the store during the first read

Cause: an instance that had read some pages when the store returned took the new era for the first that it saw, so its registration, written before and lost, was not repeated: peers did not know the instance until its process ended. Change: only a store that did not count returns before is new. Ruled out: repeating registrations on each failed renewal, which a refusing store would multiply. Conclusion: found by reading.

--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -319,7 +319,7 @@
 void DirectorySync::enterEra(int64_t newEra)
 {
     const auto former = std::exchange(this->era, newEra);
-    if (!this->watchedRevision)
+    if (!former && !this->watchedRevision)
         return; // nothing was known before
     logChange(LogLevel::Warning, "the platform's store has returned from an older copy",
         { { "era", std::to_string(newEra) }, { "former_era", std::to_string(former) },
--- a/tests/DirectoryTest.cpp
+++ b/tests/DirectoryTest.cpp
@@ -612,3 +612,23 @@
     cr_assert(fixture.sync.isReachable());
     cr_assert_eq(fixture.directory.targets().contains("d"), false, "its record was lost");
 }
+
+Test(directorySync, returnDuringTheFirstReadIsReported)
+{
+    Fixture fixture;
+    int returns = 0;
+    fixture.sync.onStoreReturned = [&] { ++returns; };
+    fixture.store.set("config", "4");
+    fixture.store.set("targets/a", "ready");
+    fixture.store.returnToCopy(); // so that the store counts eras
+    fixture.store.set("config", "4");
+    fixture.store.save();
+    int pages = 0;
+    fixture.store.onPageRead = [&] {
+        if (++pages == 2)
+            fixture.store.returnToCopy();
+    };
+    fixture.sync.start();
+    cr_assert(waitUntil([&] { return fixture.version() == 4; }, 3s));
+    cr_assert_eq(returns, 1);
+}
