Log only notable changes of a request limit

Cause: a target may name another limit in each answer, and each change wrote a line. Ruled out: a bound by time, which would hide the value that holds. Conclusion: bounded as the other logs.

--- a/src/limits/RequestLimits.cpp
+++ b/src/limits/RequestLimits.cpp
@@ -3,6 +3,7 @@
 #include "observe/Log.h"
 
 #include <QRandomGenerator>
+#include <algorithm>
 #include <utility>
 
 namespace dragonfly::limits {
@@ -16,6 +17,8 @@
     constexpr std::chrono::hours maxUnusedTime { 1 };
     /// Instances learn of each other within about a second.
     constexpr std::chrono::milliseconds shareRefreshInterval { 1000 };
+    /// A limit may change with each answer; changes by less than this factor since the last log line are not logged.
+    constexpr double loggedChangeFactor = 1.25;
 
     directory::Incarnation incarnationOf(const directory::Registration& target)
     {
@@ -75,6 +78,10 @@
     this->updateShare(entry, target, now);
     if (!former)
         entry.schedule = startSchedule(entry.share, now, this->random());
+    const auto [lower, higher] = std::minmax(entry.loggedPerSecond, *perSecond);
+    if (former && higher <= lower * loggedChangeFactor)
+        return;
+    entry.loggedPerSecond = *perSecond;
     logChange(LogLevel::Info, "target limits requests",
         { { "target", target.id }, { "per_s", toText(perSecond) }, { "former_per_s", toText(former) },
             { "share_per_s", std::to_string(entry.share.perSecond) },
--- a/src/limits/RequestLimits.h
+++ b/src/limits/RequestLimits.h
@@ -42,6 +42,7 @@
         std::optional<double> perSecond; ///< the limit in force; unset if there is none
         Clock::time_point namedAt; ///< when an answer last named a limit
         bool isInvalidLogged = false;
+        double loggedPerSecond = 0; ///< the value of the limit in the latest log line
         SendShare share; ///< in the limit in force, as are the members below
         Deadline shareUntil; ///< the share is computed again then, from the instances known by that time
         SendSchedule schedule;
