--- a/src/quarantine/PromptQuarantine.cpp
+++ b/src/quarantine/PromptQuarantine.cpp
@@ -151,7 +151,7 @@
     }
     if (!key.starts_with(soundPrefix))
         return false;
-    // Not written again, since a later revision would clear later reports too: the part's next answer proves it anew.
+    // Not written again: a later revision would clear later reports too. The next answer to the part publishes a proof.
     if (const auto part = parsePart(std::string_view(key).substr(soundPrefix.size())))
         this->evidence.recordLostProof(*part);
     this->scheduleUpdate();
