Refuse or bound numbers of records that do not fit

What callers saw: a target record with "slots" or 1e300, "seq" of 2^63 or a model's version 1e19 was taken with these numbers cut or turned to 0. A "seq" of 0 switches the check for older records off, a version of 0 makes an engine look outdated. In the configuration, "timeout_ms" 1e300 became a deadline in the past, with which each request of the route would fail, and a priority or weight above 2^32 became another one.

Cause: numberField() checked that a number is whole, then let Qt convert it, which yields 0 for what does not fit; static_cast<uint32_t> cut without a check, value_or(0) hid values of other types, and millisecondsField() handed any number to llround(), whose result is undefined beyond 2^63.

Other numbers of the configuration are bounded instead: the largest stands for one that is too large, which is what it says, and the default for any other. Refusing the whole would cost all callers with keys their service, because an instance that cannot read the newest configuration can verify no key. The event "numbers of the configuration replaced" names the fields.

--- a/src/directory/Deployment.h
+++ b/src/directory/Deployment.h
@@ -81,6 +81,8 @@
     std::vector<Service> services;
     std::vector<Organisation> organisations; ///< empty: no request needs a key
     CallerLimits limits;
+    /// Names of the fields with a number that cannot be held, for which the nearest one or a default stands.
+    std::vector<std::string> replacedNumbers;
 };
 
 }
--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -49,6 +49,15 @@
 
 DirectorySync::DirectorySync(
     store::RecordSource& records, const RecordDecoder& decoder, Directory& directory, observe::Metrics& metrics)
+    std::string listOf(const std::vector<std::string>& names)
+    {
+        constexpr size_t maxListed = 8;
+        std::string text;
+        for (size_t i = 0; i < std::min(names.size(), maxListed); ++i)
+            text += (text.empty() ? "" : ", ") + names[i];
+        return names.size() > maxListed ? text + ", ..." : text;
+    }
+
     : records(records)
     , decoder(decoder)
     , directory(directory)
@@ -368,6 +377,10 @@
         const auto inForce = this->directory.routes()->version();
         this->metrics.configRevision.Set(static_cast<double>(inForce));
         this->isRecordInForce = version == inForce;
+        if (const auto& replaced = std::get<Deployment>(decoded).replacedNumbers; !replaced.empty())
+            logChange(LogLevel::Error, "numbers of the configuration replaced",
+                { { "version", std::to_string(version) }, { "count", std::to_string(replaced.size()) },
+                    { "fields", listOf(replaced) } });
         if (!this->isRecordInForce)
             logChange(LogLevel::Warning, "configuration record left out",
                 { { "reason", "a newer version is in force" }, { "version", std::to_string(version) },
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -237,7 +237,10 @@
     dispatch.weightsVersion = choice.weightsVersion;
     if (choice.weightsVersion) {
         const auto organisationPriority = organisation ? organisation->priority.value_or(0) : 0;
-        dispatch.urgency = std::min(organisationPriority * urgenciesPerPriority + route.priority, maxUrgency);
+        // Each is bounded before the sum, which could overflow.
+        dispatch.urgency = std::min(
+            std::min(organisationPriority, maxUrgency) * urgenciesPerPriority + std::min(route.priority, maxUrgency),
+            maxUrgency);
     }
     dispatch.fetchCacheFrom = choice.fetchCacheFrom;
     dispatch.saveCacheTo = choice.saveCacheTo;
