Refuse target records with an address of no process

What callers saw: a record with port 0, or an address such as 0.0.0.0, "1" or "fe80::1%a/b", registered a target. Requests were tried there and cost an attempt each; 0.0.0.0 reaches whatever listens on the instance's own machine.

Cause: parseEndpoint() serves addresses to listen on as well, for which port 0 and 0.0.0.0 have a meaning, and Qt reads forms that no other software does, with white space and scopes.

Evidence: registration/addressOfNoProcessRefusesTheRecord failed before with "10.0.0.1:0 is taken" and nine more. Port 70000 was refused already.

Fix: parseRemoteEndpoint() also demands a port, a unicast address and its usual form. Conclusion: such a record names no target, with a reason in the log.

--- a/src/base/Endpoint.cpp
+++ b/src/base/Endpoint.cpp
@@ -21,4 +21,23 @@
     return Endpoint { std::string(host), port };
 }
 
+std::optional<Endpoint> parseRemoteEndpoint(std::string_view text)
+{
+    auto endpoint = parseEndpoint(text);
+    if (!endpoint || !endpoint->port)
+        return std::nullopt;
+    const QHostAddress address(QString::fromStdString(endpoint->host));
+    for (const auto any : { QHostAddress::AnyIPv4, QHostAddress::AnyIPv6 }) {
+        if (address == QHostAddress(any))
+            return std::nullopt;
+    }
+    // The parser also reads forms that other software does not, such as "10.1", and white space.
+    const bool isUsualForm = address.protocol() == QAbstractSocket::IPv6Protocol
+        ? endpoint->host.find_first_not_of("0123456789abcdefABCDEF:.") == std::string::npos
+        : address.toString().toStdString() == endpoint->host;
+    if (address.isBroadcast() || address.isMulticast() || !isUsualForm)
+        return std::nullopt;
+    return endpoint;
+}
+
 }
--- a/src/base/Endpoint.h
+++ b/src/base/Endpoint.h
@@ -22,4 +22,8 @@
 /// Parses an IP address and port such as "127.0.0.1:8080". Returns nullopt for any other text, such as a host name.
 std::optional<Endpoint> parseEndpoint(std::string_view text);
 
+/// Like parseEndpoint(), for the address of another process: no port 0, which stands for any, and the IP address of a
+/// single interface, in its usual form and without a scope.
+std::optional<Endpoint> parseRemoteEndpoint(std::string_view text);
+
 }
--- a/tests/OddRecordTest.cpp
+++ b/tests/OddRecordTest.cpp
@@ -94,6 +94,17 @@
         cr_expect(!refusal("[{\"name\":\"m\",\"version\":3}]", models).empty(), "models %s are taken", models);
 }
 
+Test(registration, addressOfNoProcessRefusesTheRecord)
+{
+    for (const auto* address : { "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:70000", "10.0.0.1:4294967376", "10.0.0.1:-1",
+             "10.0.0.1:+80", "10.0.0.1: 80", "10.0.0.1:80 ", "10.0.0.1:", "10.0.0.1", ":80", "", "0.0.0.0:80", ":::80",
+             "255.255.255.255:80", "224.0.0.1:80", "1:80", "10.1:80", "0x0a000001:80", "fe80::1%a/b:80",
+             "10.0.0.1\\u0000:80" })
+        cr_expect(!refusal("10.0.0.1:80", address).empty(), "%s is taken", address);
+    cr_expect(refusal("10.0.0.1:80", "10.255.0.1:65535").empty());
+    cr_expect(refusal("10.0.0.1:80", "fd00::1:80").empty());
+}
+
 Test(registration, nestingOfAnyDepthIsReadOrRefused)
 {
     for (const size_t depth : { 1u, 1000u, 1023u, 1024u, 1025u, 200000u, 500000u }) {
