--- a/tests/OddRecordTest.cpp
+++ b/tests/OddRecordTest.cpp
@@ -105,6 +105,15 @@
     cr_expect(refusal("10.0.0.1:80", "fd00::1:80").empty());
 }
 
+Test(registration, idThatIsNoHeaderValueRefusesTheRecord)
+{
+    using namespace std::string_literals;
+    for (const auto& id : { ""s, " "s, "i 1"s, "i-1\r\nX-Other: 1"s, "i\n"s, "i\0"s, "i\x7f"s, "i-\xc3\xa9"s, "\xff"s })
+        cr_expect(errorOf(decode(soundRegistration, "servers/" + id)), "an id of %zu bytes is taken", id.size());
+    cr_expect(errorOf(decode(soundRegistration, "servers")), "a key without the prefix");
+    cr_expect(!errorOf(decode(soundRegistration, "servers/" + std::string(190, 'i'))));
+}
+
 Test(registration, nestingOfAnyDepthIsReadOrRefused)
 {
     for (const size_t depth : { 1u, 1000u, 1023u, 1024u, 1025u, 200000u, 500000u }) {
