Keep the process alive when ZeroMQ refuses an address

What callers saw: instances ended by themselves, one after another, since each that reads the record ends, and ends again after its restart.

Cause: the record of an instance with an address such as "fe80::1%a/b:80" was taken, as parseEndpoint() reads it. An instance that wants to follow it connects there, and ZeroMQ throws; nothing catches the exception. It also throws when its context holds 1,023 sockets, so 1,023 addresses in messages were enough.

Fix: addresses of instances are those of processes (parseRemoteEndpoint), and what ZeroMQ refuses nevertheless counts as a refused message. The protobuf library no longer writes a line to standard error for each text that is not UTF-8: refusals are counted, and the write could block.

The stand-in of the store pages as the users' pages state, writes any bytes, fills in many keys, and adds items that cannot be read.

Conclusion: no address in a record or message ends a process.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,6 +7,7 @@
 #include <QCoreApplication>
 #include <boost/program_options.hpp>
 #include <cstdlib>
+#include <google/protobuf/stubs/logging.h>
 #include <iostream>
 
 namespace {
@@ -24,6 +25,8 @@
     const dragonfly::daemon::Settings& settings, int signals, dragonfly::BootClock::time_point signalsOpenedAt)
 {
     dragonfly::observe::startLog(settings.instance);
+    // Refused messages and records are counted; the library's lines on them could block the process.
+    google::protobuf::SetLogHandler(nullptr);
     DaemonType daemon(settings);
     const auto started = daemon.start();
     if (const auto* error = dragonfly::errorOf(started)) {
--- a/src/membership/ZmqTransport.cpp
+++ b/src/membership/ZmqTransport.cpp
@@ -75,14 +75,20 @@
 
 void ZmqTransport::send(const std::string& address, const pb::PeerMessage& message)
 {
-    // Addresses come from other instances; ZeroMQ would throw on an invalid one.
-    if (!parseEndpoint(address)) {
+    // Addresses come from other instances.
+    if (!parseRemoteEndpoint(address)) {
         this->metrics.peerMessagesRefused.Increment();
         return;
     }
     const auto bytes = message.SerializeAsString();
-    if (!this->socketTo(address).send(zmq::buffer(bytes), zmq::send_flags::dontwait))
+    try {
+        if (!this->socketTo(address).send(zmq::buffer(bytes), zmq::send_flags::dontwait))
+            return;
+    } catch (const zmq::error_t&) {
+        // An address that ZeroMQ does not accept, or more addresses than it can hold sockets for.
+        this->metrics.peerMessagesRefused.Increment();
         return;
+    }
     this->metrics.peerMessages.Increment();
     this->metrics.peerBytes.Increment(static_cast<double>(bytes.size()));
 }
--- a/src/relay/PeerRecord.cpp
+++ b/src/relay/PeerRecord.cpp
@@ -15,7 +15,7 @@
 
 std::optional<Peer> fromRecord(const pb::PeerAddress& record)
 {
-    if (record.instance().empty() || !parseEndpoint(record.address()))
+    if (record.instance().empty() || !parseRemoteEndpoint(record.address()))
         return std::nullopt;
     return Peer { record.instance(), record.address(), { record.region(), record.data_centre() }, record.capacity() };
 }
--- a/standins/metadatastore.cpp
+++ b/standins/metadatastore.cpp
@@ -5,6 +5,10 @@
 // copies everything; {"restore": true} returns to that copy, with its revisions and leases, and {"as_if_lost": [key,
 // ...]} then removes keys from it. All answers name the number of returns in "Store-Era". GET /control returns
 // {"calls": N, "role": value of the leader lease's key}.
+//
+// Oddities: {"put": {"key", "bytes"}} writes bytes in base64; {"fill": {"prefix", "count", "value"}} writes as many
+// keys, or removes them if the count is negative; {"odd_items": [...]} adds these items to each page; {"odd_key":
+// base64} adds an item whose key has these bytes, as they are, to each page.
 
 #include "standins/KeyValueTable.h"
 #include "standins/Program.h"
@@ -20,6 +24,10 @@
 using dragonfly::Clock;
 using std::chrono::milliseconds;
 
+/// Limits of a page, as the users' pages state them.
+constexpr qsizetype maxPageItems = 500;
+constexpr size_t maxPageBytes = 1000000;
+
 enum class Mode {
     Up,
     Busy, ///< refuses every call with status 503
@@ -90,9 +98,14 @@
 
     void respond(http::Exchange& exchange, const Answer& answer) const
     {
+        auto text = toJson(answer.body);
+        if (const auto items = text.find("\"items\":["); items != std::string::npos && !this->oddKey.empty()) {
+            const bool isOnly = answer.body["items"].toArray().isEmpty();
+            text.insert(
+                items + 9, "{\"key\":\"" + this->oddKey + "\",\"value\":\"\",\"revision\":1}" + (isOnly ? "" : ","));
+        }
         exchange.respond(answer.status,
-            { { "Content-Type", "application/json" }, { "Store-Era", std::to_string(this->era) } },
-            toJson(answer.body));
+            { { "Content-Type", "application/json" }, { "Store-Era", std::to_string(this->era) } }, text);
     }
 
     /// Returns to the saved copy. Its leases run on from now.
@@ -146,12 +159,22 @@
         const auto prefix = query.queryItemValue("prefix", QUrl::FullyDecoded).toStdString();
         const auto after = query.queryItemValue("after", QUrl::FullyDecoded).toStdString();
         QJsonArray items;
-        for (const auto& [key, stored] : this->table.values) {
-            if (key.starts_with(prefix) && key > after)
-                items.append(this->itemOf(key));
+        size_t bytes = 0;
+        bool isTruncated = false;
+        for (auto item = this->table.values.upper_bound(after); item != this->table.values.end(); ++item) {
+            const auto& [key, stored] = *item;
+            if (!key.starts_with(prefix))
+                continue;
+            isTruncated = items.size() >= maxPageItems || bytes >= maxPageBytes;
+            if (isTruncated)
+                break;
+            items.append(this->itemOf(key));
+            bytes += stored.value.size();
         }
+        for (const auto& item : this->oddItems)
+            items.append(item);
         return { 200,
-            { { "items", items }, { "truncated", false },
+            { { "items", items }, { "truncated", isTruncated },
                 { "current_rev", static_cast<qint64>(this->table.revision) } } };
     }
 
@@ -252,6 +275,17 @@
         });
     }
 
+    void fill(const std::string& prefix, int count, const std::string& value)
+    {
+        for (int i = 0; i < std::abs(count); ++i) {
+            const auto key = prefix + std::to_string(i);
+            if (count > 0)
+                this->put(key, value, 0);
+            else
+                this->remove(key);
+        }
+    }
+
     void control(http::Exchange& exchange)
     {
         const auto body = parseJson(exchange.request().body);
@@ -270,7 +304,17 @@
             this->watches.clear();
         }
         if (const auto put = body["put"].toObject(); !put.isEmpty())
-            this->put(put["key"].toString().toStdString(), put["value"].toString().toStdString(), 0);
+            this->put(put["key"].toString().toStdString(),
+                put.contains("bytes") ? QByteArray::fromBase64(put["bytes"].toString().toLatin1()).toStdString()
+                                      : put["value"].toString().toStdString(),
+                0);
+        if (const auto fill = body["fill"].toObject(); !fill.isEmpty())
+            this->fill(
+                fill["prefix"].toString().toStdString(), fill["count"].toInt(), fill["value"].toString().toStdString());
+        if (body.contains("odd_items"))
+            this->oddItems = body["odd_items"].toArray();
+        if (body.contains("odd_key"))
+            this->oddKey = QByteArray::fromBase64(body["odd_key"].toString().toLatin1()).toStdString();
         if (body.contains("remove"))
             this->remove(body["remove"].toString().toStdString());
         if (body["save"].toBool())
@@ -296,6 +340,8 @@
     std::vector<Watch> watches;
     std::vector<http::ExchangePointer> unanswered; ///< calls received in Mode::Silent, kept open
     uint64_t calls = 0;
+    QJsonArray oddItems; ///< added to each page
+    std::string oddKey; ///< bytes of the key of one more item of each page; empty: none
     QTimer leaseTimer;
 };
 
--- a/tests/OddRecordTest.cpp
+++ b/tests/OddRecordTest.cpp
@@ -215,3 +215,164 @@
     }
     cr_expect(!errorOf(codec.readReport({ 200, {} }, sound)));
 }
+
+Test(peerTransport, addressOfNoProcessIsNotSentTo)
+{
+    const Application application;
+    observe::Metrics metrics;
+    membership::ZmqTransport transport(metrics);
+    const std::vector<std::string> addresses { "127.0.0.1:0", "fe80::1%a/b:80", "fe80::1%\n:80", "::1:80", "1:80",
+        "0.0.0.0:1", "", ":", "x:y", "127.0.0.1:65536", std::string("127.0.0.1\0:80", 13) };
+    for (const auto& address : addresses) {
+        transport.send(address, {});
+        pb::PeerAddress record;
+        record.set_instance("other");
+        record.set_address(address);
+        cr_expect(address == "::1:80" || !relay::fromRecord(record), "%s is taken", address.c_str());
+    }
+}
+
+Test(peerTransport, manyAddressesDoNotEndTheProcess)
+{
+    const Application application;
+    observe::Metrics metrics;
+    membership::ZmqTransport transport(metrics);
+    for (int i = 0; i < 3000; ++i) // nothing listens there
+        transport.send("127.77." + std::to_string(i / 250) + "." + std::to_string(1 + i % 250) + ":9", {});
+}
+
+namespace {
+
+/// Two instances, the second of which follows the first. All lines that processes of the site print are kept.
+struct OddSite {
+    const Application application;
+    QTemporaryDir folder;
+    std::string logFile = this->folder.filePath("log").toStdString();
+    ForwardSite site;
+
+    OddSite()
+    {
+        setenv("DRAGONFLY_TEST_LOG", this->logFile.c_str(), 1);
+        this->site.startEntry(true, "processorShare: 0.5\n");
+        auto& follower = this->site.startEntry(true, "processorShare: 0.1\n");
+        require(waitUntil([&] { return follower.printedLine("from=entry-0"); }, 5s), "nothing is followed");
+    }
+    std::vector<std::string> log() const
+    {
+        std::vector<std::string> lines;
+        std::ifstream file(this->logFile);
+        for (std::string line; std::getline(file, line);)
+            lines.push_back(line);
+        return lines;
+    }
+    size_t countLines(const std::string& part) const
+    {
+        const auto lines = this->log();
+        return static_cast<size_t>(std::count_if(
+            lines.begin(), lines.end(), [&](const std::string& line) { return line.find(part) != std::string::npos; }));
+    }
+    std::set<std::string> targetsAt(size_t entry)
+    {
+        const auto status = get(this->site.entries[entry]->address("admin"), "/status");
+        require(waitFor(status), "no status");
+        std::set<std::string> ids;
+        for (const auto& each : status->json()["targets"].toArray())
+            ids.insert(each.toObject()["id"].toString().toStdString());
+        return ids;
+    }
+    /// Whether both instances learn of a further target within the time that the users' pages allow for a change.
+    bool bothFollow()
+    {
+        const auto added = "service-" + std::to_string(this->site.services.size());
+        this->site.addService();
+        return waitUntil([&] { return this->targetsAt(0).contains(added) && this->targetsAt(1).contains(added); }, 3s);
+    }
+    /// Number of requests of 20 that each instance answered.
+    std::pair<int, int> served()
+    {
+        std::pair<int, int> count;
+        for (int i = 0; i < 20; ++i) {
+            const auto id = "r" + std::to_string(++this->lastRequest);
+            count.first += this->site.sendAndWait({ id, "/book/x" }, 0)->status == 200;
+            count.second += this->site.sendAndWait({ id + "b", "/read/x" }, 1)->status == 200;
+        }
+        return count;
+    }
+
+private:
+    int lastRequest = 0;
+};
+
+/// Records of targets of the plain service, at an address where nothing listens, each with one fault.
+std::vector<std::string> oddRecords()
+{
+    const auto sound = with(with(soundRegistration, "\"s\"", "\"desk\""), "10.0.0.1:80", "127.0.0.1:1");
+    std::vector<std::string> records { "", "{", "[]", "null", "\xff\xfe", std::string(100000, '['),
+        std::string(50000, '\0') };
+    for (const auto& [from, to] :
+        { std::pair(":1\"", ":0\""), { ":1\"", ":70000\"" }, { ":1\"", ":-1\"" }, { "127.0.0.1", "0.0.0.0" },
+            { "\"slots\":8", "\"slots\":4294967296" }, { "\"slots\":8", "\"slots\":1e300" },
+            { "\"slots\":8", "\"slots\":1e999" }, { "\"slots\":8", "\"slots\":[8]" },
+            { "\"seq\":4", "\"seq\":9223372036854775808" }, { "\"seq\":4", "\"seq\":1e300" },
+            { "\"seq\":4", "\"seq\":{}" }, { "\"born\":17", "\"born\":1e300" }, { "\"born\":17", "\"born\":-1" },
+            { "\"version\":3", "\"version\":1e19" }, { "\"ready\"", "\"resting\"" }, { "\"desk\"", "7" } })
+        records.push_back(with(sound, from, to));
+    records.push_back(with(sound, "\"seq\":4", "\"seq\":" + std::string(100000, '[') + std::string(100000, ']')));
+    records.push_back(with(sound, "\"seq\"", "\"\\ud800\":\"\xff\",\"seq\""));
+    return records;
+}
+
+}
+
+Test(oddRecord, amongThoseOfTargetsHarmsNoRequest, .timeout = 60)
+{
+    OddSite odd;
+    const auto sound = with(with(soundRegistration, "\"s\"", "\"desk\""), "10.0.0.1:80", "127.0.0.1:1");
+    const auto before = odd.targetsAt(0);
+    int number = 0;
+    for (const auto& record : oddRecords())
+        odd.site.putRecord("servers/odd-" + std::to_string(++number), record);
+    using namespace std::string_literals;
+    for (const auto& id : { ""s, "a b"s, "a\r\nX-Injected: 1"s, "a\0b"s, "\xc3\xa9"s, std::string(1 << 20, 'i') })
+        odd.site.putRecord("servers/" + id, id.size() < 100 ? sound : "{}");
+    cr_assert(odd.bothFollow());
+    auto expected = before;
+    expected.insert("service-2");
+    for (const size_t entry : { 0u, 1u })
+        cr_expect(odd.targetsAt(entry) == expected, "%zu targets at %zu", odd.targetsAt(entry).size(), entry);
+    const auto [first, second] = odd.served();
+    cr_expect(first == 20 && second == 20, "%d and %d of 20", first, second);
+    odd.site.restartEntry(1); // reads all records
+    cr_expect(odd.targetsAt(1) == expected);
+    cr_expect(odd.site.entries[0]->isRunning());
+}
+
+Test(oddRecord, underTheOwnPrefixEndsNoProcess, .timeout = 60)
+{
+    OddSite odd;
+    pb::PeerAddress peer;
+    peer.set_region("north");
+    peer.set_data_centre("north-a");
+    peer.set_capacity(std::numeric_limits<uint32_t>::max()); // so that it would be followed
+    int number = 0;
+    for (const auto* address : { "127.0.0.1:0", "fe80::1%a/b:80", "0.0.0.0:1", "127.0.0.1:70000", "" }) {
+        peer.set_instance("odd-" + std::to_string(++number));
+        peer.set_address(address);
+        odd.site.putRecord("dragonfly/instances/" + peer.instance(), peer.SerializeAsString());
+    }
+    for (const auto* key : { "instances/", "instances/x", "target-ends/", "target-ends/x", "sound-prompts/",
+             "sound-prompts/x", "confirmed-for/", "confirmed-for/m", "may-still-answer/", "may-still-answer/m/",
+             "may-still-answer/m/-1", "may-still-answer//1", "x", "" }) {
+        for (const auto& bytes : { std::string("\x0a\x02\xff\xff"), std::string(50000, '\xff'), std::string() })
+            odd.site.putRecord(std::string("dragonfly/") + key, bytes);
+    }
+    cr_assert(odd.bothFollow());
+    runFor(2s);
+    const auto [first, second] = odd.served();
+    cr_expect(first == 20 && second == 20, "%d and %d of 20", first, second);
+    odd.site.restartEntry(1);
+    for (const auto& entry : odd.site.entries) {
+        cr_expect(entry->isRunning());
+        cr_expect_eq(entry->log(), "", "%s", entry->log().c_str());
+    }
+}
--- a/tests/support/ForwardSite.cpp
+++ b/tests/support/ForwardSite.cpp
@@ -68,6 +68,12 @@
             { "value", QString::fromUtf8(QJsonDocument(record).toJson(QJsonDocument::Compact)) } } } });
 }
 
+void ForwardSite::putRecord(const std::string& key, const std::string& bytes)
+{
+    const auto encoded = QByteArray::fromStdString(bytes).toBase64();
+    this->controlStore({ { "put", QJsonObject { { "key", text(key) }, { "bytes", QString::fromLatin1(encoded) } } } });
+}
+
 Process& ForwardSite::startEntry(
     bool waitUntilReady, const std::string& extraSettings, const std::optional<Endpoint>& storeAddress)
 {
--- a/tests/support/ForwardSite.h
+++ b/tests/support/ForwardSite.h
@@ -44,6 +44,8 @@
     /// Registers a target that the test runs itself. Call before startEntry().
     void registerTarget(
         const QString& id, const QString& service, const QString& model, const dragonfly::Endpoint& endpoint);
+    /// Writes a record of any bytes, as another writer may.
+    void putRecord(const std::string& key, const std::string& bytes);
     AnswerPointer send(const ForwardRequestSpec& spec, size_t entry = 0);
     /// Sends and waits for the answer.
     AnswerPointer sendAndWait(const ForwardRequestSpec& spec, size_t entry = 0);
