Bound the ages that other instances state

What callers saw: nothing was reported. A reply of a peer that states an age of 2^63 ms or more was taken for one from the future: the proof that the configuration is the newest then held for as long, and revoked keys would have been served without end.

Cause: the unsigned age was converted to a signed duration, which made it negative, and multiplied by a million for the subtraction, which overflows.

Evidence: relayedSource/ageThatDoesNotFitIsNotTakenForRecent failed before: "a proof of ms", "records of ms".

Fix: stated ages are bounded to a year, longer than any that is accepted. The same for the ages in gossip. Conclusion: an absurd age is an old one.

--- a/src/membership/Fleet.cpp
+++ b/src/membership/Fleet.cpp
@@ -309,13 +309,12 @@
     const auto& sender = gossip.sender();
     this->addMember({ sender.instance(), sender.address(), { sender.region(), sender.data_centre() }, now });
     for (const auto& peer : gossip.peers()) {
-        const auto lastSeenAt = now - std::chrono::milliseconds(peer.heard_ms_ago());
+        const auto lastSeenAt = now - statedAge(peer.heard_ms_ago());
         this->addMember({ peer.instance(), peer.address(), { peer.region(), peer.data_centre() }, lastSeenAt });
     }
     for (const auto& report : gossip.targets()) {
-        const TargetUpdate received { report.leaving(),
-            now - std::chrono::milliseconds(report.leaving_changed_ms_ago()), report.incarnation(), report.weights(),
-            report.queued_tokens(), now - std::chrono::milliseconds(report.observed_ms_ago()) };
+        const TargetUpdate received { report.leaving(), now - statedAge(report.leaving_changed_ms_ago()),
+            report.incarnation(), report.weights(), report.queued_tokens(), now - statedAge(report.observed_ms_ago()) };
         const auto before = this->isKnownLeaving(report.target());
         if (!this->merge(report.target(), received))
             continue;
--- a/src/relay/RelayedSource.cpp
+++ b/src/relay/RelayedSource.cpp
@@ -135,13 +135,13 @@
         return;
     this->replyTimer.stop();
     const auto& watch = *this->currentWatch;
-    const std::chrono::milliseconds age(reply.proof_age_ms());
+    const auto age = statedAge(reply.proof_age_ms());
     if (!reply.known() || reply.revision() < watch.after) {
         this->excludePeer("requested changes not available", ExclusionReason::Stale);
         return;
     }
     // While the service does not answer, stale or relayed data is accepted too: the age of the proof bounds its use.
-    const std::chrono::milliseconds recordsAge(reply.revision_age_ms()); // 0 from peers that do not report it
+    const auto recordsAge = statedAge(reply.revision_age_ms()); // 0 from peers that do not report it
     const bool isReliable = reply.first_hand() && age <= maxPeerProofAge && recordsAge <= maxPeerRecordsAge;
     if (!isReliable && !watch.isFallback) {
         this->excludePeer("no direct connection to the platform", ExclusionReason::Stale);
@@ -157,7 +157,7 @@
     store::Changes changes;
     changes.revision = reply.revision();
     if (reply.has_revision_age_ms())
-        changes.asOf = watch.queriedAt - std::chrono::milliseconds(reply.revision_age_ms());
+        changes.asOf = watch.queriedAt - recordsAge;
     for (const auto& change : reply.changes())
         changes.changes.push_back(decodeChange(change));
     this->completeWatch(changes);
--- a/tests/RelayTest.cpp
+++ b/tests/RelayTest.cpp
@@ -303,6 +303,19 @@
     cr_assert(follower.service.watches.empty() && follower.service.checks.empty());
 }
 
+Test(relayedSource, ageThatDoesNotFitIsNotTakenForRecent)
+{
+    for (const uint64_t age : { ~uint64_t { 0 }, uint64_t { 1 } << 63, uint64_t { 1 } << 62, uint64_t { 1 } << 45 }) {
+        Follower follower;
+        follower.watch();
+        follower.reply(25, std::chrono::milliseconds(static_cast<int64_t>(age)));
+        cr_expect_not(follower.result.has_value(), "a proof of %zu ms", static_cast<size_t>(age));
+        cr_expect_not(follower.checkedProofAge().has_value());
+        follower.reply(25, 900ms, true, std::chrono::milliseconds(static_cast<int64_t>(age)));
+        cr_expect_not(follower.result.has_value(), "records of %zu ms", static_cast<size_t>(age));
+    }
+}
+
 Test(relayedSource, silentPeerIsExcludedAndNextSourceQueried)
 {
     Follower follower;
