Report settings that do not fit

What callers saw: nothing was reported. "idleTime: 1000000000000m" overflowed to a deadline in the past, "headers: 4194304KiB" became 0 bytes, so that each request was refused, and a seed or platform address with port 0 was taken.

Cause: durations were bounded as numbers, before their unit; the size of the headers was cut to 32 bits; addresses of others were read as addresses to listen on.

Evidence: settings/valueThatDoesNotFitIsAProblem failed before, first with "http: { idleTime: 1000000000000m }".

Fix: durations are at most 24 days, what a timer holds (claims: ten years), sizes have a bound, and addresses of other processes need a port. Conclusion: no setting is cut.

--- a/src/config/YamlReader.cpp
+++ b/src/config/YamlReader.cpp
@@ -17,6 +17,7 @@
 
     /// Larger numbers are mistakes; all smaller ones fit, in any unit.
     constexpr double maxQuantity = 1e12;
+    constexpr std::chrono::milliseconds millisecondsPerDay = std::chrono::hours(24);
 
     /// Parses a number with a unit: "2.5s" with timeUnits is 2500. Returns nothing if the text has another form.
     template <size_t Count> std::optional<uint64_t> parseQuantity(std::string_view text, const Unit (&units)[Count])
@@ -150,25 +151,32 @@
     return result;
 }
 
-std::chrono::milliseconds MapReader::duration(const std::string& field, std::chrono::milliseconds fallback)
+std::chrono::milliseconds MapReader::duration(
+    const std::string& field, std::chrono::milliseconds fallback, std::chrono::milliseconds max)
 {
     const auto value = this->readField(field);
     if (!value)
         return fallback;
-    if (const auto parsed = parseQuantity(value.IsScalar() ? value.Scalar() : "", timeUnits))
+    const auto parsed = parseQuantity(value.IsScalar() ? value.Scalar() : "", timeUnits);
+    if (parsed && *parsed <= static_cast<uint64_t>(max.count()))
         return std::chrono::milliseconds(*parsed);
-    this->addProblem(field, "expected a duration with its unit, such as 250ms, 30s or 5m");
+    this->addProblem(field,
+        parsed ? "expected at most " + std::to_string(max / millisecondsPerDay) + " days"
+               : "expected a duration with its unit, such as 250ms, 30s or 5m");
     return fallback;
 }
 
-uint64_t MapReader::bytes(const std::string& field, uint64_t fallback)
+uint64_t MapReader::bytes(const std::string& field, uint64_t fallback, uint64_t max)
 {
     const auto value = this->readField(field);
     if (!value)
         return fallback;
-    if (const auto parsed = parseQuantity(value.IsScalar() ? value.Scalar() : "", byteUnits))
+    const auto parsed = parseQuantity(value.IsScalar() ? value.Scalar() : "", byteUnits);
+    if (parsed && *parsed <= max)
         return *parsed;
-    this->addProblem(field, "expected a size with its unit, such as 512B, 64KiB or 8MiB");
+    this->addProblem(field,
+        parsed ? "expected at most " + std::to_string(max) + "B"
+               : "expected a size with its unit, such as 512B, 64KiB or 8MiB");
     return fallback;
 }
 
@@ -181,14 +189,23 @@
     return {};
 }
 
-std::vector<Endpoint> MapReader::endpoints(const std::string& field)
+Endpoint MapReader::remoteEndpoint(const std::string& field)
+{
+    if (const auto parsed = parseRemoteEndpoint(this->text(field)))
+        return *parsed;
+    this->addProblem(field, "expected the IP address and port of a process, such as 127.0.0.1:8080");
+    return {};
+}
+
+std::vector<Endpoint> MapReader::remoteEndpoints(const std::string& field)
 {
     std::vector<Endpoint> result;
     for (const auto& text : this->texts(field)) {
-        if (const auto parsed = parseEndpoint(text))
+        if (const auto parsed = parseRemoteEndpoint(text))
             result.push_back(*parsed);
         else
-            this->addProblem(field, "'" + text + "': expected an IP address and a port, such as 127.0.0.1:8080");
+            this->addProblem(
+                field, "'" + text + "': expected the IP address and port of a process, such as 127.0.0.1:8080");
     }
     return result;
 }
--- a/src/config/YamlReader.h
+++ b/src/config/YamlReader.h
@@ -3,6 +3,7 @@
 
 #include "base/Base.h"
 
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -49,12 +50,17 @@
     /// A number from 0 to 1.
     double fraction(const std::string& field, double fallback);
     bool flag(const std::string& field, bool fallback);
-    /// A duration with its unit: "250ms", "30s" or "5m".
-    std::chrono::milliseconds duration(const std::string& field, std::chrono::milliseconds fallback);
-    /// A number of bytes with its unit: "512B", "64KiB" or "8MiB".
-    uint64_t bytes(const std::string& field, uint64_t fallback);
+    /// A duration with its unit: "250ms", "30s" or "5m". At most @p max, by default what fits into a timer.
+    std::chrono::milliseconds duration(const std::string& field, std::chrono::milliseconds fallback,
+        std::chrono::milliseconds max = std::chrono::hours(24 * 24));
+    /// A number of bytes with its unit, at most @p max: "512B", "64KiB" or "8MiB".
+    uint64_t bytes(const std::string& field, uint64_t fallback, uint64_t max = std::numeric_limits<uint64_t>::max());
+    /// An address to listen on; port 0 stands for any.
     Endpoint endpoint(const std::string& field, const std::string& fallback);
-    std::vector<Endpoint> endpoints(const std::string& field);
+    /// The address of another process.
+    Endpoint remoteEndpoint(const std::string& field);
+    /// A list of addresses of other processes.
+    std::vector<Endpoint> remoteEndpoints(const std::string& field);
     /// The index in @p names of the field's value.
     size_t choice(const std::string& field, const std::vector<std::string>& names, size_t fallback);
     /// The value of a field that is read by a MapReader of its own.
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -15,12 +15,15 @@
     /// Fraction of the shared retry budget that instances use. The rest is a margin, because their time windows do not
     /// coincide with those in which compliance is checked.
     constexpr double usedRetryBudget = 0.85;
+    /// Ten years; compared with the time of day, which no such time overflows.
+    constexpr std::chrono::hours maxRetention { 10 * 365 * 24 };
     constexpr const char* loopbackAnyPort = "127.0.0.1:0";
 
     void readServer(MapReader reader, http::ServerLimits& limits)
     {
         limits.bodyBytes = reader.bytes("body", limits.bodyBytes);
-        limits.headerBytes = static_cast<uint32_t>(reader.bytes("headers", limits.headerBytes));
+        limits.headerBytes
+            = static_cast<uint32_t>(reader.bytes("headers", limits.headerBytes, std::numeric_limits<uint32_t>::max()));
         limits.headerTimeout = reader.duration("headerTime", limits.headerTimeout);
         limits.bodyTimeout = reader.duration("bodyTime", limits.bodyTimeout);
         limits.idleTimeout = reader.duration("idleTime", limits.idleTimeout);
@@ -54,14 +57,15 @@
 
     void readClaims(MapReader reader, Settings& settings)
     {
-        settings.claims.retention = std::chrono::duration_cast<seconds>(reader.duration("retention", minutes(24 * 60)));
+        settings.claims.retention
+            = std::chrono::duration_cast<seconds>(reader.duration("retention", minutes(24 * 60), maxRetention));
         settings.claimWritesPerSecond = static_cast<uint32_t>(reader.number("writesPerSecond", 50, 1, 10000));
         reader.reportUnknownFields();
     }
 
     void readTrace(MapReader reader, Settings& settings)
     {
-        const auto collector = reader.endpoints("collectors");
+        const auto collector = reader.remoteEndpoints("collectors");
         if (!collector.empty())
             settings.traceCollector = collector.front();
         settings.traceSampleRate = reader.fraction("sample", 0.01);
@@ -128,10 +132,10 @@
         settings.metrics = reader.endpoint("metrics", loopbackAnyPort);
         settings.peers = reader.endpoint("peers", loopbackAnyPort);
         if (reader.child("peersAdvertised"))
-            settings.peersAdvertised = reader.endpoint("peersAdvertised", loopbackAnyPort);
+            settings.peersAdvertised = reader.remoteEndpoint("peersAdvertised");
         settings.capacity = static_cast<uint32_t>(reader.fraction("processorShare", 0) * 1000);
-        settings.seeds = reader.endpoints("seeds");
-        settings.platform = reader.endpoints("platform");
+        settings.seeds = reader.remoteEndpoints("seeds");
+        settings.platform = reader.remoteEndpoints("platform");
         if (settings.platform.empty())
             reader.addProblem("platform", "expected at least one address, such as [127.0.0.1:2379]");
         settings.threads = reader.number("threads", 4, 1, 256);
--- a/tests/OddRecordTest.cpp
+++ b/tests/OddRecordTest.cpp
@@ -216,6 +216,31 @@
     cr_expect(!errorOf(codec.readReport({ 200, {} }, sound)));
 }
 
+Test(settings, valueThatDoesNotFitIsAProblem)
+{
+    QTemporaryDir folder;
+    const auto file = folder.filePath("entry.yaml").toStdString();
+    const auto problemsWith = [&](const std::string& line) {
+        std::ofstream(file) << "instance: e\nregion: r\ndataCentre: d\nplatform: [127.0.0.1:1]\n" << line << "\n";
+        return daemon::loadSettings(file).problems.size();
+    };
+    cr_expect_eq(problemsWith(""), 0);
+    for (const auto* line : { "http: { idleTime: 1000000000000m }", "http: { headerTime: 1000000000000s }",
+             "http: { bodyTime: 60000m }", "requests: { progressTime: 1000000000s }", "http: { headers: 4194304KiB }",
+             "http: { headers: 4096MiB }", "forwarding: { retryWindow: 1000000000000m }",
+             "forwarding: { revocationTime: 1000000000s }", "drain: { notice: 1000000000s, time: 1000000000s }",
+             "claims: { retention: 1000000000000m }", "seeds: [127.0.0.1:0]", "trace: { collectors: [127.0.0.1:0] }",
+             "peersAdvertised: 127.0.0.1:0", "listen: 127.0.0.1:65536", "listen: 127.0.0.1:-1",
+             "threads: 18446744073709551617", "claims: { writesPerSecond: 4294967297 }",
+             "forwarding: { parallelLoads: 1e300 }", "forwarding: { parallelLoads: nan }" })
+        cr_expect_neq(problemsWith(line), 0, "%s", line);
+    cr_expect_eq(problemsWith("http: { idleTime: 24m, headers: 4MiB }\nclaims: { retention: 43200m }"), 0);
+    std::ofstream(file) << "instance: e\nregion: r\ndataCentre: d\nplatform: [127.0.0.1:0]\n";
+    cr_expect(!daemon::loadSettings(file).problems.empty());
+    std::ofstream(file) << "instance: " << std::string(20000, '[') << "\n";
+    cr_expect(!daemon::loadSettings(file).problems.empty());
+}
+
 Test(peerTransport, addressOfNoProcessIsNotSentTo)
 {
     const Application application;
