--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -150,7 +150,7 @@
     this->revisionTimes.observe(page->revision, queriedAt);
     for (const auto& pair : page->pairs) {
         this->listed.insert(pair.key);
-        if (position.section == Section::Deployment) {
+        if (pair.key == this->decoder.deploymentKey()) {
             this->history.record({ pair, false });
             this->readDeployment.emplace(pair, queriedAt);
         } else
--- a/tests/DirectoryTest.cpp
+++ b/tests/DirectoryTest.cpp
@@ -454,6 +454,16 @@
     cr_assert_eq(fixture.directory.targets().size(), 2);
 }
 
+Test(directorySync, keyThatBeginsAsThatOfTheConfigurationIsNotTakenForIt)
+{
+    Fixture fixture;
+    fixture.store.set("config2", "9");
+    fixture.store.set("config/draft", "8");
+    fixture.start();
+    cr_assert(waitUntil([&] { return fixture.version() == 4; }, 2s), "version %d", static_cast<int>(fixture.version()));
+    cr_assert(fixture.directory.freshness.isProved(BootClock::now()));
+}
+
 Test(directorySync, wholeReadRetriesOnlyFailedPages)
 {
     Fixture fixture;
--- a/tests/OddRecordTest.cpp
+++ b/tests/OddRecordTest.cpp
@@ -401,3 +401,38 @@
         cr_expect_eq(entry->log(), "", "%s", entry->log().c_str());
     }
 }
+
+Test(oddRecord, itemOfAPageThatCannotBeReadDoesNotStopTheReading, .timeout = 60)
+{
+    OddSite odd;
+    QJsonArray items;
+    for (const auto& item : { QJsonValue(), QJsonValue(7), QJsonValue("x"), QJsonValue(QJsonArray { 1 }),
+             QJsonValue(QJsonObject {}), QJsonValue(QJsonObject { { "key", 7 } }),
+             QJsonValue(QJsonObject { { "key", "" }, { "value", "e30=" }, { "revision", 5 } }),
+             QJsonValue(QJsonObject { { "key", "servers/odd" }, { "value", "e30=" } }),
+             QJsonValue(QJsonObject { { "key", "servers/odd" }, { "value", "e30=" }, { "revision", 1e300 } }),
+             QJsonValue(QJsonObject { { "key", "servers/odd" }, { "value", "e30=" }, { "revision", -7 } }),
+             QJsonValue(QJsonObject { { "key", "servers/odd" }, { "value", "no base64!" }, { "revision", 5 } }),
+             QJsonValue(QJsonObject { { "key", "servers/odd" }, { "value", QJsonObject {} }, { "revision", 5 } }) })
+        items.append(item);
+    // Several pages, each of which ends with these items.
+    odd.site.controlStore(
+        { { "fill", QJsonObject { { "prefix", "servers/odd-" }, { "count", 1200 }, { "value", "" } } },
+            { "odd_items", items } });
+    for (const size_t entry : { 1u, 0u })
+        odd.site.restartEntry(entry);
+    cr_assert(odd.bothFollow());
+    const auto [first, second] = odd.served();
+    cr_expect(first == 20 && second == 20, "%d and %d of 20", first, second);
+}
+
+Test(oddRecord, bytesThatAreNoTextInAnAnswerDoNotStopTheReading, .timeout = 60)
+{
+    OddSite odd;
+    odd.site.controlStore({ { "odd_key", "c2VydmVycy9pLf8=" } }); // each answer names a key that is not UTF-8
+    for (const size_t entry : { 1u, 0u })
+        odd.site.restartEntry(entry);
+    cr_assert(odd.bothFollow());
+    const auto [first, second] = odd.served();
+    cr_expect(first == 20 && second == 20, "%d and %d of 20", first, second);
+}
--- a/tests/StoreClientTest.cpp
+++ b/tests/StoreClientTest.cpp
@@ -50,6 +50,14 @@
         require(waitUntil([&] { return result.has_value(); }, 3s), "no result");
         return *result;
     }
+    store::PageResult page(const std::string& after = "")
+    {
+        std::optional<store::PageResult> result;
+        this->client.readPage(
+            "k", after, Clock::now() + 2s, [&](const store::PageResult& received) { result = received; });
+        require(waitUntil([&] { return result.has_value(); }, 3s), "no result");
+        return *result;
+    }
     store::CheckResult check(int64_t expected)
     {
         std::optional<store::CheckResult> result;
@@ -159,3 +167,89 @@
         }
     }
 }
+
+namespace {
+
+QJsonObject pageOf(const QJsonValue& items, bool isTruncated = false)
+{
+    return { { "items", items }, { "truncated", isTruncated }, { "current_rev", 9 } };
+}
+
+QJsonObject itemOf(const QString& key, const QJsonValue& revision = 4, const QJsonValue& value = "dg==")
+{
+    return { { "key", key }, { "value", value }, { "revision", revision } };
+}
+
+}
+
+Test(storeClient, itemThatCannotBeReadLeavesTheOthersReadable)
+{
+    ScriptedStore store;
+    for (const auto& odd : { QJsonValue(), QJsonValue(1), QJsonValue("k1"), QJsonValue(QJsonArray {}),
+             QJsonValue(QJsonObject {}), QJsonValue(QJsonObject { { "key", 1 }, { "revision", 4 } }),
+             QJsonValue(itemOf("")), QJsonValue(itemOf(QString(QChar(0xd800)))), QJsonValue(itemOf("k9", QJsonValue())),
+             QJsonValue(itemOf("k9", "4")), QJsonValue(itemOf("k9", -4)), QJsonValue(itemOf("k9", 0)),
+             QJsonValue(itemOf("k9", 1.5)), QJsonValue(itemOf("k9", 1e300)), QJsonValue(itemOf("k9", 1e13)) }) {
+        store.answer("1", pageOf(QJsonArray { itemOf("k1"), odd, itemOf("k2") }));
+        const auto result = store.page();
+        const auto& page = std::get<store::Page>(result);
+        cr_expect_eq(page.pairs.size(), 2);
+        cr_expect_eq(page.pairs.back().key, "k2");
+        const QJsonArray events { odd, itemOf("k3") };
+        store.answer("1", { { "events", events }, { "current_rev", 9 } });
+        const auto changes = std::get<store::Changes>(store.watch(store::revisionInEra(1, 3)));
+        cr_expect_eq(changes.changes.size(), 1);
+        cr_expect_eq(changes.revision, store::revisionInEra(1, 9));
+    }
+}
+
+Test(storeClient, valueThatCannotBeReadIsEmpty)
+{
+    ScriptedStore store;
+    for (const auto& odd : { QJsonValue("no base64!"), QJsonValue("dg="), QJsonValue("d"), QJsonValue(1), QJsonValue(),
+             QJsonValue(QJsonObject {}) }) {
+        store.answer("1", pageOf(QJsonArray { itemOf("k1", 4, odd), itemOf("k2") }));
+        const auto result = store.page();
+        const auto& page = std::get<store::Page>(result);
+        cr_assert_eq(page.pairs.size(), 2);
+        cr_expect_eq(page.pairs[0].value, "");
+        cr_expect_eq(page.pairs[1].value, "v");
+    }
+}
+
+Test(storeClient, nextPageStartsAfterAKeyThatCanBeRead)
+{
+    ScriptedStore store;
+    store.answer("1", pageOf(QJsonArray { itemOf("k1"), itemOf("k2"), QJsonObject {} }, true));
+    const auto result = store.page("k0");
+    const auto& page = std::get<store::Page>(result);
+    cr_assert(page.hasMore);
+    cr_expect_eq(page.pairs.back().key, "k2");
+    // A key that was changed on its way, as one that is no text, has another place in the order.
+    store.answer("1", pageOf(QJsonArray { itemOf("k1"), itemOf("k2"), itemOf("k") }, true));
+    const auto disordered = store.page("k0");
+    cr_expect_eq(std::get<store::Page>(disordered).pairs.back().key, "k2");
+    for (const auto& items :
+        { QJsonArray {}, QJsonArray { QJsonObject {} }, QJsonArray { itemOf("k0") }, QJsonArray { itemOf("k") } }) {
+        store.answer("1", pageOf(items, true));
+        cr_expect(std::holds_alternative<store::StoreFailure>(store.page("k0")), "the same page would be read again");
+    }
+}
+
+Test(storeClient, answerWithoutAListOrARevisionIsNoAnswerOfTheStore)
+{
+    ScriptedStore store;
+    for (const auto& items : { QJsonValue(QJsonObject {}), QJsonValue(1), QJsonValue("x"), QJsonValue(true) }) {
+        store.answer("1", pageOf(items));
+        cr_expect(std::holds_alternative<store::StoreFailure>(store.page()));
+        store.answer("1", { { "events", items }, { "current_rev", 9 } });
+        cr_expect(std::holds_alternative<store::StoreFailure>(store.watch(store::revisionInEra(1, 3))));
+    }
+    for (const auto& revision :
+        { QJsonValue(), QJsonValue("9"), QJsonValue(-9), QJsonValue(1.5), QJsonValue(1e300), QJsonValue(1e13) }) {
+        store.answer("1", { { "items", QJsonArray {} }, { "current_rev", revision } });
+        cr_expect(std::holds_alternative<store::StoreFailure>(store.page()));
+        store.answer("1", { { "events", QJsonArray {} }, { "current_rev", revision } });
+        cr_expect(std::holds_alternative<store::StoreFailure>(store.watch(store::revisionInEra(1, 3))));
+    }
+}
