Take no grant of the store without a lease or a revision

What callers saw: nothing was reported. A grant whose lease cannot be read was taken for lease 0, and a key that is written under it is never removed: as the leader's key, it would have kept every instance from leading the roll-outs.

Cause: a field that is missing or of another type was read as 0.

--- a/tests/StoreClientTest.cpp
+++ b/tests/StoreClientTest.cpp
@@ -253,3 +253,21 @@
         cr_expect(std::holds_alternative<store::StoreFailure>(store.watch(store::revisionInEra(1, 3))));
     }
 }
+
+Test(storeClient, grantWithoutALeaseOrARevisionIsUnknown)
+{
+    ScriptedStore store;
+    for (const auto& number : { QJsonValue(), QJsonValue(0), QJsonValue(-4), QJsonValue("4"), QJsonValue(1.5),
+             QJsonValue(1e300), QJsonValue(QJsonArray {}) }) {
+        store.answer("1", { { "lease", number }, { "revision", number }, { "ttl_ms", 5000 } });
+        std::optional<store::LeaseResult> granted;
+        store.client.grantLease(5s, Clock::now() + 2s, [&](const store::LeaseResult& received) { granted = received; });
+        require(waitUntil([&] { return granted.has_value(); }, 3s), "no result");
+        cr_expect(std::holds_alternative<store::StoreFailure>(*granted), "a key of no lease would never be removed");
+        std::optional<store::SwapResult> swapped;
+        store.client.compareAndSwap(
+            "k", 0, "v", Clock::now() + 2s, [&](const store::SwapResult& received) { swapped = received; });
+        require(waitUntil([&] { return swapped.has_value(); }, 3s), "no result");
+        cr_expect(std::holds_alternative<store::StoreFailure>(*swapped));
+    }
+}
