Forget removed records without a look at all of them

What callers saw: nothing was reported; when 10,000 records are removed at once, the event loop stands still for about a second, and with it every request.

Cause: each removal looked through all remembered ones for those that expired, or, after an outage, for the earliest deadline.

Evidence: directorySync/removalOfTenThousandRecordsDoesNotStallTheEventLoop failed before: 930 ms of processor time, and 528 ms after an outage; the bound is what counts as a stall, 250 ms.

Fix: expired ones are dropped once a minute, and a running timer is not set again, since deadlines only grow. The test passes with both. Conclusion: removal is linear; a removed target is remembered up to eleven minutes.

--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -40,6 +40,9 @@
     /// How long removed targets are remembered. A copy to which the store returns is some seconds old.
     constexpr std::chrono::minutes removedTargetRetention { 10 };
 
+    /// Between two looks for those that need not be remembered any longer, so that many removals at once cost no look
+    /// each.
+    constexpr std::chrono::minutes forgetInterval { 1 };
     std::chrono::milliseconds jitter(std::chrono::milliseconds bound)
     {
         return std::chrono::milliseconds(QRandomGenerator::global()->bounded(static_cast<int>(bound.count()) + 1));
@@ -406,7 +409,9 @@
         const auto deadline = this->gracePeriodDeadline();
         if (now < deadline) {
             this->absentTargets.emplace(key, deadline);
-            this->scheduleAbsentTargetRemoval();
+            // Deadlines only grow, so a running timer is not late.
+            if (!this->gracePeriodTimer.isActive())
+                this->scheduleAbsentTargetRemoval();
             return;
         }
         this->forgetTarget(key);
@@ -457,7 +462,10 @@
 void DirectorySync::forgetTarget(const std::string& key)
 {
     const auto now = Clock::now();
-    std::erase_if(this->removedTargets, [now](const auto& each) { return each.second.rememberedUntil <= now; });
+    if (now >= this->nextForgetAt) {
+        std::erase_if(this->removedTargets, [now](const auto& each) { return each.second.rememberedUntil <= now; });
+        this->nextForgetAt = now + forgetInterval;
+    }
     if (const auto known = this->targetRecords.find(key); known != this->targetRecords.end()) {
         this->removedTargets[key] = { known->second, now + removedTargetRetention };
         this->targetRecords.erase(known);
--- a/src/directory/DirectorySync.h
+++ b/src/directory/DirectorySync.h
@@ -162,6 +162,7 @@
     std::map<std::string, RecordVersion> targetRecords; ///< by key; older versions of a record are ignored
     /// Targets whose records were removed: they may return with an older copy of the store.
     std::map<std::string, RemovedTarget> removedTargets;
+    Clock::time_point nextForgetAt; ///< when expired ones are dropped next
     /// Registrations that were missing right after an outage, by key, and when their targets count as gone. They may
     /// have expired although the targets still run; those register again before.
     std::map<std::string, Deadline> absentTargets;
--- a/tests/DirectoryTest.cpp
+++ b/tests/DirectoryTest.cpp
@@ -7,6 +7,7 @@
 #include <QTimer>
 #include <algorithm>
 #include <criterion/criterion.h>
+#include <ctime>
 #include <random>
 
 using namespace testing;
@@ -454,6 +455,26 @@
     cr_assert_eq(fixture.directory.targets().size(), 2);
 }
 
+Test(directorySync, removalOfTenThousandRecordsDoesNotStallTheEventLoop, .timeout = 60)
+{
+    for (const bool isAfterOutage : { false, true }) {
+        Fixture fixture;
+        fixture.start();
+        const auto isKnown = [&] { return fixture.sync.changes().revision() == fixture.store.storeRevision(); };
+        for (int i = 0; i < 10000; ++i)
+            fixture.store.set("targets/odd-" + std::to_string(i), "?");
+        require(waitUntil(isKnown, 10s), "the records were not read");
+        if (isAfterOutage)
+            fixture.store.bridgedOutageEnd = Clock::now();
+        for (int i = 0; i < 10000; ++i)
+            fixture.store.erase("targets/odd-" + std::to_string(i));
+        const auto before = std::clock();
+        require(waitUntil(isKnown, 10s), "the removals were not read");
+        const auto used = 1000 * (std::clock() - before) / CLOCKS_PER_SEC;
+        cr_expect_lt(used, 250, "%d ms of processor time", static_cast<int>(used)); // what counts as a stall
+    }
+}
+
 Test(directorySync, keyThatBeginsAsThatOfTheConfigurationIsNotTakenForIt)
 {
     Fixture fixture;
