Bound the log lines about records that cannot be used

What callers saw: nothing was reported; ten thousand odd records, each written again as by a heartbeat, cost a line each time, more than a reader of the log takes; a line that the pipe has no room for is dropped, whatever it says.

Cause: lines on changes of state are not limited, and a record that is written again with the same bytes counted as a change.

Fix: a target's record is logged once for each content, and all lines about refused records share a limit of 10 a second and 100 at once; the number of dropped lines is logged. dragonfly_records_refused_total counts them. Conclusion: the log stays bounded whatever others write.

--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -11,6 +11,7 @@
 
 using observe::logChange;
 using observe::LogLevel;
+using observe::logRefusedRecord;
 
 namespace {
 
@@ -39,19 +40,15 @@
 
     /// How long removed targets are remembered. A copy to which the store returns is some seconds old.
     constexpr std::chrono::minutes removedTargetRetention { 10 };
-
     /// Between two looks for those that need not be remembered any longer, so that many removals at once cost no look
     /// each.
     constexpr std::chrono::minutes forgetInterval { 1 };
+
     std::chrono::milliseconds jitter(std::chrono::milliseconds bound)
     {
         return std::chrono::milliseconds(QRandomGenerator::global()->bounded(static_cast<int>(bound.count()) + 1));
     }
 
-}
-
-DirectorySync::DirectorySync(
-    store::RecordSource& records, const RecordDecoder& decoder, Directory& directory, observe::Metrics& metrics)
     std::string listOf(const std::vector<std::string>& names)
     {
         constexpr size_t maxListed = 8;
@@ -61,6 +58,10 @@
         return names.size() > maxListed ? text + ", ..." : text;
     }
 
+}
+
+DirectorySync::DirectorySync(
+    store::RecordSource& records, const RecordDecoder& decoder, Directory& directory, observe::Metrics& metrics)
     : records(records)
     , decoder(decoder)
     , directory(directory)
@@ -370,20 +371,21 @@
         if (const auto* error = errorOf(decoded)) {
             logChange(LogLevel::Error, "invalid configuration refused",
                 { { "revision", std::to_string(pair.modRevision) }, { "reason", error->detail } });
+            this->metrics.recordsRefused.Increment();
             this->directory.freshness.invalidate();
             return;
         }
         this->deploymentRevision = pair.modRevision;
         const auto version = std::get<Deployment>(decoded).version;
+        if (const auto& replaced = std::get<Deployment>(decoded).replacedNumbers; !replaced.empty())
+            logChange(LogLevel::Error, "numbers of the configuration replaced",
+                { { "version", std::to_string(version) }, { "count", std::to_string(replaced.size()) },
+                    { "fields", listOf(replaced) } });
         if (this->directory.apply(std::move(std::get<Deployment>(decoded))))
             this->metrics.configApplied.Increment();
         const auto inForce = this->directory.routes()->version();
         this->metrics.configRevision.Set(static_cast<double>(inForce));
         this->isRecordInForce = version == inForce;
-        if (const auto& replaced = std::get<Deployment>(decoded).replacedNumbers; !replaced.empty())
-            logChange(LogLevel::Error, "numbers of the configuration replaced",
-                { { "version", std::to_string(version) }, { "count", std::to_string(replaced.size()) },
-                    { "fields", listOf(replaced) } });
         if (!this->isRecordInForce)
             logChange(LogLevel::Warning, "configuration record left out",
                 { { "reason", "a newer version is in force" }, { "version", std::to_string(version) },
@@ -428,13 +430,16 @@
     }
     this->absentTargets.erase(key);
     const bool isNew = known == this->targetRecords.end() || change.pair.modRevision > known->second.revision;
+    const bool isChanged = known == this->targetRecords.end() || version.valueHash != known->second.valueHash;
     this->targetRecords[key] = version;
     auto decoded = this->decoder.decodeRegistration(key, change.pair.value);
     if (const auto* error = errorOf(decoded)) {
         // The state of a target registered under this key before is no longer known, so it is removed.
-        if (isNew)
-            logChange(
+        if (isChanged) {
+            this->metrics.recordsRefused.Increment();
+            logRefusedRecord(
                 LogLevel::Warning, "invalid target record refused", { { "key", key }, { "reason", error->detail } });
+        }
         this->directory.removeTarget(id);
         return;
     }
@@ -491,14 +496,16 @@
 void DirectorySync::applyWeights(const store::KeyValue& pair)
 {
     const auto decoded = this->decoder.decodeWeights(pair.key, pair.value);
-    if (const auto* error = errorOf(decoded))
-        logChange(
+    if (const auto* error = errorOf(decoded)) {
+        this->metrics.recordsRefused.Increment();
+        logRefusedRecord(
             LogLevel::Error, "invalid weights record refused", { { "key", pair.key }, { "reason", error->detail } });
-    else
-        // A read of all records returns only the last of several versions, and the first of them replaced the weights.
-        // So not the record's own revision counts, but the first that was not known yet.
-        this->directory.setWantedWeights(
-            std::get<WantedWeights>(decoded), this->revisionTimes.lowerBound(this->watchedRevision + 1));
+        return;
+    }
+    // A read of all records returns only the last of several versions, and the first of them replaced the weights.
+    // So not the record's own revision counts, but the first that was not known yet.
+    this->directory.setWantedWeights(
+        std::get<WantedWeights>(decoded), this->revisionTimes.lowerBound(this->watchedRevision + 1));
 }
 
 /// Until then, targets keep their place although their registrations are missing.
--- a/src/observe/Log.cpp
+++ b/src/observe/Log.cpp
@@ -28,11 +28,40 @@
     /// Lines reserved for requests that failed or were refused.
     constexpr double failedRequestReserve = 120;
 
+    /// Limits for lines about refused records: a few faulty ones are all named, a flood of them stays bounded.
+    constexpr double recordLinesPerSecond = 10;
+    constexpr double recordLineBurst = 100;
+
     std::atomic<uint64_t> dropped { 0 };
-    std::atomic<uint64_t> droppedByRateLimit { 0 };
-    std::mutex rateLimiterMutex;
-    /// Guarded by rateLimiterMutex.
-    LogRateLimiter rateLimiter(requestLinesPerSecond, requestLineBurst, failedRequestReserve);
+
+    /// Lines of one kind, of which only some are written.
+    struct LimitedLines {
+        std::string_view droppedEvent; ///< logged with the number of dropped lines
+        LogRateLimiter limiter; ///< guarded by the mutex
+        std::mutex mutex;
+        std::atomic<uint64_t> droppedSinceLast { 0 };
+
+        /// Whether a line may be written.
+        bool tryAcquire(bool isImportant)
+        {
+            const std::lock_guard guard(this->mutex);
+            if (this->limiter.tryAcquire(isImportant, Clock::now()))
+                return true;
+            dropped.fetch_add(1, std::memory_order_relaxed);
+            this->droppedSinceLast.fetch_add(1, std::memory_order_relaxed);
+            return false;
+        }
+        void logDropped()
+        {
+            if (const auto count = this->droppedSinceLast.exchange(0, std::memory_order_relaxed))
+                logChange(LogLevel::Info, this->droppedEvent, { { "count", std::to_string(count) } });
+        }
+    };
+
+    LimitedLines requestLines { "request log lines dropped",
+        { requestLinesPerSecond, requestLineBurst, failedRequestReserve }, {}, {} };
+    LimitedLines recordLines { "refused record log lines dropped", { recordLinesPerSecond, recordLineBurst, 0 }, {},
+        {} };
 
     /// Writes lines to standard output without blocking; a line is dropped while the pipe is full.
     class StandardOutputBackend
@@ -94,12 +123,6 @@
         return "request refused";
     }
 
-    bool tryAcquireLine(RequestOutcome outcome)
-    {
-        const std::lock_guard guard(rateLimiterMutex);
-        return rateLimiter.tryAcquire(outcome != RequestOutcome::Answered, Clock::now());
-    }
-
 }
 
 void startLog(const std::string& instance)
@@ -133,16 +156,20 @@
 
 void logRequest(RequestOutcome outcome, std::initializer_list<LogField> fields)
 {
-    if (!tryAcquireLine(outcome)) {
-        dropped.fetch_add(1, std::memory_order_relaxed);
-        droppedByRateLimit.fetch_add(1, std::memory_order_relaxed);
+    if (!requestLines.tryAcquire(outcome != RequestOutcome::Answered))
         return;
-    }
-    if (const auto count = droppedByRateLimit.exchange(0, std::memory_order_relaxed))
-        logChange(LogLevel::Info, "request log lines dropped", { { "count", std::to_string(count) } });
+    requestLines.logDropped();
     BOOST_LOG_TRIVIAL(info) << formatLine(eventOf(outcome), fields);
 }
 
+void logRefusedRecord(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (!recordLines.tryAcquire(true))
+        return;
+    recordLines.logDropped();
+    logChange(level, event, fields);
+}
+
 uint64_t droppedLogLines()
 {
     return dropped.load(std::memory_order_relaxed);
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -45,6 +45,7 @@
     prometheus::Counter& configFromPeers;
     prometheus::Counter& platformCalls;
     prometheus::Counter& platformFailures;
+    prometheus::Counter& recordsRefused;
     prometheus::Gauge& livePeers;
     prometheus::Counter& peerMessages;
     prometheus::Counter& peerBytes;
--- a/src/quarantine/PromptQuarantine.cpp
+++ b/src/quarantine/PromptQuarantine.cpp
@@ -114,7 +114,7 @@
     if (record.key.starts_with(reportPrefix)) {
         const auto report = exists ? fromRecord(record.value) : std::nullopt;
         if (exists && !report)
-            logChange(LogLevel::Warning, "invalid report on an ended target refused", { { "key", record.key } });
+            this->refuseRecord("invalid report on an ended target refused", record.key);
         this->lostReports.erase(record.key);
         if (report)
             this->evidence.add(record.key, *report, record.modRevision);
@@ -123,7 +123,7 @@
     } else if (record.key.starts_with(soundPrefix)) {
         const auto part = parsePart(std::string_view(record.key).substr(soundPrefix.size()));
         if (!part)
-            logChange(LogLevel::Warning, "invalid record on a sound prompt refused", { { "key", record.key } });
+            this->refuseRecord("invalid record on a sound prompt refused", record.key);
         else if (exists)
             this->evidence.recordPublishedSound(*part, record.modRevision);
         else
@@ -135,6 +135,12 @@
     return true;
 }
 
+void PromptQuarantine::refuseRecord(const char* event, const std::string& key)
+{
+    this->metrics.recordsRefused.Increment();
+    observe::logRefusedRecord(LogLevel::Warning, event, { { "key", key } });
+}
+
 void PromptQuarantine::onStoreReturned()
 {
     this->reportPublisher.onStoreReturned();
--- a/src/quarantine/PromptQuarantine.h
+++ b/src/quarantine/PromptQuarantine.h
@@ -91,6 +91,7 @@
     void report(const Incarnation& incarnation, const Gathering& gathering);
     void withdrawIfRegistered(const std::string& key, const Incarnation& incarnation);
     void onRecordDone(const std::string& key, bool isWritten);
+    void refuseRecord(const char* event, const std::string& key);
     void expireLostReport(const std::string& key);
     void publishSound(PartHash part);
     Clock::time_point firstTrialAt(PartHash part, Clock::time_point now) const;
--- a/src/relay/InstanceRegistry.cpp
+++ b/src/relay/InstanceRegistry.cpp
@@ -83,7 +83,8 @@
     pb::PeerAddress decoded;
     const auto peer = decoded.ParseFromString(record.value) ? fromRecord(decoded) : std::nullopt;
     if (!peer || peer->instance != instance) {
-        logChange(LogLevel::Warning, "invalid instance record refused", { { "key", record.key } });
+        this->metrics.recordsRefused.Increment();
+        observe::logRefusedRecord(LogLevel::Warning, "invalid instance record refused", { { "key", record.key } });
         this->removeInstance(instance);
         return;
     }
--- a/tests/OddRecordTest.cpp
+++ b/tests/OddRecordTest.cpp
@@ -436,3 +436,30 @@
     const auto [first, second] = odd.served();
     cr_expect(first == 20 && second == 20, "%d and %d of 20", first, second);
 }
+
+Test(oddRecord, tenThousandOfThemAreFollowedAndLoggedInBounds, .timeout = 120)
+{
+    OddSite odd;
+    runFor(1s);
+    const auto memory = odd.site.entries[0]->residentBytes();
+    const auto start = Clock::now();
+    for (int round = 0; round < 4; ++round) {
+        // As an engine's heartbeat, the same bytes are written again; then others.
+        const auto value = round < 2 ? "{\"slots\":1e300}" : "{\"slots\":-" + std::to_string(round) + "}";
+        odd.site.controlStore({ { "fill",
+            QJsonObject { { "prefix", "servers/odd-" }, { "count", 10000 }, { "value", value.c_str() } } } });
+        cr_expect(odd.bothFollow(), "round %d", round);
+        const auto [first, second] = odd.served();
+        cr_expect(first == 20 && second == 20, "%d and %d of 20 in round %d", first, second, round);
+    }
+    const auto grown = odd.site.entries[0]->residentBytes() - std::min(memory, odd.site.entries[0]->residentBytes());
+    cr_expect_leq(grown, 32u << 20, "%zu bytes", static_cast<size_t>(grown));
+    odd.site.restartEntry(1);
+    odd.site.controlStore({ { "fill", QJsonObject { { "prefix", "servers/odd-" }, { "count", -10000 } } } });
+    cr_expect(odd.bothFollow(), "after they were removed");
+    const auto seconds = std::chrono::duration<double>(Clock::now() - start).count();
+    const auto lines = odd.countLines("invalid target record refused");
+    constexpr size_t processes = 3;
+    cr_expect_leq(lines, processes * static_cast<size_t>(100 + 10 * seconds), "%zu lines in %.1f s", lines, seconds);
+    cr_expect_geq(lines, 10);
+}
