End log lines that are truncated

What callers saw: nothing was reported. A record with a long text, such as a service of 100,000 characters, makes a line longer than a pipe takes at once. The line was cut without its end, so that the next one, perhaps about a failed request, continued it and no search for its fields found it.

Evidence: oddRecord/longLineOfTheLogDoesNotSwallowTheNext failed before: "xxxxxxtime=2026-12-05T04:36:04.761389 level=info instance=entry-0 event="target registered"".

Cause and fix: the text was cut after its line break was added; now the last byte that is written is a line break. Conclusion: each line of the log stands alone.

--- a/src/observe/Log.cpp
+++ b/src/observe/Log.cpp
@@ -70,11 +70,15 @@
         void consume(const logging::record_view&, const std::string& line)
         {
             pollfd state { STDOUT_FILENO, POLLOUT, 0 };
-            const auto text = line + "\n";
+            auto text = line + "\n";
             const bool isWritable = poll(&state, 1, 0) == 1 && (state.revents & POLLOUT);
             // A writable pipe accepts PIPE_BUF bytes without blocking; longer lines are truncated.
-            const auto size = std::min<size_t>(text.size(), PIPE_BUF);
-            if (!isWritable || write(STDOUT_FILENO, text.data(), size) != static_cast<ssize_t>(size))
+            if (text.size() > PIPE_BUF) {
+                text.resize(PIPE_BUF);
+                text.back() = '\n';
+            }
+            const auto size = static_cast<ssize_t>(text.size());
+            if (!isWritable || write(STDOUT_FILENO, text.data(), text.size()) != size)
                 dropped.fetch_add(1, std::memory_order_relaxed);
         }
     };
--- a/tests/OddRecordTest.cpp
+++ b/tests/OddRecordTest.cpp
@@ -463,3 +463,16 @@
     cr_expect_leq(lines, processes * static_cast<size_t>(100 + 10 * seconds), "%zu lines in %.1f s", lines, seconds);
     cr_expect_geq(lines, 10);
 }
+
+Test(oddRecord, longLineOfTheLogDoesNotSwallowTheNext, .timeout = 60)
+{
+    OddSite odd;
+    const auto service = "\"" + std::string(100000, 'x') + "\"";
+    odd.site.putRecord("servers/odd", with(soundRegistration, "\"s\"", service));
+    cr_assert(odd.bothFollow());
+    for (const auto& line : odd.log()) {
+        const auto first = line.find("time=");
+        const bool isOne = first == std::string::npos || line.find("time=2", first + 1) == std::string::npos;
+        cr_expect(isOne, "%s", line.substr(std::max<size_t>(line.size(), 200) - 200).c_str());
+    }
+}
