Refuse claims of replaced weights that are no versions

What callers saw: nothing was reported. A claim "-5", or one of 23 digits, was read as a version beyond all, so that no instance claimed the versions that follow, and after a restart of all instances replaced weights would not have been confirmed.

Cause: strtoull() negates, saturates, and ignores what follows a number.

Evidence: weightsRollout/claimThatCannotBeReadIsMadeAgain failed before for '-5', '' and '2x'.

Fix: a claim that is no version is logged and written over. Conclusion: such a record costs nothing. A version that is merely too high still counts; nothing tells it from a sound one.

--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -4,6 +4,7 @@
 
 #include <QRandomGenerator>
 #include <algorithm>
+#include <charconv>
 
 namespace dragonfly::weights {
 
@@ -43,6 +44,13 @@
     /// Before the next report query to an engine that was busy or did not answer.
     constexpr std::chrono::milliseconds reportRetryInterval { 400 };
 
+    std::optional<uint64_t> parseVersion(std::string_view text)
+    {
+        uint64_t version = 0;
+        const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), version);
+        return failure == std::errc() && end == text.data() + text.size() ? std::optional(version) : std::nullopt;
+    }
+
 }
 
 WeightsRollout::WeightsRollout(const RolloutSettings& settings, store::WatchableStore& store, const EngineApi& api,
@@ -71,20 +79,32 @@
     }
     if (key.starts_with(confirmedForPrefix)) {
         auto& confirmed = this->confirmedFor[key.substr(confirmedForPrefix.size())];
-        const auto version = std::strtoull(record.value.c_str(), nullptr, 10);
-        if (!exists)
+        const auto version = parseVersion(record.value);
+        if (!exists) {
             confirmed.revision = 0; // the version stays: it was confirmed, whether or not the record was lost
-        else if (version < confirmed.version)
-            confirmed.revision = record.modRevision; // an older copy
-        else if (record.modRevision > confirmed.revision)
-            confirmed = { version, record.modRevision, std::nullopt, confirmed.nextClaimAt };
+        } else if (!version || *version < confirmed.version) {
+            if (!version)
+                this->refuseRecord(key);
+            confirmed.revision = record.modRevision; // an older copy, or to be written over
+        } else if (record.modRevision > confirmed.revision) {
+            confirmed = { *version, record.modRevision, std::nullopt, confirmed.nextClaimAt };
+        }
         return;
     }
     const auto slash = key.rfind('/');
     if (!key.starts_with(mayStillAnswerPrefix) || slash < mayStillAnswerPrefix.size())
         return;
     const auto model = key.substr(mayStillAnswerPrefix.size(), slash - mayStillAnswerPrefix.size());
-    this->directory.confirmReplacedVersion(model, std::strtoull(key.c_str() + slash + 1, nullptr, 10), exists);
+    if (const auto version = parseVersion(std::string_view(key).substr(slash + 1)))
+        this->directory.confirmReplacedVersion(model, *version, exists);
+    else
+        this->refuseRecord(key);
+}
+
+void WeightsRollout::refuseRecord(const std::string& key)
+{
+    this->metrics.recordsRefused.Increment();
+    observe::logRefusedRecord(LogLevel::Warning, "invalid record on replaced weights refused", { { "key", key } });
 }
 
 void WeightsRollout::confirmReplacedWeights()
--- a/src/weights/WeightsRollout.h
+++ b/src/weights/WeightsRollout.h
@@ -96,6 +96,7 @@
 
     /// Publishes which replaced weights may still answer, and for how long, to instances that are started later and
     /// cannot know it.
+    void refuseRecord(const std::string& key);
     void confirmReplacedWeights();
     /// Claims the confirmation of each wanted version, whether or not any engine runs the model: one that returns later
     /// may have the weights that it had before.
--- a/tests/WeightsPartsTest.cpp
+++ b/tests/WeightsPartsTest.cpp
@@ -294,6 +294,16 @@
     cr_assert(fixture.isConfirmed());
 }
 
+Test(weightsRollout, claimThatCannotBeReadIsMadeAgain)
+{
+    for (const auto* value : { "-5", "99999999999999999999999", "2x", "", "x" }) {
+        RolloutFixture fixture;
+        fixture.rollout.applyRecord({ "dragonfly/confirmed-for/m", value, 7 }, true);
+        fixture.lead();
+        cr_expect(testing::waitUntil([&] { return fixture.store.claims > 0; }, 3s), "'%s'", value);
+    }
+}
+
 Test(weightsRollout, confirmationIsTriedAgainAfterARefusedLease)
 {
     RolloutFixture fixture;
