Refuse reports with more requests than an instance writes

What callers saw: nothing was reported. One report with 5,000 requests, in 20 KB, displaced the reports of all others from memory, and then itself: parts that crash engines were no longer refused.

Cause: only the size of a report was bounded, not the number of its requests, while memory is bounded by that number.

Evidence: endReport/withMoreRequestsThanAnInstanceWritesIsRefused failed before. Fix: reports have at most 64 requests; an instance writes 32. Conclusion: 64 sound reports always have room.

--- a/src/quarantine/TargetEndRecord.cpp
+++ b/src/quarantine/TargetEndRecord.cpp
@@ -8,6 +8,8 @@
 
     /// Well above what an instance writes; bounds the memory that a record of another version could take.
     constexpr size_t maxRecordBytes = 64u << 10;
+    /// Twice what an instance writes. More would displace the reports of others.
+    constexpr int maxRequests = 64;
 
 }
 
@@ -30,7 +32,7 @@
 {
     pb::TargetEnd record;
     if (bytes.size() > maxRecordBytes || !record.ParseFromString(bytes) || record.target().empty()
-        || record.beginning().empty())
+        || record.beginning().empty() || record.beginning_size() > maxRequests)
         return std::nullopt;
     TargetEndReport report;
     report.incarnation = { record.target(), record.started_unix_ms() };
--- a/tests/OddRecordTest.cpp
+++ b/tests/OddRecordTest.cpp
@@ -266,6 +266,16 @@
         transport.send("127.77." + std::to_string(i / 250) + "." + std::to_string(1 + i % 250) + ":9", {});
 }
 
+Test(endReport, withMoreRequestsThanAnInstanceWritesIsRefused)
+{
+    quarantine::TargetEndReport report { { "i-1", 17 }, {}, {}, {} };
+    for (uint64_t i = 0; i < 5000; ++i)
+        report.beginning.push_back({ i, {} });
+    cr_assert_not(quarantine::fromRecord(quarantine::toRecord(report)).has_value());
+    report.beginning.resize(32);
+    cr_assert(quarantine::fromRecord(quarantine::toRecord(report)).has_value());
+}
+
 namespace {
 
 /// Two instances, the second of which follows the first. All lines that processes of the site print are kept.
