--- a/tests/DirectoryTest.cpp
+++ b/tests/DirectoryTest.cpp
@@ -455,6 +455,23 @@
     cr_assert_eq(fixture.directory.targets().size(), 2);
 }
 
+Test(directorySync, unreadableRecordHidesTheTargetUntilItsNextRecord)
+{
+    Fixture fixture;
+    fixture.start();
+    fixture.store.set("targets/a", "?");
+    require(waitUntil([&] { return !fixture.directory.targets().contains("a"); }, 1s), "the record names a target");
+    cr_assert_eq(fixture.directory.targets().size(), 2, "the others hold");
+    fixture.store.historyIsGone = true; // all records are read again
+    runFor(700ms);
+    cr_assert_not(fixture.directory.targets().contains("a"));
+    fixture.store.set("targets/a", "draining");
+    cr_assert(waitUntil([&] { return fixture.directory.targets().contains("a"); }, 1s));
+    cr_assert(fixture.directory.targets().at("a")->registration.isDraining);
+    fixture.store.set("targets/a", "ready");
+    cr_assert(waitUntil([&] { return !fixture.directory.targets().at("a")->registration.isDraining; }, 1s));
+}
+
 Test(directorySync, removalOfTenThousandRecordsDoesNotStallTheEventLoop, .timeout = 60)
 {
     for (const bool isAfterOutage : { false, true }) {
