Run the decoders on random changes to records and headers

Besides not crashing, what is taken must be consistent: a port, an id, times that overflow no deadline.

--- a/tests/OddRecordTest.cpp
+++ b/tests/OddRecordTest.cpp
@@ -278,6 +278,117 @@
 
 namespace {
 
+using Random = std::mt19937;
+
+/// @p sound with some random changes: bytes, parts of other texts, repeated or missing pieces.
+std::string mutated(std::string text, const std::vector<std::string>& pieces, Random& random)
+{
+    for (auto changes = 1 + random() % 4; changes; --changes) {
+        const auto at = random() % (text.size() + 1);
+        const auto count = random() % 12;
+        switch (random() % 6) {
+        case 0:
+            text.insert(at, 1, static_cast<char>(random()));
+            break;
+        case 1:
+            text.erase(at, count);
+            break;
+        case 2:
+            text.insert(at, pieces[random() % pieces.size()]);
+            break;
+        case 3: {
+            const auto digit = text.find_first_of("0123456789", at);
+            if (digit != std::string::npos)
+                text.replace(digit, 1, pieces[random() % pieces.size()]);
+            break;
+        }
+        case 4:
+            text.insert(at, text.substr(random() % (text.size() + 1), count));
+            break;
+        default:
+            if (at < text.size())
+                text[at] = static_cast<char>(random());
+        }
+    }
+    return text;
+}
+
+void checkRegistration(const Result<directory::Registration>& decoded, const std::string& bytes)
+{
+    const auto* registration = std::get_if<directory::Registration>(&decoded);
+    if (!registration)
+        return;
+    cr_assert_neq(registration->endpoint.port, 0, "%s", bytes.c_str());
+    cr_assert(!registration->id.empty());
+    cr_assert_geq(registration->startedUnixMs, 0, "%s", bytes.c_str());
+    cr_assert_leq(registration->sequence, std::numeric_limits<int64_t>::max(), "%s", bytes.c_str());
+}
+
+void checkDeployment(const Result<directory::Deployment>& decoded, const std::string& bytes)
+{
+    const auto* deployment = std::get_if<directory::Deployment>(&decoded);
+    if (!deployment)
+        return;
+    const auto now = Clock::now();
+    for (const auto& route : deployment->routes) {
+        for (const auto time : { route.timeout, route.targetLatency, route.maxEventGap.value_or(0ms) })
+            cr_assert(now + time >= now && time < 24 * 24h, "%s", bytes.c_str());
+    }
+}
+
+}
+
+Test(decoders, anyBytesAreReadOrRefused, .timeout = 60)
+{
+    google::protobuf::SetLogHandler(nullptr);
+    const RecordCodec records;
+    const EngineCodec engines;
+    const HeaderCodec headers;
+    const std::vector<std::string> pieces { "1e300", "1e999", "18446744073709551616", "9223372036854775808", "-1", "-0",
+        "0.5", "4294967296", "null", "[", "{\"a\":", "]", "}", "\"", "\\ud800", "\\u0000", "\xff", std::string(1, '\0'),
+        std::string(2000, '['), ",", ":", "\r\n", "%", "nan", "inf", "," };
+    quarantine::TargetEndReport report { { "i-1", 17 }, { { 1, { 2, 3 } }, { 4, { 5 } } }, { 6 }, { 7 } };
+    pb::PeerAddress peer;
+    peer.set_instance("entry-1");
+    peer.set_address("127.0.0.1:80");
+    const auto peerBytes = peer.SerializeAsString();
+    const auto reportBytes = quarantine::toRecord(report);
+    const std::string engineReport = R"({"models":[{"name":"m","version":4}],"busy":true,"seq":2})";
+    constexpr int rounds = 20000;
+    Random random(34);
+    for (int round = 0; round < rounds; ++round) {
+        const auto registration = mutated(soundRegistration, pieces, random);
+        checkRegistration(decode(registration), registration);
+        decode(soundRegistration, "servers/" + mutated("i-1", pieces, random));
+        const auto deployment = mutated(soundConfiguration, pieces, random);
+        checkDeployment(records.decodeDeployment(deployment), deployment);
+        records.decodeWeights("op/version/m", mutated("{\"model\":\"m\",\"version\":2}", pieces, random));
+        engines.readReport({ 200, {} }, mutated(engineReport, pieces, random));
+        quarantine::fromRecord(mutated(reportBytes, pieces, random));
+        pb::PeerAddress parsed;
+        if (parsed.ParseFromString(mutated(peerBytes, pieces, random)))
+            relay::fromRecord(parsed);
+        headers.parseAnswer({ 503,
+            { { "Retry-After", mutated("1.5", pieces, random) }, { "Server-Limit", mutated("4.7", pieces, random) },
+                { "X-Dragonflyarch-Instance-Load", mutated("3,1,8", pieces, random) },
+                { "X-Dragonflyarch-Weight-Versions", mutated("5", pieces, random) },
+                { "Connection", mutated("keep-alive, close", pieces, random) } } });
+        headers.parseRequest({ "POST", mutated("/p/x?y=1", pieces, random),
+            { { "X-Dragonflyarch-Deadline-Ms", mutated("8000", pieces, random) },
+                { "X-Dragonflyarch-Token-Usage", mutated("1460,80", pieces, random) },
+                { "X-Dragonflyarch-Prompt-Prefix", mutated("5c1e:800,91bd:410", pieces, random) } },
+            {} });
+        std::string bytes(random() % 64, '\0');
+        for (auto& byte : bytes)
+            byte = static_cast<char>(random());
+        decode(bytes);
+        parseEndpoint(bytes);
+        quarantine::fromRecord(bytes);
+    }
+}
+
+namespace {
+
 /// Two instances, the second of which follows the first. All lines that processes of the site print are kept.
 struct OddSite {
     const Application application;
