Keep idle connections for longer when the idle time grows

What callers saw: after a configuration with a longer idle time, a connection that they may still use by that configuration was closed after the former time, at the moment at which they sent a request on it.

Cause: the deadline of an idle connection was set when its last answer ended, and a new configuration applied to later answers only. Callers that know the new time reuse such a connection at any moment of it, also at its end by the former time.

Evidence: connectionThatIsIdleWhenTheIdleTimeGrowsIsKeptForTheLongerTime failed on the code before, "closed after the shorter time" (400 ms, then 2 s; a request 1.3 s after the answer). It passes now. The reverse, connectionThatIsIdleWhenTheIdleTimeShrinksIsKeptForTheLongerTime, passed before as well: a shorter time, or none, applies to later answers only, so that a caller that does not know it yet can use the connection.

Why the fix works: new limits move the deadlines of idle connections to the later of the two.

Conclusion: idle connections are kept for the longest time that a caller may have read in a configuration that the instance has seen. One that the instance has not received yet cannot be followed; a request that crosses such a close is reset unread.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -73,6 +73,16 @@
     return Endpoint { endpoint.host, this->serverPort() };
 }
 
+void Server::setLimits(const ServerLimits& limits)
+{
+    const bool isIdleTimeLonger = limits.idleTimeout > this->limits.idleTimeout;
+    this->limits = limits;
+    if (!isIdleTimeLonger)
+        return;
+    for (auto* connection : this->findChildren<ServerConnection*>())
+        connection->extendIdleTime();
+}
+
 void Server::incomingConnection(qintptr descriptor)
 {
     const auto address = peerAddressOf(descriptor);
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -91,11 +91,9 @@
     Result<Endpoint> listenShared(const Endpoint& endpoint);
 
     RefusalObserver onRefusal;
-    /// Sets the limits for later connections and requests.
-    void setLimits(const ServerLimits& limits)
-    {
-        this->limits = limits;
-    }
+    /// Sets the limits for later connections and requests. Connections that are idle are kept for the longer of the
+    /// previous and the new idle time, since callers may know either.
+    void setLimits(const ServerLimits& limits);
     /// Stops listening. Connections that the system has established are accepted first; only those whose handshake ends
     /// between the last accept and the close are reset.
     void close();
--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "http/RequestChecks.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
@@ -306,6 +307,7 @@
         return;
     }
     this->state = State::Idle;
+    this->idleSince = Clock::now();
     this->setDeadline(this->server->limits.idleTimeout);
     // The next request may already be here; it is read from the event loop, to avoid recursion.
     QMetaObject::invokeMethod(
@@ -348,6 +350,12 @@
         this->drop(); // a request that crosses the close is reset, so that its caller knows that it was not read
 }
 
+void ServerConnection::extendIdleTime()
+{
+    if (this->state == State::Idle) // the timer fires early once and is armed again
+        this->deadline = std::max(this->deadline, this->idleSince + this->server->limits.idleTimeout);
+}
+
 /// Whether bytes have arrived that the event loop has not read, because it was busy or the process was suspended.
 bool ServerConnection::hasWaitingInput() const
 {
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -22,6 +22,8 @@
     void sendLastChunk();
     void abort();
     void closeWhenIdle();
+    /// Keeps an idle connection until the idle time of the server's limits has passed, unless it is kept for longer.
+    void extendIdleTime();
 
     int64_t unsentBytes() const
     {
@@ -65,6 +67,7 @@
     QTcpSocket socket;
     QTimer timer;
     Deadline deadline;
+    Clock::time_point idleSince = Clock::now(); ///< valid in Idle
     Deadline firstRequestDeadline; ///< a drain does not close a connection without a request before
     State state = State::Idle;
     std::optional<Parser> parser;
--- a/tests/ServerCloseTest.cpp
+++ b/tests/ServerCloseTest.cpp
@@ -180,6 +180,36 @@
     cr_assert_eq(tested.requests, 2);
 }
 
+Test(serverClose, connectionThatIsIdleWhenTheIdleTimeGrowsIsKeptForTheLongerTime, .timeout = 30)
+{
+    http::ServerLimits limits;
+    limits.idleTimeout = 400ms;
+    TestedServer tested(limits);
+    const auto caller = tested.connectKept();
+    runFor(100ms);
+    limits.idleTimeout = 2s;
+    tested.server.setLimits(limits);
+    runFor(1200ms);
+    cr_assert(caller->send(get("/now")));
+    cr_assert(caller->receiveUntil("answer to /now"), "closed after the shorter time");
+}
+
+Test(serverClose, connectionThatIsIdleWhenTheIdleTimeShrinksIsKeptForTheLongerTime, .timeout = 30)
+{
+    http::ServerLimits limits;
+    limits.idleTimeout = 2s;
+    TestedServer tested(limits);
+    const auto caller = tested.connectKept();
+    runFor(100ms);
+    for (const auto shorter : { 200ms, 0ms }) {
+        limits.idleTimeout = shorter;
+        tested.server.setLimits(limits);
+    }
+    runFor(1200ms);
+    cr_assert(caller->send(get("/now")));
+    cr_assert(caller->receiveUntil("answer to /now"), "closed after the shorter time");
+}
+
 Test(serverClose, requestThatWaitsBehindAKeptStreamIsAnsweredInTheDrain, .timeout = 30)
 {
     TestedServer tested;
