--- a/tests/support/ForwardSite.cpp
+++ b/tests/support/ForwardSite.cpp
@@ -1,6 +1,7 @@
 #include "tests/support/ForwardSite.h"
 
 #include <QJsonDocument>
+#include <algorithm>
 #include <fstream>
 
 namespace testing {
@@ -160,14 +161,26 @@
     const QJsonArray tenants { QJsonObject { { "name", "first" }, { "api_keys", QJsonArray::fromStringList(firstKeys) },
                                    { "priority", 0 }, { "isolated", true } },
         QJsonObject { { "name", "second" }, { "api_keys", QJsonArray { secondForwardKey } }, { "priority", 1 } } };
-    const QJsonObject config { { "version", this->version }, { "routes", routes }, { "services", services },
+    QJsonObject config { { "version", this->version }, { "routes", routes }, { "services", services },
         { "tenants", tenants },
         { "limits", QJsonObject { { "max_body_bytes", 100000 }, { "idle_timeout_ms", 10000 } } } };
+    if (this->editConfig)
+        this->editConfig(config);
     this->controlStore({ { "put",
         QJsonObject { { "key", "op/config" },
             { "value", QString::fromUtf8(QJsonDocument(config).toJson(QJsonDocument::Compact)) } } } });
 }
 
+void ForwardSite::waitUntilInForce() const
+{
+    const auto isInForce = [this](const auto& entry) {
+        const auto status = get(entry->address("admin"), "/status");
+        return waitFor(status) && status->json()["config_version"].toInt() == this->version;
+    };
+    require(waitUntil([&] { return std::ranges::all_of(this->entries, isInForce); }, std::chrono::seconds(10)),
+        "the configuration is not in force");
+}
+
 void ForwardSite::setWantedWeights(int wanted)
 {
     this->controlStore({ { "put",
--- a/tests/support/ForwardSite.h
+++ b/tests/support/ForwardSite.h
@@ -6,6 +6,7 @@
 #include "tests/support/Site.h"
 
 #include <QJsonArray>
+#include <functional>
 
 namespace testing {
 
@@ -53,6 +54,8 @@
     /// @param timeoutMs timeout of every route
     /// @param targetLatencyMs target latency of every route; an instance resumes a stream that stalls for twice as long
     void publish(const QStringList& firstKeys, int timeoutMs = 2000, int targetLatencyMs = 200);
+    /// Waits until each entry instance has put the last published configuration in force.
+    void waitUntilInForce() const;
     /// Rewrites the settings file of an entry instance.
     void changeSettings(size_t entry, const std::string& extraSettings,
         const std::optional<dragonfly::Endpoint>& storeAddress = std::nullopt);
@@ -67,6 +70,8 @@
     std::vector<std::unique_ptr<Process>> services;
     std::vector<std::unique_ptr<Process>> entries;
     Caller caller { "" };
+    /// Changes a configuration before it is published.
+    std::function<void(QJsonObject&)> editConfig;
 
 private:
     void waitUntilReady(Process& entry) const;
