Do not send a refused request again after its caller has left

What callers saw: nothing, but targets ran requests for nobody. A request that may run once at most, whose caller had left while it was at a target, was sent to another target when the first one refused it, at any time until its deadline.

Cause: onCallerGone() leaves such a request alone once it was sent, since withdrawing it would not undo it, and nothing remembered that the caller had left. attemptFailed() then went on to the next target as for any request. Which requests this concerns: those on non-idempotent routes, while targets refuse late, as they do when they shed load or drain.

Evidence: refusedRequestIsNotSentToAnotherTargetAfterItsCallerHasLeft failed on the code before: "/book/x: sent again after the caller had left", 0.9 s after the request, with a target that refuses after that time. Idempotent requests passed. It passes now, and so do the other tests of the file, which passed before: open attempts end within 0.5 s however the caller leaves (a close, a reset, the end of its sending side), also with an unread stream; a pipelined request is not sent; no backup is sent for a caller that left while the instance was suspended.

Why the fix works: each further attempt begins in nextAttempt(), which asks whether the connection of the caller is still there.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -161,6 +161,10 @@
         this->endForStop();
         return;
     }
+    if (this->request.exchange->callerGone()) {
+        this->onCallerGone();
+        return;
+    }
     if (this->failIfQuarantined())
         return;
     auto choice = this->chooseTarget(now);
@@ -999,7 +1003,8 @@
 {
     if (this->ended)
         return;
-    this->context.metrics.callersGone.Increment();
+    if (!std::exchange(this->isCallerGone, true))
+        this->context.metrics.callersGone.Increment();
     // A non-idempotent request that was sent runs to completion: cancelling the call would not undo it.
     const bool mustComplete = this->request.route->kind == RequestKind::NonIdempotent && this->attempt
         && this->attempt->call && this->attempt->call->requestSent();
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -192,6 +192,7 @@
     bool streamBegun = false;
     bool isSuspected = false; ///< a target may have ended because of the prompt; no other target receives the request
     bool readingPaused = false; ///< the caller reads slowly, so the answer to the current attempt is not read
+    bool isCallerGone = false; ///< the request may go on at one target, but not at another
     bool ended = false;
 };
 
--- /dev/null
+++ b/tests/CallerGoneTest.cpp
@@ -0,0 +1,220 @@
+// Callers that leave before their answer: within half a second nothing of their requests is open at a target, and none
+// is sent any more.
+
+#include "tests/support/ForwardSite.h"
+#include "tests/support/RawCaller.h"
+#include "tests/support/ScriptedTarget.h"
+
+#include <criterion/criterion.h>
+
+using namespace testing;
+using namespace dragonfly;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto withdrawalTime = 500ms; ///< by then nothing is open for a caller that has left
+constexpr auto patience = 5s;
+
+/// How a caller leaves.
+enum class Leaving {
+    Close,
+    Reset,
+    EndSending,
+};
+
+constexpr Leaving allWays[] = { Leaving::Close, Leaving::Reset, Leaving::EndSending };
+
+std::string requestText(const std::string& id, const std::string& path, size_t bodyBytes = 4)
+{
+    std::string text = "POST " + path + " HTTP/1.1\r\nHost: site.example\r\nX-Dragonflyarch-Attempt-Id: " + id
+        + "\r\nX-Dragonflyarch-Deadline-Ms: 5000\r\nAuthorization: Bearer " + forwardKey + "\r\n";
+    if (path.starts_with("/ask/") || path.starts_with("/once/"))
+        text += "X-Dragonflyarch-Model: m\r\nX-Dragonflyarch-Token-Usage: 300,10\r\n"
+                "X-Dragonflyarch-Prompt-Prefix: aa:200,bb:100\r\n";
+    return text + "Content-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x');
+}
+
+void leave(RawCaller& caller, Leaving way)
+{
+    switch (way) {
+    case Leaving::Close:
+        caller.close();
+        break;
+    case Leaving::Reset:
+        caller.reset();
+        break;
+    case Leaving::EndSending:
+        caller.endSending();
+        break;
+    }
+}
+
+void setAll(const std::vector<std::unique_ptr<Process>>& targets, const QJsonObject& order)
+{
+    for (const auto& target : targets)
+        control(target->address(), order);
+}
+
+int sum(const std::vector<std::unique_ptr<Process>>& targets, const char* field)
+{
+    int total = 0;
+    for (const auto& target : targets)
+        total += control(target->address())[QLatin1String(field)].toInt();
+    return total;
+}
+
+int arrivals(const std::vector<std::unique_ptr<Process>>& targets)
+{
+    int total = 0;
+    for (const auto& target : targets)
+        total += static_cast<int>(control(target->address())["arrivals"].toArray().size());
+    return total;
+}
+
+std::string refusal(const std::string& id)
+{
+    return "HTTP/1.1 503 Service Unavailable\r\nX-Dragonflyarch-Attempt-Id: " + id
+        + "\r\nX-Dragonflyarch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string success(const std::string& id)
+{
+    return "HTTP/1.1 200 OK\r\nX-Dragonflyarch-Attempt-Id: " + id + "\r\nX-Dragonflyarch-Response-Stamp: s-" + id
+        + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
+/// A site whose plain service consists of targets in the test, which answer the first arrival of a request with a
+/// refusal after a delay and further ones with success.
+struct RefusingSite {
+    Application application;
+    ForwardSite site;
+    std::map<std::string, int> arrivals; ///< by request id
+    std::chrono::milliseconds delay { 0 };
+    std::vector<std::unique_ptr<ScriptedTarget>> targets;
+
+    RefusingSite()
+    {
+        for (int i = 0; i < 3; ++i) {
+            this->targets.push_back(std::make_unique<ScriptedTarget>(
+                "X-Dragonflyarch-Attempt-Id", [this](const ScriptedRequest& request, QTcpSocket& socket) {
+                    const bool isFirst = ++this->arrivals[request.id] == 1;
+                    ScriptedTarget::writeLater(
+                        socket, isFirst ? this->delay : 0ms, isFirst ? refusal(request.id) : success(request.id));
+                }));
+            this->site.registerTarget("scripted-" + QString::number(i), "desk", "", this->targets.back()->address());
+        }
+        setAll(this->site.services, { { "draining", true } });
+        this->site.publish({ forwardKey }, 5000, 2000);
+        this->site.startEntry();
+        runFor(200ms);
+    }
+};
+
+}
+
+Test(callerGone, openAttemptsEndHoweverTheCallerLeaves, .timeout = 120)
+{
+    const Application application;
+    ForwardSite site;
+    site.publish({ forwardKey }, 5000, 2000);
+    auto& entry = site.startEntry();
+    setAll(site.services, { { "answer", "silent" } });
+    setAll(site.engines, { { "event_ms", 100 }, { "events", 100 } });
+    int engineCalls = 0;
+    int serviceCalls = 0;
+    for (const auto way : allWays) {
+        for (const auto* path : { "/read/x", "/open/x", "/ask/x", "/once/x" }) {
+            const bool isStream = path[1] == 'a' || path[2] == 'n';
+            const auto& targets = isStream ? site.engines : site.services;
+            auto& calls = isStream ? engineCalls : serviceCalls;
+            RawCaller caller(entry.address());
+            cr_assert(caller.send(requestText("g" + std::to_string(static_cast<int>(way)) + path, path)));
+            cr_assert(waitUntil([&] { return sum(targets, "runs") > calls; }, patience), "%s", path);
+            ++calls;
+            if (isStream)
+                cr_assert(caller.receiveUntil("id: 1\n"));
+            leave(caller, way);
+            cr_expect(waitUntil([&] { return sum(targets, "cancelled") == calls; }, withdrawalTime), "%s, %d", path,
+                static_cast<int>(way));
+        }
+    }
+}
+
+Test(callerGone, streamEndsWhenACallerLeavesThatHasNotReadIt, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site;
+    site.publish({ forwardKey }, 20000, 2000);
+    auto& entry = site.startEntry();
+    setAll(site.engines, { { "event_ms", 0 }, { "events", 2000000 } });
+    for (const auto way : { Leaving::Close, Leaving::Reset }) {
+        const auto closes = [&] {
+            qsizetype count = 0;
+            for (const auto& engine : site.engines)
+                count += control(engine->address())["stream_closes"].toArray().size();
+            return count;
+        };
+        const auto before = closes();
+        RawCaller caller(entry.address(), 4 << 10);
+        std::string request = requestText("unread" + std::to_string(static_cast<int>(way)), "/once/x");
+        request.replace(request.find("5000"), 4, "15000");
+        cr_assert(caller.send(request));
+        runFor(3s); // what the sockets hold fills up
+        leave(caller, way);
+        cr_expect(waitUntil([&] { return closes() == before + 1; }, withdrawalTime), "%d", static_cast<int>(way));
+    }
+}
+
+Test(callerGone, refusedRequestIsNotSentToAnotherTargetAfterItsCallerHasLeft, .timeout = 60)
+{
+    RefusingSite refusing;
+    refusing.delay = 900ms;
+    for (const auto* path : { "/book/x", "/read/x" }) {
+        RawCaller caller(refusing.site.entries[0]->address());
+        cr_assert(caller.send(requestText(path, path)));
+        cr_assert(waitUntil([&] { return refusing.arrivals[path] == 1; }, patience));
+        caller.close();
+        runFor(1500ms);
+        cr_expect_eq(refusing.arrivals[path], 1, "%s: sent again after the caller had left", path);
+    }
+}
+
+Test(callerGone, pipelinedRequestIsNotSentAfterItsCallerHasLeft, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site;
+    auto& entry = site.startEntry();
+    setAll(site.services, { { "work_ms", 300 } });
+    RawCaller caller(entry.address());
+    cr_assert(caller.send(requestText("front", "/book/x") + requestText("behind", "/read/x")));
+    cr_assert(waitUntil([&] { return arrivals(site.services) == 1; }, patience));
+    caller.close();
+    runFor(1s);
+    cr_assert_eq(arrivals(site.services), 1);
+}
+
+Test(callerGone, backupIsNotSentAfterTheCallerHasLeftWhileTheInstanceWasStopped, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site;
+    site.publish({ forwardKey }, 5000, 200);
+    auto& entry = site.startEntry();
+    setAll(site.services, { { "answer", "silent" } });
+    setAll(site.engines, { { "event_ms", 3000 }, { "events", 3 } });
+    RawCaller reader(entry.address());
+    RawCaller asker(entry.address());
+    cr_assert(reader.send(requestText("r", "/read/x")));
+    cr_assert(asker.send(requestText("a", "/ask/x")));
+    cr_assert(asker.receiveUntil("id: 1\n"));
+    cr_assert(waitUntil([&] { return sum(site.services, "runs") == 1; }, 300ms));
+    entry.freeze();
+    reader.close();
+    asker.close();
+    runFor(1s); // a backup is due
+    entry.thaw();
+    runFor(500ms);
+    cr_expect_eq(arrivals(site.services), 1);
+    cr_expect_eq(arrivals(site.engines), 1);
+    cr_expect_eq(sum(site.services, "cancelled"), 1);
+}
