--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -91,11 +91,9 @@
     Result<Endpoint> listenShared(const Endpoint& endpoint);
 
     RefusalObserver onRefusal;
-    /// Sets the limits for later connections and requests.
-    void setLimits(const ServerLimits& limits)
-    {
-        this->limits = limits;
-    }
+    /// Sets the limits for later connections and requests. Connections that are idle are kept for the longer of the
+    /// previous and the new idle time, since callers may know either.
+    void setLimits(const ServerLimits& limits);
     /// Stops listening. Connections that the system has established are accepted first; only those whose handshake ends
     /// between the last accept and the close are reset.
     void close();
@@ -107,11 +105,10 @@
     /// Closes idle connections now, and the others when their answers have ended.
     void drainConnections();
 
-    /// Number of open connections, without those that were idle when they were closed and have nothing left to deliver:
-    /// they only wait for the caller's close. Thread-safe.
+    /// Number of open connections. Thread-safe.
     int connectionCount() const
     {
-        return this->awaitedConnections.load(std::memory_order_relaxed);
+        return this->openConnections.load(std::memory_order_relaxed);
     }
 
 protected:
@@ -125,8 +122,7 @@
     ServerLimits limits;
     Handler handler;
     QHash<QString, int> connectionsByAddress;
-    int openConnections = 0;
-    std::atomic<int> awaitedConnections { 0 }; ///< see connectionCount()
+    std::atomic<int> openConnections { 0 };
     bool closing = false; ///< heads of answers say "Connection: close"
     bool draining = false; ///< connections are closed as soon as they are idle
 };
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -22,6 +22,8 @@
     void sendLastChunk();
     void abort();
     void closeWhenIdle();
+    /// Keeps an idle connection until the idle time of the server's limits has passed, unless it is kept for longer.
+    void extendIdleTime();
 
     int64_t unsentBytes() const
     {
@@ -54,7 +56,6 @@
     void closeInOrder();
     void endSending();
     void checkSendProgress();
-    void stopAwaiting();
     void drop();
     int64_t unacknowledgedBytes() const;
     void checkDeadline();
@@ -66,6 +67,7 @@
     QTcpSocket socket;
     QTimer timer;
     Deadline deadline;
+    Clock::time_point idleSince = Clock::now(); ///< valid in Idle
     Deadline firstRequestDeadline; ///< a drain does not close a connection without a request before
     State state = State::Idle;
     std::optional<Parser> parser;
@@ -73,7 +75,6 @@
     std::string unparsed;
     std::weak_ptr<Exchange> exchange;
     bool keepAlive = true; ///< false once the caller or the head of the current answer has said "close"
-    bool isAwaited = true; ///< counted in Server::awaitedConnections
     bool sendingEnded = false; ///< in Closing: everything queued is with the system, and the end of the stream too
     int64_t unsentAtCheck = 0; ///< unacknowledgedBytes() when the deadline of Closing was set
     size_t discardedBytes = 0;
