Refuse what arrives too late in a drain to end in time

What callers saw: in a planned stop, in calm, a stream that reached an instance late in the grace period (behind an answer on a kept connection, or because its body arrived late) was passed on to an engine, and its connection was closed at the end of the drain without the end of the answer, streams that may not be repeated among them. Other requests got 502 in the same place, although they could have been refused as not run, and targets were given deadlines of up to a minute beyond the end of the process.

Cause: only the listening socket and idle connections are closed at the end of the notice. Whatever is read on the others was sent to a target until the very end of the drain, whatever time was left.

Change: forward::findStopConflict() compares the time until the end of the drain with what is known of a request. One whose deadline ends before is sent. Any other needs twice its route's target latency (four times if it may not be repeated, 0.4 s at least), and a stream that the stop may cut must have arrived within 3 s of the signal, for which the platform excuses the cut. The rest gets 503, not run, with a Retry-After of 50 ms, before anything of it is sent; the times that decided are in its log line. Retries, backups and resumed streams are asked the same. Targets get no deadline after the end of the drain.

Evidence: LateRequestTest (requests of the four kinds, on new and kept connections, behind an answer and with a late body, in each tenth of 4, 8 and 30 s, at a target that never ends).

The tests of a target that is done in time pass before and after: nothing that fits is refused.

Tests and mutations: stop/requestsThatWereNotSentAreRefusedAsNotRunWhenThe- DrainEnds sent its requests 0.5 s before the end with a target latency of 20 s; these are refused at once now, so that it no longer reached the end of the drain. It sends them right before the signal; what it checks and its bounds are unchanged.

What remains: a request that waits unread behind a stream which the end of the drain cuts gets no answer, as the connection cannot carry one any more; it was not passed on.

--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -326,6 +326,7 @@
             { "signal_age_max_ms", millisecondsText(now - lastLook) },
             { "closing_in_ms", millisecondsText(this->drainSchedule.closing - now) },
             { "end_in_ms", millisecondsText(this->drainSchedule.end - now) } });
+    this->forwarding.stop = { lastLook, this->drainSchedule.end };
     this->server.announceClosing();
     this->rollout.stop([] {});
     this->registry.stop();
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -163,6 +163,10 @@
     }
     if (this->failIfQuarantined())
         return;
+    if (const auto conflict = this->findStopConflict(now)) {
+        this->fail({ ErrorKind::NoTarget, *conflict, this->execution(), retryAfterStop });
+        return;
+    }
     auto choice = this->chooseTarget(now);
     if (!choice) {
         this->failWithoutTarget(now);
@@ -224,6 +228,17 @@
     return false;
 }
 
+/// Why a planned stop leaves too little time for a further attempt, if it does.
+std::optional<std::string> ForwardCall::findStopConflict(Clock::time_point now) const
+{
+    if (!this->context.stop)
+        return std::nullopt;
+    const auto& route = *this->request.route;
+    const AttemptTimes times { route.kind, this->isRepeatable(), route.targetLatency, this->request.arrived,
+        this->request.deadline };
+    return forward::findStopConflict(*this->context.stop, times, now, BootClock::now());
+}
+
 Dispatch ForwardCall::dispatchFor(const TargetChoice& choice) const
 {
     const auto& route = *this->request.route;
@@ -232,7 +247,9 @@
     dispatch.targetId = choice.target->registration.id;
     if (organisation)
         dispatch.organisation = organisation->name;
-    dispatch.timeLeft = remaining(this->request.deadline, Clock::now());
+    const auto& stop = this->context.stop;
+    const auto deadline = stop ? std::min(this->request.deadline, toDeadline(stop->end)) : this->request.deadline;
+    dispatch.timeLeft = remaining(deadline, Clock::now());
     dispatch.cacheSalt = choice.cacheSalt;
     dispatch.weightsVersion = choice.weightsVersion;
     if (choice.weightsVersion) {
@@ -575,6 +592,11 @@
     const auto now = Clock::now();
     if (this->context.quarantine.refuse(this->sharedParts, now))
         return;
+    if (const auto conflict = this->findStopConflict(now)) {
+        if (!std::exchange(this->isStopLogged, true))
+            this->appendToLog("no other target asked: " + *conflict);
+        return;
+    }
     auto choice = this->chooseTarget(now);
     if (choice && this->acquireRetry(choice->target->registration, now)) {
         this->send(this->backup, std::move(*choice));
@@ -795,7 +817,9 @@
     const bool isTargetFailure = isUnusable || status >= firstServerError;
     if (isTargetFailure)
         routing::recordFailure(state, Clock::now());
-    const bool isContinuedElsewhere = this->backup.has_value() || (this->isRepeatable() && this->mayTryAnotherTarget());
+    const bool mayContinueElsewhere
+        = this->isRepeatable() && this->mayTryAnotherTarget() && !this->findStopConflict(Clock::now());
+    const bool isContinuedElsewhere = this->backup.has_value() || mayContinueElsewhere;
     if (slot->isRelayed) {
         this->completeStream(slot);
     } else if (isTargetFailure && (isUnusable || isContinuedElsewhere)) {
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -86,6 +86,7 @@
     }
     bool acquireRetry(const directory::Registration& target, Clock::time_point now);
     void send(Slot& slot, TargetChoice choice);
+    std::optional<std::string> findStopConflict(Clock::time_point now) const;
     Deadline startProgressTimeout(Attempt& attempt);
     Deadline attemptDeadline(const Attempt& attempt) const;
     Deadline responseDeadline() const;
@@ -181,6 +182,7 @@
     std::vector<Endpoint> triedEndpoints; ///< of the same targets
     std::string attemptLog; ///< the ended attempts and denied retries, for the log line of the request
     bool isDenialLogged = false; ///< a denied backup was counted and logged; it may be denied again many times
+    bool isStopLogged = false; ///< that a stop leaves no time for a backup was logged
     bool isWaitLogged = false; ///< that no target is usable for a backup was logged
     std::optional<RetryGrant> retryGrant; ///< granted for an attempt of which no byte was sent yet
     uint32_t sends = 0; ///< attempts of which bytes were sent
--- a/src/forward/ForwardContext.h
+++ b/src/forward/ForwardContext.h
@@ -6,6 +6,7 @@
 #include "entry/TargetLoad.h"
 #include "forward/Dialect.h"
 #include "forward/RetryWindow.h"
+#include "forward/StopTimes.h"
 #include "http/Http.h"
 #include "observe/Observe.h"
 #include "quarantine/Quarantine.h"
@@ -64,6 +65,7 @@
     http::ClientPool targets;
     QObject loop; ///< context object of deferred calls, which are dropped when it is destroyed
     int activeRequests = 0;
+    std::optional<StopTimes> stop; ///< set once a planned stop was ordered
     bool isStopping = false; ///< nothing is sent to targets any more
     std::unordered_set<ForwardCall*> calls; ///< those that have not been destroyed
     std::set<ForwardCall*> awaitingEngines; ///< calls sent to an engine that has not begun to answer
