Give requests of the own interface a final answer when a drain ends

What callers saw: on the product's own interface, a request that was open when the drain ended got no answer and no log line: the process ended with it. A call on a route that is not idempotent left its claim open, so that a repeat of its key was told "in progress" for as long as the claim lasts. What arrived right before the end was sent all the same.

Cause: Daemon went from the end of the drain straight to the end of the process. Only the forwarding interface ended what was open.

Change: at the end of the drain each worker ends its open calls. What may have run gets 502, or 504 under a claim, which is then marked as lost before the claims are flushed; what was not sent gets 503 with a Retry-After and its claim is released; a stream that has begun ends with an error event. Each of these requests has a line with its times.

The test support takes settings for the own interface: "drain" in the extra settings takes the place of the site's own, as it does on the other one.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -318,7 +318,7 @@
             { "closing_in_ms", millisecondsText(this->drainSchedule.closing - now) },
             { "end_in_ms", millisecondsText(this->drainSchedule.end - now) } });
     for (auto& worker : this->workers)
-        worker->announceClosing();
+        worker->announceClosing(this->drainSchedule.end);
     this->drainClock = {};
     connect(&this->drainTimer, &QTimer::timeout, this, &Daemon::advanceDrain);
     this->drainTimer.start(drainPollInterval);
@@ -333,9 +333,10 @@
     // Accepts requests until load balancers have had time to see that /ready reports "not ready".
     if (this->phase == Phase::DrainAnnounced && now >= this->drainSchedule.closing) {
         this->stopAccepting();
-    } else if (this->phase == Phase::Completing && (this->isIdle() || now >= this->drainSchedule.end)) {
-        this->drainTimer.stop();
-        this->ledger.flush(Clock::now() + claimFlushTimeout, [this] { this->stop(); });
+    } else if (this->phase == Phase::Completing && now >= this->drainSchedule.end) {
+        this->endRequests();
+    } else if (this->phase > Phase::DrainAnnounced && (this->isIdle() || now >= this->drainSchedule.exit)) {
+        this->flushClaims();
     }
 }
 
@@ -351,6 +352,20 @@
         worker->stopAccepting();
 }
 
+void Daemon::endRequests()
+{
+    this->phase = Phase::Flushing;
+    for (auto& worker : this->workers)
+        worker->endRequests();
+}
+
+void Daemon::flushClaims()
+{
+    this->phase = Phase::Stopping;
+    this->drainTimer.stop();
+    this->ledger.flush(Clock::now() + claimFlushTimeout, [this] { this->stop(); });
+}
+
 bool Daemon::isIdle() const
 {
     int open = this->shared.activeRequests.load();
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -35,6 +35,8 @@
         Serving,
         DrainAnnounced, ///< reports that it is not ready, but still accepts requests
         Completing, ///< accepts no requests; open ones complete
+        Flushing, ///< every request has a final answer, which may still be on its way
+        Stopping,
     };
 
     Status startWorkers();
@@ -50,6 +52,8 @@
     void updateGauges();
     void advanceDrain();
     void stopAccepting();
+    void endRequests();
+    void flushClaims();
     bool isIdle() const;
     void stop();
     QByteArray statusJson() const;
--- a/src/entry/Context.h
+++ b/src/entry/Context.h
@@ -9,6 +9,10 @@
 #include "observe/Observe.h"
 #include "routing/Routing.h"
 
+#include <functional>
+#include <optional>
+#include <unordered_map>
+
 namespace dragonfly::entry {
 
 struct RequestLimits {
@@ -43,11 +47,19 @@
     std::atomic<int> activeRequests { 0 };
 };
 
+/// Retry-After of a request that was not sent because the instance stops. Short, because the retry reaches another
+/// instance.
+inline constexpr std::chrono::milliseconds retryAfterStop { 50 };
+
 /// The objects that belong to one worker thread.
 struct WorkerScope {
     Context& shared;
     http::ClientPool& targets;
     QObject& loop; ///< context object for timers and for calls queued by other threads
+    /// Ends each call that has not ended, because the instance stops.
+    std::unordered_map<const void*, std::function<void()>> openCalls = {};
+    std::optional<BootClock::time_point> stopAt = {}; ///< set once a planned stop was ordered: openCalls end then
+    bool isStopping = false; ///< nothing is sent to targets any more
 };
 
 }
--- a/src/entry/InferenceCall.cpp
+++ b/src/entry/InferenceCall.cpp
@@ -48,6 +48,10 @@
 
 void InferenceCall::start()
 {
+    this->scope.openCalls[this] = [call = this->weak_from_this()] {
+        if (const auto self = call.lock())
+            self->endForStop();
+    };
     if (this->promptTokens > this->model().contextTokens) {
         this->fail({ ErrorKind::BadRequest, "the prompt is longer than the model's context", Execution::NotRun, {} });
         return;
@@ -396,7 +400,7 @@
 
 void InferenceCall::succeed()
 {
-    this->ended = true;
+    this->markEnded();
     auto& metrics = this->scope.shared.metrics;
     metrics.answered.Increment();
     metrics.promptTokens.Increment(this->answer.promptTokens());
@@ -411,7 +415,7 @@
 {
     if (this->ended)
         return;
-    this->ended = true;
+    this->markEnded();
     if (!this->answer.hasStarted()) {
         answerError(this->scope.shared, this->request, error);
         return;
@@ -424,11 +428,36 @@
     recordOutcome(this->scope.shared, this->request, std::string(answerFor(error.kind).name), true);
 }
 
+void InferenceCall::markEnded()
+{
+    this->ended = true;
+    this->scope.openCalls.erase(this);
+}
+
+void InferenceCall::endForStop()
+{
+    const bool isComplete = this->answer.isComplete();
+    if (this->attempt) {
+        this->mayHaveRun |= this->attempt->call->requestSent();
+        this->attempt->call->cancel();
+        this->endAttempt(isComplete ? "answered" : "withdrawn: the instance stops", !isComplete);
+    }
+    if (isComplete) {
+        this->succeed();
+        return;
+    }
+    Error error { ErrorKind::NoTarget, "the instance stops", Execution::NotRun, retryAfterStop };
+    if (this->mayHaveRun)
+        error = { ErrorKind::TargetFailed, error.detail, Execution::Unknown, {} };
+    logStopped(observe::RequestOutcome::Failed, this->request, error);
+    this->fail(error);
+}
+
 void InferenceCall::onCallerGone()
 {
     if (this->ended)
         return;
-    this->ended = true;
+    this->markEnded();
     this->scope.shared.metrics.callersGone.Increment();
     if (this->attempt) {
         if (this->attempt->call)
--- a/src/entry/InferenceCall.h
+++ b/src/entry/InferenceCall.h
@@ -18,6 +18,8 @@
 
     /// Starts the first attempt. The object keeps itself alive until the request has ended.
     void start();
+    /// Withdraws the request and gives its caller a final answer, because the instance stops.
+    void endForStop();
 
 private:
     void nextAttempt();
@@ -50,6 +52,7 @@
     void extendProgressDeadline();
     void succeed();
     void fail(Error error);
+    void markEnded();
     void onCallerGone();
     /// Updates the target's estimated prefill cost from the time it took for @p tokens, including tokens queued
     /// before this request.
--- a/src/entry/Request.cpp
+++ b/src/entry/Request.cpp
@@ -93,6 +93,18 @@
         shared.onTargetLeaving(target.name);
 }
 
+void logStopped(observe::RequestOutcome outcome, const Request& request, const Error& error)
+{
+    const auto now = Clock::now();
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - request.arrived);
+    const auto& attempts = request.explanation.attempts;
+    observe::logRequest(outcome,
+        { { "request", request.id }, { "route", request.route ? request.route->name : "" },
+            { "status", std::to_string(answerFor(error.kind).status) }, { "outcome", error.detail },
+            { "execution", std::string(toString(error.execution)) }, { "took_ms", std::to_string(age.count()) },
+            { "target", attempts.empty() ? "" : attempts.back().target } });
+}
+
 void answerError(Context& shared, Request& request, const Error& error)
 {
     shared.metrics.failed(error.kind).Increment();
--- a/src/entry/Request.h
+++ b/src/entry/Request.h
@@ -53,6 +53,9 @@
 /// Updates the target's state from the headers of its answer: incarnation, weights, queue length and leaving.
 void recordAnswerHeaders(Context& shared, const routing::Target& target, const http::Headers& headers);
 
+/// Logs a request that a planned stop ended or refused.
+void logStopped(observe::RequestOutcome outcome, const Request& request, const Error& error);
+
 /// Ends a request with an error; only before any part of an answer was sent.
 void answerError(Context& shared, Request& request, const Error& error);
 
--- a/src/entry/ServiceCall.cpp
+++ b/src/entry/ServiceCall.cpp
@@ -34,6 +34,10 @@
 
 void ServiceCall::start()
 {
+    this->scope.openCalls[this] = [call = this->weak_from_this()] {
+        if (const auto self = call.lock())
+            self->endForStop();
+    };
     if (!this->needsClaim()) {
         this->scope.shared.retries.recordInitialAttempt();
         this->nextAttempt();
@@ -68,8 +72,11 @@
 void ServiceCall::onClaimResult(const claims::Verdict& verdict)
 {
     using std::holds_alternative;
-    if (holds_alternative<claims::Granted>(verdict)) {
-        this->claimHeld = true;
+    this->claimHeld = holds_alternative<claims::Granted>(verdict);
+    if (this->ended) {
+        if (this->claimHeld)
+            this->resolveClaim({ ErrorKind::NoTarget, "", Execution::NotRun, {} });
+    } else if (this->claimHeld) {
         this->scope.shared.retries.recordInitialAttempt();
         this->nextAttempt();
     } else if (const auto* finished = std::get_if<claims::Finished>(&verdict)) {
@@ -98,7 +105,7 @@
             Execution::Ran, {} });
         return;
     }
-    this->ended = true;
+    this->markEnded();
     this->scope.shared.metrics.answered.Increment();
     recordOutcome(this->scope.shared, this->request, "answered from the stored answer", false);
     this->request.exchange->respond(static_cast<int>(answer.status()),
@@ -288,7 +295,7 @@
 
 void ServiceCall::succeed()
 {
-    this->ended = true;
+    this->markEnded();
     if (this->claimHeld)
         this->storeAnswer();
     const auto head = std::move(this->attempt->head);
@@ -332,10 +339,31 @@
 {
     if (this->ended)
         return;
-    this->ended = true;
+    this->markEnded();
     if (this->claimHeld)
         this->resolveClaim(error);
     answerError(this->scope.shared, this->request, error);
 }
 
+void ServiceCall::markEnded()
+{
+    this->ended = true;
+    this->scope.openCalls.erase(this);
+}
+
+void ServiceCall::endForStop()
+{
+    if (this->attempt) {
+        this->mayHaveRun |= this->attempt->call->requestSent();
+        this->attempt->call->cancel();
+        this->endAttempt("withdrawn: the instance stops", true);
+    }
+    Error error { ErrorKind::NoTarget, "the instance stops", Execution::NotRun, retryAfterStop };
+    if (this->mayHaveRun)
+        error = { this->needsClaim() ? ErrorKind::OutcomeUnknown : ErrorKind::TargetFailed, error.detail,
+            Execution::Unknown, {} };
+    logStopped(observe::RequestOutcome::Failed, this->request, error);
+    this->fail(error);
+}
+
 }
--- a/src/entry/ServiceCall.h
+++ b/src/entry/ServiceCall.h
@@ -16,6 +16,8 @@
     /// Acquires a claim where the route needs one, then sends the call. The object keeps itself alive until the
     /// request has ended.
     void start();
+    /// Withdraws the call and gives its caller a final answer, because the instance stops.
+    void endForStop();
 
 private:
     struct Attempt {
@@ -52,6 +54,7 @@
     void retryOrFail(const Error& error);
     void succeed();
     void fail(const Error& error);
+    void markEnded();
     /// True on non-idempotent routes.
     bool needsClaim() const
     {
--- a/src/entry/Worker.cpp
+++ b/src/entry/Worker.cpp
@@ -40,6 +40,22 @@
         return std::chrono::milliseconds(number);
     }
 
+    /// Why the request cannot end before the instance stops; nullopt if it can, as far as is known.
+    std::optional<std::string> findStopConflict(const WorkerScope& scope, const Request& request)
+    {
+        if (scope.isStopping)
+            return "the instance stops";
+        if (!scope.stopAt)
+            return std::nullopt;
+        // Connecting to a target alone may take so long.
+        const auto expected = scope.shared.limits.connectTimeout;
+        const auto end = toDeadline(*scope.stopAt);
+        if (request.deadline <= end || request.arrived + expected <= end)
+            return std::nullopt;
+        return "the instance stops in " + std::to_string(remaining(end, Clock::now()).count())
+            + " ms, and an answer may take " + std::to_string(expected.count()) + " ms";
+    }
+
 }
 
 Worker::Worker(Context& shared, const http::ServerLimits& limits, const Endpoint& listen)
@@ -65,6 +81,7 @@
     server.onRefusal = [this](ErrorKind kind) { this->shared.metrics.failed(kind).Increment(); };
     this->loop = &loop;
     this->server = &server;
+    this->scope = &scope;
     auto listened = server.listenShared(this->listenEndpoint);
     const bool failed = errorOf(listened);
     this->listenResult.set_value(std::move(listened));
@@ -77,9 +94,12 @@
     return this->server ? this->server->connectionCount() : 0;
 }
 
-void Worker::announceClosing()
+void Worker::announceClosing(BootClock::time_point stopAt)
 {
-    QMetaObject::invokeMethod(this->loop, [this] { this->server->announceClosing(); });
+    QMetaObject::invokeMethod(this->loop, [this, stopAt] {
+        this->server->announceClosing();
+        this->scope->stopAt = stopAt;
+    });
 }
 
 void Worker::stopAccepting()
@@ -90,6 +110,16 @@
     });
 }
 
+void Worker::endRequests()
+{
+    QMetaObject::invokeMethod(this->loop, [this] {
+        this->scope->isStopping = true;
+        const auto open = std::exchange(this->scope->openCalls, {});
+        for (const auto& [call, end] : open)
+            end();
+    });
+}
+
 Result<Success> Worker::authenticate(Request& request) const
 {
     const auto header = request.exchange->request().headers.valueOr("Authorization", "");
@@ -146,7 +176,7 @@
         answerError(this->shared, request, { ErrorKind::UnknownPath, "no route has this path", Execution::NotRun, {} });
         return;
     }
-    if (this->prepare(request))
+    if (this->prepare(scope, request))
         std::make_shared<ServiceCall>(scope, std::move(request))->start();
 }
 
@@ -167,14 +197,22 @@
         return;
     }
     request.route = &request.view->routes[found->second];
-    if (this->prepare(request))
+    if (this->prepare(scope, request))
         std::make_shared<InferenceCall>(scope, std::move(request), std::move(body))->start();
 }
 
-bool Worker::prepare(Request& request)
+bool Worker::prepare(const WorkerScope& scope, Request& request)
 {
     const auto requestedTimeout = callerTimeout(request.exchange->request().headers);
     request.deadline = request.arrived + requestedTimeout.value_or(request.route->deadline);
+    if (const auto conflict = findStopConflict(scope, request)) {
+        const Error error { ErrorKind::NoTarget, *conflict, Execution::NotRun, retryAfterStop };
+        logStopped(observe::RequestOutcome::Refused, request, error);
+        answerError(this->shared, request, error);
+        return false;
+    }
+    if (scope.stopAt)
+        request.deadline = std::min(request.deadline, toDeadline(*scope.stopAt));
     auto admitted = admit(*request.organisation, request.view->share, request.arrived);
     if (const auto* error = errorOf(admitted)) {
         answerError(this->shared, request, *error);
--- a/tests/support/OwnInterfaceSite.h
+++ b/tests/support/OwnInterfaceSite.h
@@ -13,9 +13,11 @@
     Caller caller { apiKey };
 
     /// @param health answers the health checks
-    explicit OwnInterfaceSite(ScriptedTarget::Script script, ScriptedTarget::Script health = answerHealthCheck)
+    /// @param extraSettings further settings of the instance
+    explicit OwnInterfaceSite(ScriptedTarget::Script script, ScriptedTarget::Script health = answerHealthCheck,
+        const std::string& extraSettings = "")
         : target("X-Request-Id", byPath(std::move(script), std::move(health)))
-        , site(optionsFor(this->target.address()))
+        , site(optionsFor(this->target.address(), extraSettings))
     {
         this->site.startEntry();
     }
@@ -42,19 +44,21 @@
         return answer;
     }
 
-private:
     static void answerHealthCheck(const ScriptedRequest&, QTcpSocket& socket)
     {
         ScriptedTarget::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
     }
+
+private:
     static ScriptedTarget::Script byPath(ScriptedTarget::Script script, ScriptedTarget::Script health)
     {
         return [script = std::move(script), health = std::move(health)](const ScriptedRequest& request,
                    QTcpSocket& socket) { (request.path == "/health" ? health : script)(request, socket); };
     }
-    static SiteOptions optionsFor(const dragonfly::Endpoint& target)
+    static SiteOptions optionsFor(const dragonfly::Endpoint& target, const std::string& extraSettings)
     {
         SiteOptions options;
+        options.extraSettings = extraSettings;
         options.enginesPerCentre = 0;
         options.threads = 1; // each thread has its own connections
         const auto common = "\naddress: " + target.toString() + "\ndataCentre: " + centreName(0);
--- a/tests/support/Site.cpp
+++ b/tests/support/Site.cpp
@@ -115,10 +115,12 @@
 
 std::string Site::settingsFor(size_t number, int centre, bool viaPlatformProxy)
 {
+    const bool setsDrain = this->options.extraSettings.find("drain:") != std::string::npos;
     std::ostringstream text;
     text << "instance: entry-" << number << "\nregion: region-" << centre << "\ndataCentre: " << centreName(centre)
          << "\nplatform: [" << (viaPlatformProxy ? this->platform->address() : this->platform->direct()).toString()
-         << "]\nthreads: " << this->options.threads << "\ndrain: { notice: 300ms, time: 30s }\nseeds: [";
+         << "]\nthreads: " << this->options.threads << (setsDrain ? "" : "\ndrain: { notice: 300ms, time: 30s }")
+         << "\nseeds: [";
     for (size_t i = 0; i < this->entries.size(); ++i)
         text << (i ? ", " : "") << this->entries[i]->address("peers").toString();
     text << "]\n" << this->options.extraSettings;
