Count streams that break as stream_interrupted

A stream that the caller had in part and that then broke was counted under the kind of whatever its last attempt failed with: no_target, overloaded, target_failed. With the log limited to 60 lines a second, nothing told how many streams had been broken off and how many requests refused.

Evidence: silentTarget/brokenStreamIsNotCountedAsARefusal (one engine that closes in mid-stream, no other) printed before dragonfly_requests_failed_total{kind="stream_interrupted"} 0 dragonfly_requests_failed_total{kind="no_target"} 1 and passes with the change.

The line of the request needs nothing new for this matter: its attempts are in order, with the time of each, sent or not sent, and how each ended. That tells a refusal after the first target was left (no progress; ... refused 503), a connection that was not opened (not sent), and expired weights (withdrawn) apart.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -953,7 +953,7 @@
         (*slot)->call->cancel();
         this->endAttempt(*slot, "given up with the request");
     }
-    this->context.metrics.failed(error.kind).Increment();
+    this->context.metrics.failed(this->streamBegun ? ErrorKind::StreamInterrupted : error.kind).Increment();
     if (this->streamBegun) {
         // Closing the connection without a final chunk shows the caller that the stream is incomplete.
         this->request.exchange->abort();
--- a/tests/SilentTargetTest.cpp
+++ b/tests/SilentTargetTest.cpp
@@ -314,3 +314,17 @@
     cr_expect_eq(answer->status, 502, "%d", answer->status);
     cr_expect_eq(answer->execution(), "unknown");
 }
+
+Test(silentTarget, brokenStreamIsNotCountedAsARefusal, .timeout = 60)
+{
+    SilentSite silent;
+    control(silent.site.engines[0]->address(), { { "answer", "close-in-stream" } });
+    const auto answer = silent.site.sendAndWait({ .id = "s1", .path = "/ask/x" });
+    cr_assert_not(answer->whole);
+    const auto metrics = get(silent.site.entries[0]->address("metrics"), "/metrics");
+    cr_assert(waitFor(metrics));
+    for (const auto& line : QString::fromStdString(metrics->body).split('\n')) {
+        if (line.startsWith("dragonfly_requests_failed_total"))
+            cr_expect_eq(line.endsWith(" 1"), line.contains("stream_interrupted"), "%s", qPrintable(line));
+    }
+}
