Keep a stream whose next target refuses late

What callers saw: a stream stopped after some events and its connection closed (LOST), although the engine that had made them was sound and only silent for a second.

Cause: a silent stream is resumed at another engine, and 250 ms after that was sent the first engine was withdrawn, since a stream may run at two engines for a moment only. The other engine had accepted nothing by then. If it refused or closed later, no target was left: both had been tried, and a tried target never received the request again.

Evidence, silentTarget/streamGoesOnIfTheOtherTargetRefusesOrEndsLate on the sources before: one engine sends an event each 900 ms, the other refuses (503, not run) or closes. After 100 ms the stream is whole; after 400 and 700 ms, both ways, the caller has one event of three and a broken stream ("refused after 400 ms: id: 1"). With the change all six are whole.

Change: - A target that was withdrawn for want of progress, or that refused, may receive a stream again. It counts once towards the maximum of targets, which limits the targets and not the attempts. Every further attempt still needs a retry of the budget and counts towards the limit of four sends. It uses a connection of its own, so an answer to the withdrawn attempt cannot be taken for its answer. - The first target is withdrawn at the end of the overlap only if one more attempt is allowed, some target would take it now, and its retry is granted; the grant is reserved until the first event. Otherwise the backup is withdrawn, and the first target keeps the stream until the deadline. Either way one of them goes on alone: the bound of the overlap is as before. - If each target refuses, a stream that has begun waits until the next one can be asked, at most 250 ms at a time, within its deadline. The wait ends with the caller or with the instance.

While the backup is silent, no target is asked a second time: the backup has until the deadline, as before.

Tests that failed before: the one above, streamIsNotBrokenWhileEachTarget- RefusesForAMoment, streamStaysAtTheSilentTargetIfNoRetryIsLeftAfterTheOther. nothingIsSentForACallerWhoLeavesWhileEachTargetRefuses failed before too, but only because the wait that it is about did not exist.

send() and sendBeside() of the test's site wait for one run more than before, not for any: equally strict for their callers, each of which begins with none.

Conclusion: before an attempt is given up for another one, something must be able to follow the other one.

--- a/src/forward/Attempt.h
+++ b/src/forward/Attempt.h
@@ -23,6 +23,7 @@
     backoff::SendPermit permit;
     backoff::Verdict verdict = backoff::Verdict::Open; ///< why its first byte was not written, if it was stopped then
     bool isSent = false; ///< a byte of the request was written
+    bool isFirstRun = true; ///< no earlier attempt of the request ran at the same target
     http::ResponseHead head; ///< its status is 0 until it arrives
     AnswerMetadata answerMetadata;
     /// The body is relayed event by event, by a backup from its first complete event on. Any other is buffered and
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -4,6 +4,7 @@
 #include "forward/StreamHead.h"
 
 #include <QRandomGenerator>
+#include <QTimer>
 #include <algorithm>
 #include <array>
 
@@ -40,6 +41,9 @@
     /// How long a resumed stream may run at two targets. The platform allows 400 ms; the rest is for the way of the
     /// close to a target in another region, and for a busy instance.
     constexpr milliseconds maxOverlap { 250 };
+    /// Shortest wait until a stream that no target takes is offered again. Bounds the work if a target that is ready to
+    /// be chosen is lost to other requests again and again.
+    constexpr milliseconds minOfferInterval { 20 };
     /// With less time left until the deadline, a retry could not succeed.
     constexpr milliseconds minRemainingForRetry { 30 };
     /// Limit on attempts of which bytes were sent, also when the request did not run.
@@ -143,7 +147,9 @@
 /// Whether the request may be retried at another target.
 bool ForwardCall::mayTryAnotherTarget() const
 {
-    if ((this->mayHaveRun || this->attempt) && (!this->isRepeatable() || this->runs >= this->request.route->maxTargets))
+    const bool mayReturn = !this->attempt && this->isContinuation() && !this->withdrawnTargets.empty();
+    const bool mayRun = this->runs < this->request.route->maxTargets || mayReturn;
+    if ((this->mayHaveRun || this->attempt) && !(this->isRepeatable() && mayRun))
         return false;
     if (this->sends >= maxSends || this->isSuspected)
         return false;
@@ -163,9 +169,10 @@
     }
     if (this->failIfQuarantined())
         return;
-    auto choice = this->chooseTarget(now);
+    auto choice = this->chooseTarget(this->nextAttemptQuery(now));
     if (!choice) {
-        this->failWithoutTarget(now);
+        if (!this->waitForTarget(now))
+            this->failWithoutTarget(now);
         return;
     }
     if (this->sends && !this->acquireRetry(choice->target->registration, now)) {
@@ -175,22 +182,60 @@
     this->send(this->attempt, std::move(*choice));
 }
 
-ChoiceQuery ForwardCall::choiceQuery(Clock::time_point now) const
+/// Waits for a target that takes the next attempt of a continuation. Returns false if there is none in time.
+bool ForwardCall::waitForTarget(Clock::time_point now)
+{
+    if (!this->isContinuation())
+        return false;
+    const auto next = nextSend(this->nextAttemptQuery(now));
+    if (!next || next->at + minRemainingForRetry > this->request.deadline)
+        return false;
+    if (!std::exchange(this->isPauseLogged, true)) {
+        const auto after = std::chrono::duration_cast<milliseconds>(now - this->request.arrived);
+        this->appendToLog("no usable target now, waits after " + std::to_string(after.count()) + " ms");
+    }
+    // A target that registers meanwhile is found at the next offer.
+    const auto offer = std::clamp(next->at, now + minOfferInterval, now + refusalBackoff);
+    this->keptAlive = this->shared_from_this();
+    QTimer::singleShot(remaining(offer, now), &this->context.loop, [waiting = this->weak_from_this()] {
+        if (const auto call = waiting.lock())
+            call->endWait();
+    });
+    return true;
+}
+
+void ForwardCall::endWait()
+{
+    if (const auto self = std::exchange(this->keptAlive, nullptr))
+        this->nextAttempt();
+}
+
+ChoiceQuery ForwardCall::nextAttemptQuery(Clock::time_point now) const
+{
+    if (!this->isContinuation())
+        return this->choiceQuery(now, this->triedTargets);
+    const bool mayRunElsewhere = !this->mayHaveRun || this->runs < this->request.route->maxTargets;
+    return this->choiceQuery(now, this->excludedTargets, mayRunElsewhere ? nullptr : &this->withdrawnTargets);
+}
+
+ChoiceQuery ForwardCall::choiceQuery(
+    Clock::time_point now, const std::vector<std::string>& excluded, const std::vector<std::string>* only) const
 {
     return { this->context.directory, *this->request.routes, *this->request.route, this->request.metadata,
         this->request.organisation, this->context.settings.place, this->context.settings.regions,
-        this->context.prefixIndex, this->triedTargets, this->context.gate, this->context.settings.replacedWeightsTtl,
-        QRandomGenerator::global()->generate64(), now, BootClock::now() };
+        this->context.prefixIndex, excluded, this->context.gate, this->context.settings.replacedWeightsTtl,
+        QRandomGenerator::global()->generate64(), now, BootClock::now(), only };
 }
 
-std::optional<TargetChoice> ForwardCall::chooseTarget(Clock::time_point now)
+std::optional<TargetChoice> ForwardCall::chooseTarget(const ChoiceQuery& query) const
 {
-    return forward::chooseTarget(this->context.settings.policy, this->choiceQuery(now));
+    return forward::chooseTarget(this->context.settings.policy, query);
 }
 
 void ForwardCall::failWithoutTarget(Clock::time_point now)
 {
-    const auto next = nextSend(this->choiceQuery(now));
+    const std::vector<std::string> none;
+    const auto next = nextSend(this->choiceQuery(now, none));
     if (!next || (next->reason != Verdict::AtLimit && next->reason != Verdict::BackingOff)) {
         this->fail({ ErrorKind::NoTarget, "no usable target for this request", this->execution(), retryAfterRefusal });
         return;
@@ -443,6 +488,7 @@
     if (this->triedTargets.empty())
         this->context.retryWindowOf(registration.service).recordFirstSend(now);
     this->triedTargets.push_back(registration.id);
+    this->excludedTargets.push_back(registration.id);
     const auto permit = this->context.gate.admit(registration, now);
     const auto request = this->context.dialect.dispatch(this->request.exchange->request(), this->dispatchFor(choice));
     const auto& metadata = this->request.metadata;
@@ -457,7 +503,9 @@
     attempt.waitingSince = now;
     const auto endpoint = registration.endpoint;
     attempt.choice = std::move(choice);
-    ++this->runs;
+    attempt.isFirstRun = std::ranges::find(this->withdrawnTargets, registration.id) == this->withdrawnTargets.end();
+    if (attempt.isFirstRun)
+        ++this->runs;
     if (isAwaitingEngine(attempt))
         attempt.isConfirmed = this->isConfirmed(attempt);
     this->updateAwaiting();
@@ -557,7 +605,7 @@
     if (mustEnd)
         return; // the call fails
     if (&slot == &this->attempt && this->backup && now >= this->backup->takeoverDeadline) {
-        this->withdrawOther(this->backup, "no progress; the stream goes on at another target");
+        this->endOverlap(now);
         return;
     }
     slot->progressDeadline = this->request.deadline;
@@ -575,7 +623,7 @@
     const auto now = Clock::now();
     if (this->context.quarantine.refuse(this->sharedParts, now))
         return;
-    auto choice = this->chooseTarget(now);
+    auto choice = this->chooseTarget(this->choiceQuery(now, this->triedTargets));
     if (choice && this->acquireRetry(choice->target->registration, now)) {
         this->send(this->backup, std::move(*choice));
         return;
@@ -593,6 +641,7 @@
         return;
     }
     this->mayHaveRun = true;
+    this->allowAgain(*this->attempt);
     this->attempt->call->cancel();
     this->endAttempt(this->attempt, outcome);
     if (this->streamBegun)
@@ -600,6 +649,52 @@
     this->promoteBackup();
 }
 
+/// Ends the time in which a stream that is resumed runs at two targets. The target before is withdrawn only if another
+/// attempt can follow that of the backup, which may still be refused.
+void ForwardCall::endOverlap(Clock::time_point now)
+{
+    if (this->reserveAttemptAfterBackup(now)) {
+        this->withdrawOther(this->backup, "no progress; the stream goes on at another target");
+        return;
+    }
+    this->withdrawBackup("withdrawn: no attempt could follow it");
+    this->startProgressTimeout(*this->attempt);
+    this->attempt->call->setDeadline(this->attemptDeadline(*this->attempt));
+}
+
+/// Whether the request could be sent to some target if the current attempt were withdrawn and the backup refused. The
+/// retry is granted then, and stays reserved until the backup makes progress.
+bool ForwardCall::reserveAttemptAfterBackup(Clock::time_point now)
+{
+    const bool hasSends = this->sends < maxSends && !this->isSuspected;
+    if (!hasSends || remaining(this->request.deadline, now) < minRemainingForRetry)
+        return false;
+    const auto& current = this->attempt->choice.target->registration.id;
+    auto excluded = this->excludedTargets;
+    std::erase(excluded, current);
+    auto withdrawn = this->withdrawnTargets;
+    withdrawn.push_back(current);
+    const bool mayRunElsewhere = this->runs < this->request.route->maxTargets;
+    const auto choice = this->chooseTarget(this->choiceQuery(now, excluded, mayRunElsewhere ? nullptr : &withdrawn));
+    return choice && this->acquireRetry(choice->target->registration, now);
+}
+
+/// Lets a further attempt reach the target of @p attempt, which did not fail.
+void ForwardCall::allowAgain(const Attempt& attempt)
+{
+    const auto& id = attempt.choice.target->registration.id;
+    std::erase(this->excludedTargets, id);
+    if (attempt.isSent && attempt.isFirstRun)
+        this->withdrawnTargets.push_back(id);
+}
+
+/// The target of @p attempt does not run the request after all.
+void ForwardCall::discountRun(const Attempt& attempt)
+{
+    if (attempt.isFirstRun)
+        --this->runs;
+}
+
 void ForwardCall::withdrawBackup(const std::string& outcome)
 {
     if (!this->backup)
@@ -607,7 +702,8 @@
     if (this->backup->isSent)
         this->mayHaveRun = true;
     else
-        --this->runs;
+        this->discountRun(*this->backup);
+    this->allowAgain(*this->backup);
     this->backup->call->cancel();
     this->endAttempt(this->backup, outcome);
 }
@@ -739,6 +835,7 @@
     if (this->attempt->firstEventAfter)
         return;
     const auto now = Clock::now();
+    this->retryGrant.reset(); // reserved in case that the target refuses
     this->attempt->firstEventAfter = std::chrono::duration_cast<milliseconds>(now - this->attempt->sentAt);
     this->attempt->load.promptDone();
     const auto& choice = this->attempt->choice;
@@ -819,7 +916,8 @@
     const bool isLoading
         = slot->choice.weightsVersion && target.weightsOf(model) < this->context.directory.wantedWeights(model);
     target.refusingUntil = Clock::now() + (isLoading ? weightsLoadingBackoff : refusalBackoff);
-    --this->runs;
+    this->discountRun(*slot);
+    std::erase(this->excludedTargets, target.registration.id);
     this->attemptFailed(slot, "refused " + std::to_string(status),
         { ErrorKind::Overloaded, "the target refused to run the request", this->execution(), retryAfterRefusal });
 }
@@ -870,7 +968,7 @@
     if (failure.requestSent)
         this->mayHaveRun = true;
     else
-        --this->runs;
+        this->discountRun(*slot);
     const bool isPastDeadline = Clock::now() >= this->request.deadline;
     const auto kind = isPastDeadline ? ErrorKind::DeadlineExceeded : ErrorKind::TargetFailed;
     const auto detail = isWithdrawn ? "withdrawn: the target's weights may no longer answer" : failure.detail;
@@ -885,7 +983,7 @@
 /// The target no longer took requests when the first byte was due, which is no failure of the target.
 void ForwardCall::onWithheld(Slot& slot)
 {
-    --this->runs;
+    this->discountRun(*slot);
     this->context.metrics.attemptsWithheld.Increment();
     const auto outcome = "withheld: the target " + std::string(backoff::toString(slot->verdict));
     this->attemptFailed(slot, outcome, { ErrorKind::Overloaded, outcome, this->execution(), retryAfterRefusal });
@@ -979,6 +1077,7 @@
 void ForwardCall::end(const std::string& outcome, int status)
 {
     this->ended = true;
+    this->keptAlive.reset(); // the caller of this function holds the object too
     this->retryGrant.reset();
     if (status >= statusOk && status < firstRedirect)
         this->context.metrics.answered.Increment();
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -8,8 +8,9 @@
 // A target that makes no progress may still be at work, so its attempt stays open while a backup attempt is made at
 // another target. The first of the two that delivers an event or a complete answer goes on, and the other is withdrawn:
 // a head alone may be all that a target sends. If no other target takes the request, the first one has until the
-// request's deadline. A stream that is resumed runs at two targets for a moment only, in which the backup may be
-// refused or break; then it goes on at the backup alone.
+// request's deadline. A stream that is resumed runs at two targets for a moment only. Then it goes on at the backup
+// alone, if another attempt is granted in case that the backup is refused or breaks; otherwise the backup is withdrawn.
+// A target that was withdrawn did not fail, so a further attempt may be made there.
 
 #include "forward/Attempt.h"
 #include "forward/EventCursor.h"
@@ -76,15 +77,27 @@
     using Slot = std::optional<Attempt>;
 
     void nextAttempt();
-    std::optional<TargetChoice> chooseTarget(Clock::time_point now);
-    ChoiceQuery choiceQuery(Clock::time_point now) const;
+    std::optional<TargetChoice> chooseTarget(const ChoiceQuery& query) const;
+    /// @param only the targets to choose from; null for all that are not @p excluded
+    ChoiceQuery choiceQuery(Clock::time_point now, const std::vector<std::string>& excluded,
+        const std::vector<std::string>* only = nullptr) const;
+    ChoiceQuery nextAttemptQuery(Clock::time_point now) const;
+    bool waitForTarget(Clock::time_point now);
+    void endWait();
     void failWithoutTarget(Clock::time_point now);
     bool mayTryAnotherTarget() const;
     bool canContinueElsewhere() const
     {
         return !this->streamBegun || (this->request.route->isResumable && this->events.canResume());
     }
+    /// Whether the caller has a part of the stream, or a target was withdrawn that did not fail. Targets that did not
+    /// fail may then receive the request again.
+    bool isContinuation() const
+    {
+        return this->isRepeatable() && this->isStream() && (this->streamBegun || !this->withdrawnTargets.empty());
+    }
     bool acquireRetry(const directory::Registration& target, Clock::time_point now);
+    bool reserveAttemptAfterBackup(Clock::time_point now);
     void send(Slot& slot, TargetChoice choice);
     Deadline startProgressTimeout(Attempt& attempt);
     Deadline attemptDeadline(const Attempt& attempt) const;
@@ -118,6 +131,9 @@
     void withdrawOther(const Slot& slot, const std::string& outcome = "no progress; another target answered");
     void withdrawBackup(const std::string& outcome);
     void promoteBackup();
+    void endOverlap(Clock::time_point now);
+    void allowAgain(const Attempt& attempt);
+    void discountRun(const Attempt& attempt);
     void beginRelay();
 
     void onTooLarge(Slot& slot, const std::string& what);
@@ -178,19 +194,25 @@
     /// its answer was relayed, which is buffered.
     Slot backup;
     std::vector<std::string> triedTargets; ///< ids of the targets of all attempts
+    /// Ids of those that receive no further attempt of a continuation: they failed, or an attempt is open.
+    std::vector<std::string> excludedTargets;
+    /// Ids of those whose attempt was withdrawn for want of progress, which are counted in runs once.
+    std::vector<std::string> withdrawnTargets;
     std::vector<Endpoint> triedEndpoints; ///< of the same targets
     std::string attemptLog; ///< the ended attempts and denied retries, for the log line of the request
     bool isDenialLogged = false; ///< a denied backup was counted and logged; it may be denied again many times
     bool isWaitLogged = false; ///< that no target is usable for a backup was logged
-    std::optional<RetryGrant> retryGrant; ///< granted for an attempt of which no byte was sent yet
+    bool isPauseLogged = false; ///< that the request waits between two attempts was logged
+    std::optional<RetryGrant> retryGrant; ///< granted for an attempt of which no byte was sent yet, or reserved for one
     uint32_t sends = 0; ///< attempts of which bytes were sent
-    uint32_t runs = 0; ///< attempts that run or may have run
+    uint32_t runs = 0; ///< targets that run the request or may have run it
     EventCursor events;
     /// A target may have run the request. Invariant: a non-repeatable request has no further attempt once this is set.
     bool mayHaveRun = false;
     Clock::time_point attemptEndedAt; ///< of the last attempt; the arrival of the request before the first end
     bool streamBegun = false;
     bool isSuspected = false; ///< a target may have ended because of the prompt; no other target receives the request
+    std::shared_ptr<ForwardCall> keptAlive; ///< this object, while it waits without an attempt
     bool readingPaused = false; ///< the caller reads slowly, so the answer to the current attempt is not read
     bool ended = false;
 };
--- a/src/forward/TargetChooser.cpp
+++ b/src/forward/TargetChooser.cpp
@@ -184,8 +184,9 @@
 
     bool isExcluded(const ChoiceQuery& query, const directory::Target& target)
     {
-        const auto& excluded = query.excluded;
-        return std::find(excluded.begin(), excluded.end(), target.registration.id) != excluded.end();
+        const auto& id = target.registration.id;
+        const auto lists = [&id](const auto& ids) { return std::ranges::find(ids, id) != ids.end(); };
+        return lists(query.excluded) || (query.only && !lists(*query.only));
     }
 
     /// Whether a request that names a model needs a target of @p service that runs the model. Plain services ignore
@@ -369,7 +370,7 @@
         for (const auto& target : query.directory.targetsOf(service)) {
             const auto& registration = target->registration;
             const auto opensAt = query.gate.nextSendAt(registration, query.now);
-            if (registration.isDraining || target->isReplaced || !opensAt)
+            if (registration.isDraining || target->isReplaced || !opensAt || isExcluded(query, *target))
                 continue;
             const auto version = target->weightsOf(model);
             const auto delay = routing::expectedDelay(*target->state, query.now);
--- a/src/forward/TargetChooser.h
+++ b/src/forward/TargetChooser.h
@@ -18,12 +18,13 @@
     const routing::Place& place; ///< data centre and region of this instance
     const std::map<std::string, std::string>& regions; ///< region of each data centre
     const routing::PrefixIndex& prefixIndex;
-    const std::vector<std::string>& excluded; ///< ids of the targets of earlier attempts
+    const std::vector<std::string>& excluded; ///< ids of the targets that may not be selected
     backoff::SendGate& gate;
     std::chrono::milliseconds replacedWeightsTtl { 0 }; ///< how long replaced weights may still answer
     uint64_t random = 0; ///< a new random number for each attempt
     Clock::time_point now;
     BootClock::time_point bootNow; ///< the same moment; ages of weights include suspensions of the machine
+    const std::vector<std::string>* only = nullptr; ///< if set, the ids of the only targets that may be selected
 };
 
 /// The selected target and the metadata of the attempt.
@@ -46,11 +47,10 @@
 /// When a target of the route takes a request again, and why none does so now.
 struct NextSend {
     Clock::time_point at;
-    backoff::Verdict reason; ///< Open if the target was tried before, or has just refused a request
+    backoff::Verdict reason; ///< Open if the target takes requests, or has just refused one
 };
 
-/// The earliest time at which any target of the route takes a request, whether or not it was tried before; nullopt if
-/// there is none.
+/// The earliest time at which any target that may be selected takes a request; nullopt if there is none.
 std::optional<NextSend> nextSend(const ChoiceQuery& query);
 
 /// Applies what @p answer says about further requests to @p gate, unless another process than @p target sent it.
--- a/standins/target.cpp
+++ b/standins/target.cpp
@@ -11,6 +11,8 @@
 // the ids and times of all arrivals, the times at which callers left a stream, the received orders and the last
 // request.
 //
+// {"refusal_ms": N} delays the refusals of the answer "busy".
+//
 // {"deadly_part": ID} names a shared part of prompts that ends the target "crash_after_ms" after it begins an answer to
 // a request with it; {"crash": true} ends the target at once. The target then closes every connection, refuses
 // connections for "restart_after_ms", and returns at the same address with a new id. Its control interface at the
@@ -189,7 +191,8 @@
             return;
         }
         if (this->mode == "busy" || this->isLoading) {
-            this->refuse(*exchange, headers, 503);
+            QTimer::singleShot(this->refusalMs, &this->timerContext,
+                [this, exchange, headers] { this->refuse(*exchange, headers, 503); });
             return;
         }
         this->recordRequest(request);
@@ -335,6 +338,7 @@
             this->replacedBy = body["replaced_by"].toString().toStdString();
         this->settings.checksFencing = body["checks_fencing"].toBool(this->settings.checksFencing);
         this->workMs = body["work_ms"].toInt(this->workMs);
+        this->refusalMs = body["refusal_ms"].toInt(this->refusalMs);
         this->events = body["events"].toInt(this->events);
         this->eventMs = body["event_ms"].toInt(this->eventMs);
         this->loadMs = body["load_ms"].toInt(this->loadMs);
@@ -402,6 +406,7 @@
     int64_t acceptedOrders = 0;
     int64_t highestFencingToken = 0;
     int workMs = 5; ///< delay before the answer
+    int refusalMs = 0;
     int events = 6; ///< events of each stream
     int eventMs = 5; ///< interval between two events
     int loadMs = 150; ///< time to load ordered weights
--- a/tests/SilentTargetTest.cpp
+++ b/tests/SilentTargetTest.cpp
@@ -46,9 +46,10 @@
     /// Sends a request that reaches the first target, then lets the other one be chosen with @p behaviour.
     AnswerPointer send(const std::string& id, const std::string& path, QJsonObject behaviour)
     {
-        auto answer = this->site.send({ id, path, "POST", "body", forwardKey, timeoutMs });
         const auto& targets = path.starts_with("/ask/") ? this->site.engines : this->site.services;
-        require(waitUntil([&] { return countOf(targets[0], "runs") > 0; }, 2s), "the request has not arrived");
+        const auto runs = countOf(targets[0], "runs");
+        auto answer = this->site.send({ id, path, "POST", "body", forwardKey, timeoutMs });
+        require(waitUntil([&] { return countOf(targets[0], "runs") > runs; }, 2s), "the request has not arrived");
         behaviour["draining"] = false;
         control(targets[1]->address(), behaviour);
         return answer;
@@ -57,13 +58,23 @@
     /// The same; @p other can be chosen from then on.
     AnswerPointer sendBeside(const RawServer& other, const std::string& id, const std::string& path)
     {
-        auto answer = this->site.send({ id, path, "POST", "body", forwardKey, timeoutMs });
         const bool isStream = path.starts_with("/ask/");
         const auto& targets = isStream ? this->site.engines : this->site.services;
-        require(waitUntil([&] { return countOf(targets[0], "runs") > 0; }, 2s), "the request has not arrived");
+        const auto runs = countOf(targets[0], "runs");
+        auto answer = this->site.send({ id, path, "POST", "body", forwardKey, timeoutMs });
+        require(waitUntil([&] { return countOf(targets[0], "runs") > runs; }, 2s), "the request has not arrived");
         this->site.registerTarget("raw", isStream ? "engines" : "desk", isStream ? "m" : "", other.address());
         return answer;
     }
+
+    /// Lets the retry budget of the engines grow by one retry.
+    void earnRetry()
+    {
+        for (int number = 0; number < 8; ++number) {
+            const auto id = "earn" + std::to_string(number);
+            require(this->site.sendAndWait({ .id = id, .path = "/ask/x", .deadlineMs = timeoutMs })->whole, id);
+        }
+    }
 };
 
 /// The head of a success that answers the request @p id.
@@ -315,6 +326,88 @@
     cr_expect_eq(answer->execution(), "unknown");
 }
 
+Test(silentTarget, streamGoesOnIfTheOtherTargetRefusesOrEndsLate, .timeout = 90)
+{
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Dragonflyarch-Attempt-Id: s1\r\n"
+                                "X-Dragonflyarch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    for (const auto delay : { 100ms, 400ms, 700ms }) {
+        for (const auto& end : { refusal, std::string() }) {
+            SilentSite silent;
+            control(silent.site.engines[0]->address(), { { "event_ms", pauseMs }, { "events", 3 } });
+            const RawServer raw({ { "", Ending::Close, delay, end } });
+            const auto answer = silent.sendBeside(raw, "s1", "/ask/x");
+            cr_assert(waitFor(answer, 10s));
+            const auto* how = end.empty() ? "closed" : "refused";
+            const auto after = static_cast<int>(delay.count());
+            cr_expect(answer->whole, "%s after %d ms: %s", how, after, answer->body.c_str());
+            cr_expect(answer->body == eventsUntil(3), "%s after %d ms: %s", how, after, answer->body.c_str());
+        }
+    }
+}
+
+Test(silentTarget, streamIsNotBrokenWhileEachTargetRefusesForAMoment, .timeout = 60)
+{
+    SilentSite silent;
+    const auto& first = silent.site.engines[0];
+    const auto& other = silent.site.engines[1];
+    const auto arrivals = [&] { return control(first->address())["arrivals"].toArray().size(); };
+    silent.earnRetry();
+    control(first->address(), { { "event_ms", pauseMs }, { "events", 3 } });
+    const auto answer = silent.send("s1", "/ask/x", { { "answer", "busy" }, { "refusal_ms", 400 } });
+    const auto before = arrivals();
+    control(first->address(), { { "answer", "busy" } });
+    cr_expect(waitUntil([&] { return arrivals() == before + 1; }, 3s));
+    for (const auto* engine : { &first, &other })
+        control((*engine)->address(), { { "answer", "good" } });
+    cr_assert(waitFor(answer, 10s));
+    cr_expect(answer->whole, "%s", answer->body.c_str());
+    cr_expect(answer->body == eventsUntil(3), "%s", answer->body.c_str());
+}
+
+Test(silentTarget, nothingIsSentForACallerWhoLeavesWhileEachTargetRefuses, .timeout = 60)
+{
+    SilentSite silent;
+    const auto arrivals = [&] {
+        qsizetype count = 0;
+        for (const auto& engine : silent.site.engines)
+            count += control(engine->address())["arrivals"].toArray().size();
+        return count;
+    };
+    silent.earnRetry();
+    const auto before = arrivals();
+    control(silent.site.engines[0]->address(), { { "event_ms", pauseMs }, { "events", 3 } });
+    const auto answer = silent.send("s1", "/ask/x", { { "answer", "busy" }, { "refusal_ms", 400 } });
+    control(silent.site.engines[0]->address(), { { "answer", "busy" } });
+    cr_assert(waitUntil([&] { return arrivals() == before + 3; }, 3s));
+    silent.site.caller.hangUp();
+    runFor(1s);
+    cr_expect_eq(arrivals(), before + 3, "%d requests", static_cast<int>(arrivals() - before));
+    silent.site.entries[0]->terminate();
+    cr_expect_eq(silent.site.entries[0]->waitForExit(2s), 0, "the request is still open");
+}
+
+Test(silentTarget, streamStaysAtTheSilentTargetIfNoRetryIsLeftAfterTheOther, .timeout = 60)
+{
+    SilentSite silent;
+    const auto& first = silent.site.engines[0];
+    control(first->address(), { { "event_ms", pauseMs }, { "events", 2 } });
+    const auto before = silent.send("s0", "/ask/x", { { "answer", "busy" } });
+    cr_assert(waitFor(before, 10s));
+    cr_assert(before->whole, "%s", before->body.c_str());
+    control(first->address(), { { "events", 3 } });
+    control(silent.site.engines[1]->address(), { { "draining", true } });
+    runFor(200ms);
+    const auto answer = silent.site.send({ .id = "s1", .path = "/ask/x", .deadlineMs = timeoutMs });
+    cr_assert(waitUntil([&] { return countOf(first, "runs") == 2; }, 2s));
+    control(silent.site.engines[1]->address(), { { "refusal_ms", 400 }, { "draining", false } });
+    cr_assert(waitFor(answer, 10s));
+    cr_expect(answer->whole, "%s", answer->body.c_str());
+    cr_expect(answer->body == eventsUntil(3), "%s", answer->body.c_str());
+    cr_expect_eq(countOf(first, "runs"), 2);
+    const auto asked = control(silent.site.engines[1]->address())["arrivals"].toArray().size();
+    cr_expect_eq(asked, 2, "%d", static_cast<int>(asked));
+}
+
 Test(silentTarget, brokenStreamIsNotCountedAsARefusal, .timeout = 60)
 {
     SilentSite silent;
