--- a/standins/target.cpp
+++ b/standins/target.cpp
@@ -12,10 +12,11 @@
 // request.
 //
 // {"deadly_part": ID} names a shared part of prompts that ends the target "crash_after_ms" after it begins an answer to
-// a request with it; {"crash": true} ends the target at once. The target then closes every connection, refuses
-// connections for "restart_after_ms", and returns at the same address with a new id. Its control interface at the
-// address printed after "control" stays; it reports the times of the "crashes" and of the arrivals of requests with
-// the deadly part ("deadly_arrivals"), in milliseconds since the Unix epoch.
+// a request with it; {"deadly_body": TEXT} the body of requests that end it so long after they begin to run, without
+// any answer; {"crash": true} ends the target at once. The target then closes every connection, refuses connections for
+// "restart_after_ms", and returns at the same address with a new id. Its control interface at the address printed after
+// "control" stays; it reports the times of the "crashes" and of the arrivals of requests with the deadly part or body
+// ("deadly_arrivals"), in milliseconds since the Unix epoch.
 
 #include "standins/Program.h"
 
@@ -116,6 +117,11 @@
         return false;
     }
 
+    bool hasDeadlyBody(const http::Request& request) const
+    {
+        return !this->deadlyBody.empty() && request.body == this->deadlyBody;
+    }
+
     bool isExpected(const http::Request& request) const
     {
         const auto expected = request.headers.valueOr("X-Dragonflyarch-Expect-Instance", this->id());
@@ -180,7 +186,7 @@
         this->arrivals.append(QString::fromStdString(std::string(requestId)));
         this->arrivalTimes.append(QDateTime::currentMSecsSinceEpoch());
         const auto headers = this->answerHeaders(request);
-        if (this->hasDeadlyPart(request))
+        if (this->hasDeadlyPart(request) || this->hasDeadlyBody(request))
             this->deadlyArrivals.append(QDateTime::currentMSecsSinceEpoch());
         const auto expectedVersion = request.headers.find("X-Dragonflyarch-Expect-Version");
         const bool hasOtherVersion = expectedVersion && *expectedVersion != std::to_string(this->version);
@@ -193,7 +199,9 @@
             return;
         }
         this->recordRequest(request);
-        if (this->mode == "silent") {
+        if (this->hasDeadlyBody(request)) {
+            QTimer::singleShot(this->crashAfterMs, &this->timerContext, [this, exchange] { this->crash(); });
+        } else if (this->mode == "silent") {
             this->unanswered.push_back(exchange);
             exchange->onCallerGone = [this] { ++this->cancelled; };
         } else if (this->mode == "close" || this->mode == "reset") {
@@ -351,6 +359,8 @@
             this->sendToStore({ { "remove", QString::fromStdString("servers/" + this->registeredId()) } });
         if (body.contains("deadly_part"))
             this->deadlyPart = body["deadly_part"].toString();
+        if (body.contains("deadly_body"))
+            this->deadlyBody = body["deadly_body"].toString().toStdString();
         this->crashAfterMs = body["crash_after_ms"].toInt(this->crashAfterMs);
         this->restartAfterMs = body["restart_after_ms"].toInt(this->restartAfterMs);
         if (body["crash"].toBool())
@@ -422,6 +432,7 @@
     QString retryAfter; ///< the time that refusals with 503 ask for; empty: none
     int reports = 0; ///< queries for a report
     QString deadlyPart; ///< empty: no part ends the target
+    std::string deadlyBody; ///< empty: no body ends the target
     int crashAfterMs = 60;
     int restartAfterMs = 1500;
     QJsonArray streamCloses; ///< when callers disconnected before the end of a stream, as arrivalTimes
