Refuse requests that crash the targets which begin them

Callers of a plain service saw all its engines end every four seconds, and were refused or got 502 in between: one request crashed each engine that began it, and its repeats, with the same path, caller and body and a new id each, were sent on at every instance.

Cause: only shared parts of prompts were reported when a target ended, so nothing remembered a request without a prompt. Where a request had one, the report named the hash of its id, so that three repeats of one request looked like three requests sharing a part, and all sound requests with the part were refused.

It is one more hash in the same reports, so everything that keeps the evidence (proofs, expiry, returned stores, restarts, bounds) holds for it, and the records keep their form. Three ends suffice for it; repeats are no evidence against the parts of the prompt; it comes before parts that explain no more ends and after those that explain more. A request whose target ends after two others ended with it is not retried; when it is quarantined, attempts without an answer are withdrawn. One that only ran beside the cause is released by an answer to it, by a further end with the cause, or by a trial: the two processes that reported it first send one repeat each. The digest is not computed while no attempt broke.

Ruled out: the proof that a request was answered before, as parts have it, needs a digest of each answered request; trials by all instances, as for tied parts, are more than three before the result of the first is known.

--- a/bench/StateBench.cpp
+++ b/bench/StateBench.cpp
@@ -119,7 +119,8 @@
         for (int instance = 0; instance < 4; ++instance) {
             quarantine::TargetEndReport report { { "engine-" + std::to_string(end), 1 }, {}, {}, { 1 } };
             for (int i = 0; i < 4; ++i, ++request)
-                report.beginning.push_back({ request, { 1, 100 + request % 40, i ? 1000 + request : 2 } });
+                report.beginning.push_back(
+                    { request, { 1, 100 + request % 40, i ? 1000 + request : 2, quarantine::requestBit | request } });
             const auto record = quarantine::toRecord(report);
             bytes = record.size();
             evidence.add(std::to_string(end) + "/" + std::to_string(instance), report, 1);
@@ -130,10 +131,20 @@
     state.counters["record_bytes"] = static_cast<double>(bytes);
 }
 
+/// The own part of a request with a body of @p state.range(0) KB.
+void hashRequest(benchmark::State& state)
+{
+    const std::string body(static_cast<size_t>(state.range(0)) << 10, 'x');
+    const quarantine::RequestIdentity identity { "POST", "host", "/path", "caller", "model", { "a", "b", "c" }, body };
+    for (auto _ : state)
+        benchmark::DoNotOptimize(quarantine::hashOfRequest(identity));
+}
+
 }
 
 BENCHMARK(buildPublication)->Args({ 8, 12 })->Args({ 250, 130 })->Args({ 2500, 1300 })->Unit(benchmark::kMillisecond);
 BENCHMARK(applyPublication)->Args({ 8, 12 })->Args({ 250, 130 })->Args({ 2500, 1300 })->Unit(benchmark::kMillisecond);
 BENCHMARK(writeClaim)->Arg(0)->Arg(100)->Arg(1000)->Arg(4000)->Unit(benchmark::kMicrosecond);
 BENCHMARK(decideOnPrompts)->Arg(5)->Arg(64)->Arg(256)->Unit(benchmark::kMicrosecond);
+BENCHMARK(hashRequest)->Arg(1)->Arg(16)->Arg(128)->Unit(benchmark::kMicrosecond);
 BENCHMARK_MAIN();
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -106,7 +106,7 @@
 ForwardCall::ForwardCall(ForwardContext& context, ForwardRequest request)
     : context(context)
     , request(std::move(request))
-    , sharedParts(sharedPartsOf(this->request.metadata))
+    , parts(sharedPartsOf(this->request.metadata))
     , events(this->request.route->isResumable ? this->request.metadata.lastEventId : std::string())
     , attemptEndedAt(this->request.arrived)
 {
@@ -314,9 +314,26 @@
     }
 }
 
+const std::vector<quarantine::PartHash>& ForwardCall::quarantineParts(bool withOwn)
+{
+    if (!withOwn || std::exchange(this->hasOwnPart, true))
+        return this->parts;
+    const auto& received = this->request.exchange->request();
+    const auto& metadata = this->request.metadata;
+    quarantine::RequestIdentity identity { received.method, metadata.host, received.target, {}, metadata.model, {},
+        received.body };
+    if (this->request.organisation)
+        identity.caller = this->request.organisation->name;
+    for (const auto& part : metadata.prompt)
+        identity.prompt.push_back(part.id);
+    this->parts.push_back(quarantine::hashOfRequest(identity));
+    return this->parts;
+}
+
 bool ForwardCall::failIfQuarantined()
 {
-    const auto part = this->context.quarantine.refuse(this->sharedParts, Clock::now());
+    auto& quarantine = this->context.quarantine;
+    const auto part = quarantine.refuse(this->quarantineParts(quarantine.holdsRequests()), Clock::now());
     if (!part)
         return false;
     this->failQuarantined(*part);
@@ -325,19 +342,29 @@
 
 void ForwardCall::failQuarantined(quarantine::PartHash part)
 {
-    this->fail({ ErrorKind::PromptQuarantined, "prompt part " + quarantine::toText(part) + " crashes targets",
-        this->execution(), retryAfterQuarantine });
+    this->fail({ ErrorKind::PromptQuarantined, quarantine::describe(part) + " crashes targets", this->execution(),
+        retryAfterQuarantine });
+}
+
+/// Whether the attempt has no answer yet and may be ended to keep its request from the target.
+bool ForwardCall::isWithdrawable(const Attempt& attempt) const
+{
+    const bool mustComplete = this->request.route->kind == RequestKind::NonIdempotent && attempt.isSent;
+    return isAwaitingEngine(attempt) || (!attempt.head.status && !mustComplete);
 }
 
 void ForwardCall::onPromptsQuarantined()
 {
-    const auto part = this->context.quarantine.withdraw(this->sharedParts);
-    if (!part || !this->attempt || !this->attempt->call)
+    if (!this->attempt || !this->attempt->call)
+        return;
+    auto& quarantine = this->context.quarantine;
+    const auto part = quarantine.withdraw(this->quarantineParts(quarantine.holdsRequests()));
+    if (!part)
         return;
-    constexpr const char* outcome = "withdrawn: a part of the prompt is quarantined";
-    if (this->backup && isAwaitingEngine(*this->backup))
+    const auto outcome = "withdrawn: " + quarantine::describe(*part) + " is quarantined";
+    if (this->backup && this->isWithdrawable(*this->backup))
         this->withdrawBackup(outcome);
-    if (!isAwaitingEngine(*this->attempt))
+    if (!this->isWithdrawable(*this->attempt))
         return;
     this->mayHaveRun = this->mayHaveRun || this->attempt->call->requestSent();
     this->attempt->call->cancel();
@@ -398,18 +425,18 @@
 
 std::optional<Error> ForwardCall::reportBrokenAttempt(const Attempt& attempt, const http::CallFailure& failure)
 {
-    if (failure.kind != http::CallFailureKind::Closed || !failure.requestSent || this->sharedParts.empty())
+    if (failure.kind != http::CallFailureKind::Closed || !failure.requestSent)
         return std::nullopt;
     const auto& progress = attempt.progress;
     const quarantine::BrokenAttempt broken { incarnationOf(attempt), this->request.metadata.requestId,
-        this->sharedParts, progress.hasBegun(), progress.isBeginning() };
+        this->quarantineParts(true), progress.hasBegun(), progress.isBeginning() };
     const auto suspected = this->context.quarantine.findSuspected(broken);
     this->context.quarantine.onAttemptBroken(broken);
     if (!suspected)
         return std::nullopt;
+    const std::string what = quarantine::isRequest(*suspected) ? "the same request, " : "prompts with part ";
     return Error { ErrorKind::TargetFailed,
-        failure.detail + "; not retried: other targets ended when they began prompts with part "
-            + quarantine::toText(*suspected),
+        failure.detail + "; not retried: other targets ended when they began " + what + quarantine::toText(*suspected),
         Execution::Unknown, {} };
 }
 
@@ -417,8 +444,9 @@
 {
     attempt.waitingSince = Clock::now();
     const bool isOwnAnswer = !this->isMismatched(attempt) && !attempt.answerMetadata.notRun;
+    auto& quarantine = this->context.quarantine;
     if (isOwnAnswer && attempt.progress.onBytes(attempt.waitingSince))
-        this->context.quarantine.onSound(this->sharedParts);
+        quarantine.onSound(this->quarantineParts(quarantine.needsOwnPart()));
 }
 
 /// When a backup is sent for want of progress; the request's own deadline if no further attempt is allowed, or while
@@ -504,6 +532,8 @@
     slot->isSent = true;
     slot->waitingSince = Clock::now();
     ++this->sends;
+    if (auto& quarantine = this->context.quarantine; quarantine.holdsRequests())
+        quarantine.onSent(this->quarantineParts(true));
     if (&slot == &this->backup && this->isStream() && !this->resumeAfter().empty()) {
         slot->takeoverDeadline = Clock::now() + maxOverlap;
         this->attempt->call->setDeadline(this->attemptDeadline(*this->attempt));
@@ -573,7 +603,8 @@
     if (this->context.isStopping || this->backup || !this->canContinueElsewhere() || !this->mayTryAnotherTarget())
         return;
     const auto now = Clock::now();
-    if (this->context.quarantine.refuse(this->sharedParts, now))
+    auto& quarantine = this->context.quarantine;
+    if (quarantine.refuse(this->quarantineParts(quarantine.holdsRequests()), now))
         return;
     auto choice = this->chooseTarget(now);
     if (choice && this->acquireRetry(choice->target->registration, now)) {
@@ -790,8 +821,8 @@
     }
     this->mayHaveRun = true;
     const bool isUnusable = (isSuccess(status) && !answer.isStamped) || answer.isEncoded || impliesNotRun(status);
-    if (!isUnusable && quarantine::provesSoundness(slot->head))
-        this->context.quarantine.onSound(this->sharedParts);
+    if (auto& quarantine = this->context.quarantine; !isUnusable && quarantine::provesSoundness(slot->head))
+        quarantine.onSound(this->quarantineParts(quarantine.needsOwnPart()));
     const bool isTargetFailure = isUnusable || status >= firstServerError;
     if (isTargetFailure)
         routing::recordFailure(state, Clock::now());
@@ -879,7 +910,8 @@
         this->attemptFailed(slot, error->detail, *error);
         return;
     }
-    this->attemptFailed(slot, detail, { kind, detail, this->execution(), retryAfterRefusal });
+    const auto ownPart = this->hasOwnPart ? ", " + quarantine::describe(this->parts.back()) : "";
+    this->attemptFailed(slot, detail + ownPart, { kind, detail, this->execution(), retryAfterRefusal });
 }
 
 /// The target no longer took requests when the first byte was due, which is no failure of the target.
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -62,7 +62,8 @@
     void start();
     /// Limits the wait for the engine to begin if its weights have been replaced since the request was sent.
     void updateBeginDeadline();
-    /// Withdraws the request from an engine that has not begun to answer if a part of its prompt is quarantined.
+    /// Withdraws the request from targets that have not begun to answer if it, or a part of its prompt, is quarantined.
+    /// A non-idempotent request to a plain service stays once it was sent.
     void onPromptsQuarantined();
     /// Withdraws the request and gives its caller a final answer, because the instance stops.
     void endForStop();
@@ -151,7 +152,12 @@
     void onCallerGone();
     void resumeReading();
 
-    /// Ends the request if it must not be sent, because a part of its prompt is quarantined. Returns whether it did.
+    /// The parts for which the request may be quarantined.
+    /// @param withOwn adds the request's own part, a digest that covers the body
+    const std::vector<quarantine::PartHash>& quarantineParts(bool withOwn);
+    bool isWithdrawable(const Attempt& attempt) const;
+    /// Ends the request if it must not be sent, because it or a part of its prompt is quarantined. Returns whether it
+    /// did.
     bool failIfQuarantined();
     void failQuarantined(quarantine::PartHash part);
     /// Reports the attempt if the target closed its connection. Returns an error if the request may be the cause, so
@@ -172,7 +178,9 @@
 
     ForwardContext& context;
     ForwardRequest request;
-    std::vector<quarantine::PartHash> sharedParts; ///< all parts of the prompt but the last, which no other request has
+    /// All parts of the prompt but the last, which no other request has; then the request's own, once it was needed.
+    std::vector<quarantine::PartHash> parts;
+    bool hasOwnPart = false;
     Slot attempt; ///< the current attempt: its answer is relayed
     /// Made while the current attempt makes no progress. Invariant: set only if the current attempt is, and nothing of
     /// its answer was relayed, which is buffered.
--- a/src/forward/Forwarder.cpp
+++ b/src/forward/Forwarder.cpp
@@ -118,10 +118,10 @@
 
 void Forwarder::onPromptsQuarantined()
 {
-    std::vector<std::shared_ptr<ForwardCall>> waiting; // a withdrawn call leaves awaitingEngines
-    for (auto* call : this->context.awaitingEngines)
-        waiting.push_back(call->shared_from_this());
-    for (const auto& call : waiting)
+    std::vector<std::shared_ptr<ForwardCall>> open; // a withdrawn call leaves calls
+    for (auto* call : this->context.calls)
+        open.push_back(call->shared_from_this());
+    for (const auto& call : open)
         call->onPromptsQuarantined();
 }
 
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -76,7 +76,7 @@
     , targetEndReports(counter(*registry, "dragonfly_target_end_reports_total",
           "Reports published on targets that ended while they began answers"))
     , quarantinedParts(gauge(
-          *registry, "dragonfly_quarantined_parts", "Prompt parts that are kept from targets because they crash them"))
+          *registry, "dragonfly_quarantined_parts", "Prompt parts and requests that are kept from targets because they crash them"))
     , limitedTargets(gauge(*registry, "dragonfly_limited_targets", "Targets whose answers name a limit of requests"))
     , leavingTargets(
           gauge(*registry, "dragonfly_leaving_targets", "Processes of targets that said in an answer that they leave"))
--- a/src/quarantine/PromptEvidence.cpp
+++ b/src/quarantine/PromptEvidence.cpp
@@ -1,6 +1,8 @@
 #include "quarantine/PromptEvidence.h"
 
 #include <algorithm>
+#include <iterator>
+#include <limits>
 
 namespace dragonfly::quarantine {
 
@@ -9,28 +11,37 @@
     /// Limit on remembered proofs of each kind. A forgotten proof is replaced by the part's next answer.
     constexpr size_t maxProofs = 4096;
 
-    /// What one part explains of the ends that no quarantined part explains yet.
-    struct Explanation {
-        PartHash part = 0;
-        size_t ends = 0;
-        size_t requests = 0;
-        bool isFormerlySound = false;
-
-        bool isSufficient() const
-        {
-            return this->ends >= (this->isFormerlySound ? minEndsOfFormerlySound : minEnds)
-                && this->requests >= minRequests;
-        }
-        bool isBetterThan(const Explanation& other) const
-        {
-            if (this->isFormerlySound != other.isFormerlySound)
-                return !this->isFormerlySound;
-            return this->ends > other.ends;
-        }
-    };
+    /// The request's own part; nullopt in a report of a version that does not write it.
+    std::optional<PartHash> ownPart(std::span<const PartHash> parts)
+    {
+        const auto found = std::ranges::find_if(parts, isRequest);
+        return found == parts.end() ? std::nullopt : std::optional(*found);
+    }
 
 }
 
+/// What one part explains of the ends that no quarantined part explains yet.
+struct PromptEvidence::Explanation {
+    PartHash part = 0;
+    size_t ends = 0;
+    size_t requests = 0;
+    bool isFormerlySound = false;
+
+    bool isSufficient() const
+    {
+        return this->ends >= (this->isFormerlySound ? minEndsOfFormerlySound : minEnds)
+            && (isRequest(this->part) || this->requests >= minRequests);
+    }
+    bool isBetterThan(const Explanation& other) const
+    {
+        if (this->isFormerlySound != other.isFormerlySound)
+            return !this->isFormerlySound;
+        if (this->ends != other.ends)
+            return this->ends > other.ends;
+        return isRequest(this->part) && !isRequest(other.part);
+    }
+};
+
 void PromptEvidence::add(const std::string& key, const TargetEndReport& report, std::optional<int64_t> revision)
 {
     const auto [found, isNew] = this->reports.try_emplace(key);
@@ -113,8 +124,29 @@
         || this->isClearedByPublication(part, report);
 }
 
+/// The requests that were beginning at two ends or more. One end is no evidence against a request, and most requests
+/// have no more.
+std::unordered_set<PartHash> PromptEvidence::findRepeatedRequests() const
+{
+    std::unordered_set<PartHash> repeated;
+    std::unordered_map<PartHash, const Incarnation*> firstEnds;
+    firstEnds.reserve(this->requestCount);
+    for (const auto& [key, report] : this->reports) {
+        for (const auto& request : report.content.beginning) {
+            const auto own = ownPart(request.parts);
+            if (!own)
+                continue;
+            const auto [first, isNew] = firstEnds.try_emplace(*own, &report.content.incarnation);
+            if (!isNew && *first->second != report.content.incarnation)
+                repeated.insert(*own);
+        }
+    }
+    return repeated;
+}
+
 void PromptEvidence::collectEvidence()
 {
+    const auto repeated = this->findRepeatedRequests();
     this->evidence.clear();
     this->unpublishedEnds.clear();
     std::map<Incarnation, std::unordered_set<PartHash>> answered;
@@ -126,6 +158,8 @@
         const auto& soundThere = answered[incarnation];
         for (const auto& request : report.content.beginning) {
             for (const auto part : request.parts) {
+                if (isRequest(part) && !repeated.contains(part))
+                    continue;
                 auto& unpublished = this->unpublishedEnds[part];
                 if (soundThere.contains(part))
                     continue;
@@ -134,10 +168,12 @@
                 if (isProofLost || !this->isClearedByPublication(part, report))
                     unpublished.insert(incarnation);
                 if (!this->isCleared(part, report))
-                    this->evidence[part].requestsByEnd[incarnation].insert(request.request);
+                    this->addEvidence(part, request, incarnation);
             }
         }
     }
+    this->hasRepeatedRequests = std::ranges::any_of(this->evidence,
+        [](const auto& entry) { return isRequest(entry.first) && entry.second.requestsByEnd.size() > 1; });
     for (const auto& [key, report] : this->reports) {
         for (const auto part : report.content.formerlySound) {
             if (const auto found = this->evidence.find(part); found != this->evidence.end())
@@ -146,25 +182,58 @@
     }
 }
 
+void PromptEvidence::addEvidence(PartHash part, const BeginningRequest& request, const Incarnation& incarnation)
+{
+    auto& found = this->evidence[part];
+    auto& requests = found.requestsByEnd[incarnation];
+    if (!isRequest(part)) {
+        requests.insert(ownPart(request.parts).value_or(request.request));
+        return;
+    }
+    requests.insert(request.request);
+    if (found.promptParts.empty())
+        std::ranges::remove_copy_if(request.parts, std::back_inserter(found.promptParts), isRequest);
+}
+
+/// The sufficient explanations of ends that are not among @p explained, by part.
+std::unordered_map<PartHash, PromptEvidence::Explanation> PromptEvidence::explain(
+    const std::set<Incarnation>& explained) const
+{
+    std::unordered_map<PartHash, Explanation> explanations;
+    for (const auto& [part, found] : this->evidence) {
+        if (found.requestsByEnd.size() < minEnds)
+            continue;
+        Explanation explanation { part, 0, 0, found.isFormerlySound };
+        std::set<uint64_t> requests;
+        for (const auto& [incarnation, beginning] : found.requestsByEnd) {
+            if (explained.contains(incarnation))
+                continue;
+            ++explanation.ends;
+            requests.insert(beginning.begin(), beginning.end());
+        }
+        explanation.requests = requests.size();
+        if (explanation.isSufficient())
+            explanations.emplace(part, explanation);
+    }
+    return explanations;
+}
+
 std::map<PartHash, QuarantinedPart> PromptEvidence::decide() const
 {
     std::map<PartHash, QuarantinedPart> decided;
     std::set<Incarnation> explained;
     while (true) {
         std::vector<Explanation> best; // all equally good explanations
-        for (const auto& [part, found] : this->evidence) {
-            if (found.requestsByEnd.size() < minEnds || decided.contains(part))
+        const auto explanations = this->explain(explained);
+        for (const auto& [part, explanation] : explanations) {
+            if (decided.contains(part) || (!best.empty() && best.front().isBetterThan(explanation)))
                 continue;
-            Explanation explanation { part, 0, 0, found.isFormerlySound };
-            std::set<uint64_t> requests;
-            for (const auto& [incarnation, beginning] : found.requestsByEnd) {
-                if (explained.contains(incarnation))
-                    continue;
-                ++explanation.ends;
-                requests.insert(beginning.begin(), beginning.end());
-            }
-            explanation.requests = requests.size();
-            if (!explanation.isSufficient() || (!best.empty() && best.front().isBetterThan(explanation)))
+            // Also by a formerly sound part, which comes after all others otherwise.
+            const auto explainsMore = [&, ends = explanation.ends](PartHash promptPart) {
+                const auto other = explanations.find(promptPart);
+                return other != explanations.end() && other->second.ends > ends;
+            };
+            if (std::ranges::any_of(this->evidence.at(part).promptParts, explainsMore))
                 continue;
             if (!best.empty() && explanation.isBetterThan(best.front()))
                 best.clear();
@@ -243,22 +312,51 @@
 std::optional<PartHash> PromptEvidence::findSuspected(
     std::span<const PartHash> parts, uint64_t request, const Incarnation& incarnation) const
 {
+    const auto self = ownPart(parts).value_or(request);
     for (const auto part : parts) {
         const auto found = this->evidence.find(part);
         if (found == this->evidence.end())
             continue;
         const auto ends = std::ranges::count_if(found->second.requestsByEnd, [&](const auto& end) {
             const auto& [ended, requests] = end;
-            return ended != incarnation && (requests.size() > 1 || !requests.contains(request));
+            return ended != incarnation && (isRequest(part) || requests.size() > 1 || !requests.contains(self));
         });
         // One end less than the quarantine takes, or the first one with a part that was never answered.
-        const auto sufficient = found->second.isFormerlySound ? minEndsOfFormerlySound - 1 : size_t { 1 };
+        auto sufficient = found->second.isFormerlySound ? minEndsOfFormerlySound - 1 : size_t { 1 };
+        if (isRequest(part))
+            sufficient = minEnds - 1;
         if (static_cast<size_t>(ends) >= sufficient)
             return part;
     }
     return std::nullopt;
 }
 
+std::optional<size_t> PromptEvidence::reporterRank(PartHash part, std::string_view processPrefix) const
+{
+    std::map<std::string_view, int64_t> firstReports; // by process; reports that are not written yet are the latest
+    for (const auto& [key, report] : this->reports) {
+        const bool isNamed = std::ranges::any_of(report.content.beginning, [part](const BeginningRequest& request) {
+            return std::ranges::find(request.parts, part) != request.parts.end();
+        });
+        if (!isNamed)
+            continue;
+        const auto process = std::string_view(key).substr(0, key.rfind('-') + 1);
+        const auto revision = report.revision.value_or(std::numeric_limits<int64_t>::max());
+        const auto [first, isNew] = firstReports.try_emplace(process, revision);
+        first->second = std::min(first->second, revision);
+    }
+    const auto own = firstReports.find(processPrefix);
+    if (own == firstReports.end())
+        return std::nullopt;
+    return std::ranges::count_if(firstReports, [&own](const auto& other) { return other.second < own->second; });
+}
+
+size_t PromptEvidence::endsAgainst(PartHash part) const
+{
+    const auto found = this->evidence.find(part);
+    return found == this->evidence.end() ? 0 : found->second.requestsByEnd.size();
+}
+
 size_t PromptEvidence::endsWithoutPublishedProof(PartHash part) const
 {
     const auto found = this->unpublishedEnds.find(part);
--- a/src/quarantine/PromptEvidence.h
+++ b/src/quarantine/PromptEvidence.h
@@ -1,10 +1,13 @@
 #pragma once
-// Decides which shared prompt parts crash targets, from reports of all instances on targets that ended.
+// Decides which shared prompt parts and which requests crash targets, from reports of all instances on targets that
+// ended.
 //
-// A part is quarantined when the ends of several targets are explained by it: it was beginning to be answered at each
-// of them, and no answer with it was completed since. A part that explains more ends takes precedence; an end that a
-// quarantined part explains is no evidence against other parts. A decision depends on the reports and proofs only, so
-// instances with the same records decide alike. No I/O and no clock.
+// A request has, beside the shared parts of its prompt, a part of its own, which only its repetitions share. A part is
+// quarantined when the ends of several targets are explained by it: it was beginning to be answered at each of them,
+// and no answer with it was completed since. Repetitions of one request are evidence against that request alone. A part
+// that explains more ends takes precedence, and a request over the parts of its prompt that explain no more; an end
+// that a quarantined part explains is no evidence against other parts. A decision depends on the reports and proofs
+// only, so instances with the same records decide alike. No I/O and no clock.
 
 #include "directory/Incarnation.h"
 
@@ -22,8 +25,15 @@
 
 namespace dragonfly::quarantine {
 
-/// Hash of a model and the id of a prompt part.
+/// Hash of a model and the id of a prompt part, or of a request, which is marked by requestBit.
 using PartHash = uint64_t;
+/// Keeps the two kinds apart: a caller may choose the ids of its parts, and could find one with the hash of a request.
+inline constexpr PartHash requestBit = PartHash { 1 } << 63;
+
+constexpr bool isRequest(PartHash part)
+{
+    return (part & requestBit) != 0;
+}
 
 /// Ends of targets that a part must explain. Three are unlikely to share a rare part by chance, and the users allow
 /// five before requests with the part must stop.
@@ -31,7 +41,8 @@
 /// The same for a part that some reporting instance has seen answered before. The most that the users allow, because
 /// the parts that most requests share are beginning somewhere whenever several targets end together.
 inline constexpr size_t minEndsOfFormerlySound = 5;
-/// Requests that must have been beginning with the part, so that a single request with its retries is no evidence.
+/// Different requests that must have been beginning with a part of a prompt: a single request with its retries and
+/// repetitions is no evidence against the part.
 inline constexpr size_t minRequests = 2;
 /// Limit on the reported requests that are kept: 64 ends with 64 beginning requests each, about 0.5 MB.
 inline constexpr size_t maxKeptRequests = 4096;
@@ -40,21 +51,21 @@
 
 struct BeginningRequest {
     uint64_t request = 0; ///< hash of the request's id
-    std::vector<PartHash> parts; ///< the shared parts of its prompt
+    std::vector<PartHash> parts; ///< the shared parts of its prompt and the request's own
 };
 
 /// One instance's observation of the end of a target.
 struct TargetEndReport {
     Incarnation incarnation;
     std::vector<BeginningRequest> beginning;
-    std::vector<PartHash> answeredParts; ///< parts of answers that the target had been writing for longer
+    std::vector<PartHash> answeredParts; ///< parts of prompts of answers that the target had been writing for longer
     std::vector<PartHash> formerlySound; ///< beginning parts that the instance has seen answered before
 };
 
 struct QuarantinedPart {
     PartHash part = 0;
     size_t ends = 0; ///< ends of targets that the part explains
-    size_t requests = 0; ///< distinct requests with the part that were beginning there
+    size_t requests = 0; ///< different requests with the part that were beginning there; repetitions of a request
     bool isTied = false; ///< another part explains the ends as well
 };
 
@@ -95,13 +106,19 @@
     std::optional<PartHash> findDecisive(std::span<const PartHash> parts) const;
     /// Whether a report whose key begins with @p keyPrefix names @p part.
     bool isReportedUnder(PartHash part, std::string_view keyPrefix) const;
-    /// Whether other targets ended while they began other requests with one of @p parts, so that @p request, which was
-    /// beginning when @p incarnation ended, may be the cause. Returns the part.
+    /// Whether other targets ended while they began other requests with one of @p parts, or repetitions of the request
+    /// itself, so that @p request, which was beginning when @p incarnation ended, may be the cause. Returns the part.
+    /// @param request hash of the request's id; without meaning if its own part is among @p parts
     std::optional<PartHash> findSuspected(
         std::span<const PartHash> parts, uint64_t request, const Incarnation& incarnation) const;
+    /// The number of processes whose reports named @p part before the first such report under @p processPrefix; nullopt
+    /// if there is none.
+    std::optional<size_t> reporterRank(PartHash part, std::string_view processPrefix) const;
+    /// Ends that speak against @p part, whether or not another part explains them; 0 if it is cleared of all.
+    size_t endsAgainst(PartHash part) const;
     /// The reports whose keys begin with @p keyPrefix.
     std::vector<std::pair<std::string, TargetEndReport>> reportsUnder(std::string_view keyPrefix) const;
-    /// Whether any report names @p part, cleared or not.
+    /// Whether any report names @p part, or reports on two ends if it is a request's, cleared or not.
     bool isReported(PartHash part) const
     {
         return this->unpublishedEnds.contains(part);
@@ -122,6 +139,16 @@
     {
         return this->quarantined.size();
     }
+    /// Whether two ends or more speak against any request, so that an answer to a repetition matters.
+    bool suspectsRequests() const
+    {
+        return this->hasRepeatedRequests;
+    }
+    /// Whether any request is quarantined for its own part.
+    bool holdsRequests() const
+    {
+        return this->quarantined.lower_bound(requestBit) != this->quarantined.end();
+    }
     size_t keptRequests() const
     {
         return this->requestCount;
@@ -136,8 +163,10 @@
 
     /// What the reports say about one part, without the reports that are cleared of it.
     struct PartEvidence {
-        std::map<Incarnation, std::set<uint64_t>> requestsByEnd; ///< hashes of the beginning requests
+        /// Hashes of the beginning requests: of what repetitions share if the part is one of a prompt, else of ids.
+        std::map<Incarnation, std::set<uint64_t>> requestsByEnd;
         bool isFormerlySound = false;
+        std::vector<PartHash> promptParts; ///< of a request: the shared parts of its prompt
     };
 
     struct PublishedProof {
@@ -147,7 +176,11 @@
 
     bool isClearedByPublication(PartHash part, const Report& report) const;
     bool isCleared(PartHash part, const Report& report) const;
+    std::unordered_set<PartHash> findRepeatedRequests() const;
     void collectEvidence();
+    void addEvidence(PartHash part, const BeginningRequest& request, const Incarnation& incarnation);
+    struct Explanation;
+    std::unordered_map<PartHash, Explanation> explain(const std::set<Incarnation>& explained) const;
     std::map<PartHash, QuarantinedPart> decide() const;
     void dropOldest();
 
@@ -157,6 +190,7 @@
     std::unordered_map<PartHash, uint64_t> soundHere; ///< the last sequence at each part's latest proof
     std::unordered_map<PartHash, PublishedProof> publishedSound;
     std::unordered_map<PartHash, PartEvidence> evidence; ///< as of the latest update()
+    bool hasRepeatedRequests = false; ///< a request's own part has evidence of two ends or more
     std::unordered_map<PartHash, std::set<Incarnation>> unpublishedEnds; ///< as of the latest update()
     std::map<PartHash, QuarantinedPart> quarantined;
 };
--- a/src/quarantine/PromptQuarantine.cpp
+++ b/src/quarantine/PromptQuarantine.cpp
@@ -43,6 +43,11 @@
     constexpr uint64_t reporterTrialSlots = 8;
     constexpr uint64_t trialSlots = 32;
     constexpr milliseconds trialSlotTime { 250 };
+    /// Processes that try a quarantined request, each once. The users allow three repetitions after the quarantine.
+    constexpr size_t requestTriers = 2;
+    /// From the first refusal of a quarantined request to its trial by the first of them, and from that to the trial by
+    /// the second: ended engines return within some seconds, and the result of the first trial is known.
+    constexpr milliseconds requestTrialDelay { 2000 };
     /// Between two decisions, each 0.9 ms after 64 ends, so that a burst of records and proofs takes 1.8 % of a core.
     constexpr milliseconds updateDelay { 50 };
 
@@ -55,12 +60,14 @@
         return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(part) : std::nullopt;
     }
 
-    std::string listParts(const std::vector<BeginningRequest>& requests)
+    /// The parts of one kind that @p requests have.
+    std::string listParts(const std::vector<BeginningRequest>& requests, bool ofRequests)
     {
-        constexpr size_t maxListed = 8;
+        const size_t maxListed = ofRequests ? maxReportedRequests : 8;
         std::set<PartHash> parts;
         for (const auto& request : requests)
-            parts.insert(request.parts.begin(), request.parts.end());
+            std::ranges::copy_if(request.parts, std::inserter(parts, parts.end()),
+                [ofRequests](PartHash part) { return isRequest(part) == ofRequests; });
         std::string text;
         size_t listed = 0;
         for (const auto part : parts) {
@@ -71,6 +78,18 @@
         return text;
     }
 
+    void logRelease(PartHash part, size_t endsAgainst, bool isProved)
+    {
+        const bool ofRequest = isRequest(part);
+        std::string reason = "the evidence expired";
+        if (endsAgainst >= minEnds)
+            reason = "another part explains the ends";
+        else if (isProved)
+            reason = ofRequest ? "a repetition was answered" : "a prompt with it was answered";
+        logChange(LogLevel::Info, ofRequest ? "request released" : "prompt part released",
+            { { ofRequest ? "own_part" : "part", toText(part) }, { "reason", reason } });
+    }
+
     void insertNew(std::vector<PartHash>& parts, PartHash part)
     {
         if (std::ranges::find(parts, part) == parts.end())
@@ -81,7 +100,7 @@
 
 PartHash hashOfPart(const std::string& model, const std::string& id)
 {
-    return fastHash(id, fastHash(model));
+    return fastHash(id, fastHash(model)) & ~requestBit;
 }
 
 std::string toText(PartHash part)
@@ -89,6 +108,11 @@
     return QString::number(part, 16).toStdString();
 }
 
+std::string describe(PartHash part)
+{
+    return (isRequest(part) ? "request " : "prompt part ") + toText(part);
+}
+
 PromptQuarantine::PromptQuarantine(const std::string& instance, store::WatchableStore& store, observe::Metrics& metrics)
     : instance(instance)
     , metrics(metrics)
@@ -229,7 +253,7 @@
         if (attempt.isBeginning)
             continue;
         for (const auto part : attempt.parts) {
-            if (report.answeredParts.size() < maxReportedParts)
+            if (!isRequest(part) && report.answeredParts.size() < maxReportedParts)
                 insertNew(report.answeredParts, part);
         }
     }
@@ -250,7 +274,7 @@
     }
     logChange(LogLevel::Warning, "target ended while answers began",
         { { "target", incarnation.target }, { "requests", std::to_string(report.beginning.size()) },
-            { "parts", listParts(report.beginning) } });
+            { "parts", listParts(report.beginning, false) }, { "own_parts", listParts(report.beginning, true) } });
     const auto key = this->reportKeyPrefix + std::to_string(++this->lastReport);
     this->evidence.add(key, report, std::nullopt);
     this->reportPublisher.write(key, toRecord(report));
@@ -286,7 +310,8 @@
 void PromptQuarantine::onSound(const std::vector<PartHash>& parts)
 {
     for (const auto part : parts) {
-        this->soundParts.remember(part);
+        if (!isRequest(part))
+            this->soundParts.remember(part);
         if (this->evidence.isEmpty() || !this->evidence.isReported(part))
             continue;
         // A popular part is answered many times a second, and most of these proofs change nothing.
@@ -319,9 +344,38 @@
     return now + trialSlotTime * (reporterTrialSlots + number % trialSlots);
 }
 
+/// Whether a repetition of the quarantined request @p part may be sent, to learn whether it was beginning beside the
+/// cause of the ends by chance.
+bool PromptQuarantine::mayTryRequest(PartHash part, Clock::time_point now)
+{
+    if (this->triedRequests.contains(part))
+        return false;
+    const auto rank = this->evidence.reporterRank(part, this->reportKeyPrefix);
+    if (!rank || *rank >= requestTriers)
+        return false;
+    const auto ends = this->evidence.endsAgainst(part);
+    const auto known = this->endsAtFirstRefusal.try_emplace(part, ends).first->second;
+    if (*rank && ends > known)
+        return false; // the trial by the first process ended a target
+    const auto next = this->nextTrials.try_emplace(part, now + requestTrialDelay * (static_cast<int>(*rank) + 1)).first;
+    if (now < next->second)
+        return false;
+    next->second = now + trialInterval;
+    logChange(LogLevel::Info, "quarantined request tried", { { "own_part", toText(part) } });
+    return true;
+}
+
+void PromptQuarantine::onSent(const std::vector<PartHash>& parts)
+{
+    if (const auto part = this->evidence.findQuarantined(parts); part && isRequest(*part))
+        this->triedRequests.insert(*part);
+}
+
 std::optional<PartHash> PromptQuarantine::refuse(const std::vector<PartHash>& parts, Clock::time_point now)
 {
     const auto quarantined = this->evidence.findQuarantined(parts);
+    if (quarantined && isRequest(*quarantined))
+        return this->mayTryRequest(*quarantined, now) ? std::nullopt : quarantined;
     const auto decisive = quarantined ? this->evidence.findDecisive(parts) : std::nullopt;
     if (!decisive)
         return quarantined;
@@ -352,16 +406,16 @@
 {
     const auto changes = this->evidence.update();
     for (const auto& added : changes.added)
-        logChange(LogLevel::Warning, "prompt part quarantined",
-            { { "part", toText(added.part) }, { "ended_targets", std::to_string(added.ends) },
-                { "requests", std::to_string(added.requests) } });
+        logChange(LogLevel::Warning, isRequest(added.part) ? "request quarantined" : "prompt part quarantined",
+            { { isRequest(added.part) ? "own_part" : "part", toText(added.part) },
+                { "ended_targets", std::to_string(added.ends) }, { "requests", std::to_string(added.requests) } });
     for (const auto part : changes.released)
-        logChange(LogLevel::Info, "prompt part released",
-            { { "part", toText(part) },
-                { "reason",
-                    this->evidence.isProved(part) ? "a prompt with it was answered" : "the evidence expired" } });
+        logRelease(part, this->evidence.endsAgainst(part), this->evidence.isProved(part));
     for (const auto part : changes.released)
         this->nextTrials.erase(part);
+    const auto isForgotten = [this](PartHash part) { return !this->evidence.endsAgainst(part); };
+    std::erase_if(this->triedRequests, isForgotten);
+    std::erase_if(this->endsAtFirstRefusal, [&](const auto& entry) { return isForgotten(entry.first); });
     this->metrics.quarantinedParts.Set(static_cast<double>(this->evidence.quarantinedCount()));
     if (!changes.added.empty() && this->onQuarantined)
         this->onQuarantined();
--- a/tests/CrashingRequestTest.cpp
+++ b/tests/CrashingRequestTest.cpp
@@ -126,9 +126,10 @@
         return crashes[std::min<size_t>(crashes.size(), countedCrashes) - 1];
     }
 
-    int lateArrivals() const
+    /// Deadly requests that reached targets later than contactTime after the third crash and after @p storeBackAt.
+    int lateArrivals(int64_t storeBackAt = 0) const
     {
-        const auto counted = this->countedFrom() + contactTime.count();
+        const auto counted = std::max(this->countedFrom(), storeBackAt) + contactTime.count();
         const auto arrivals = this->times("deadly_arrivals");
         return static_cast<int>(std::ranges::count_if(arrivals, [counted](int64_t time) { return time > counted; }));
     }
@@ -193,3 +194,35 @@
 {
     checkThatItStops("/ask/x");
 }
+
+Test(crashingRequest, repeatsStopAfterTheStoreWasAwayAtTheThirdCrashAndAnInstanceRestarted)
+{
+    CrashSite site("/read/x");
+    site.play(1s, false);
+    // The route allows two targets for each request.
+    require(waitFor(site.sendDeadly(0)), "no answer");
+    require(waitUntil([&site] { return site.times("crashes").size() == 2; }, 2s), "two targets have not ended");
+    runFor(500ms); // the others read the reports
+    site.site.controlStore({ { "mode", "busy" } });
+    require(waitFor(site.sendDeadly(1)), "no answer");
+    require(waitUntil([&site] { return site.times("crashes").size() >= 3; }, 2s), "the third target has not ended");
+    site.play(3s, true);
+    site.site.controlStore({ { "mode", "up" } });
+    const auto storeBackAt = QDateTime::currentMSecsSinceEpoch();
+    site.play(4s, true);
+    site.site.restartEntry(2);
+    const auto restartedAt = QDateTime::currentMSecsSinceEpoch();
+    site.play(8s, true);
+    const auto ended = QDateTime::currentMSecsSinceEpoch();
+    for (size_t entry = 0; entry < instances; ++entry) {
+        const auto answer = site.sendDeadly(entry);
+        require(waitFor(answer), "no answer");
+        cr_expect(isQuarantined(answer), "instance %zu: %d", entry, answer->status);
+    }
+    site.waitForAnswers();
+    const auto late = site.lateArrivals(storeBackAt);
+    cr_expect_leq(late, maxLateArrivals, "%d repeats reached targets late; %d crashes", late,
+        static_cast<int>(site.times("crashes").size()));
+    const auto after = site.servedShare(std::max(storeBackAt + 2 * contactTime.count(), restartedAt), ended);
+    cr_expect_geq(after, 0.5, "sound requests served after the crashes: %.2f", after);
+}
--- a/tests/QuarantinePartsTest.cpp
+++ b/tests/QuarantinePartsTest.cpp
@@ -829,3 +829,221 @@
     cr_assert_eq(site.store.writes[2].key, own);
     cr_assert_eq(site.store.writes[2].lease, 6);
 }
+
+namespace {
+
+constexpr PartHash deadly = requestBit | 20; ///< own part of a request
+constexpr PartHash neighbour = requestBit | 21;
+constexpr PartHash third = requestBit | 22;
+
+RequestIdentity identityOf(const std::string_view& body)
+{
+    return { "POST", "host", "/path?query", "caller", "model", { "a", "b" }, body };
+}
+
+}
+
+Test(requestIdentity, eachFieldTellsRequestsApart)
+{
+    const auto identity = identityOf("body");
+    const auto hash = hashOfRequest(identity);
+    cr_assert(isRequest(hash));
+    cr_assert_eq(hashOfRequest(identityOf("body")), hash);
+    cr_assert_neq(hashOfRequest(identityOf("other body")), hash);
+    cr_assert_neq(hashOfRequest(identityOf("")), hash);
+    for (const auto field : { &RequestIdentity::method, &RequestIdentity::host, &RequestIdentity::target,
+             &RequestIdentity::caller, &RequestIdentity::model }) {
+        auto changed = identity;
+        changed.*field = "x";
+        cr_assert_neq(hashOfRequest(changed), hash);
+    }
+    for (const auto& prompt : { std::vector<std::string_view> { "a" }, { "a", "c" }, { "ab" }, { "a", "b", "" } }) {
+        auto changed = identity;
+        changed.prompt = prompt;
+        cr_assert_neq(hashOfRequest(changed), hash);
+    }
+    auto shifted = identity;
+    shifted.host = "host/";
+    shifted.target = "path?query";
+    cr_assert_neq(hashOfRequest(shifted), hash, "characters that move to the next field");
+    cr_assert_not(isRequest(hashOfPart("m", "a")) || isRequest(hashOfPart("m", "b")) || isRequest(hashOfPart("", "c")));
+}
+
+Test(promptEvidence, requestThatThreeTargetsBeganIsQuarantinedAndItsPartsAreNot)
+{
+    Reports reports;
+    for (const auto* target : { "a", "b", "c" }) {
+        cr_assert_not(reports.isQuarantined(deadly));
+        reports.add(target, { { shared, bad, deadly } });
+        reports.evidence.update();
+    }
+    cr_assert(reports.isQuarantined(deadly));
+    cr_assert(reports.evidence.holdsRequests());
+    cr_assert_not(reports.isQuarantined(shared) || reports.isQuarantined(bad));
+    cr_assert_not(reports.evidence.findQuarantined(std::vector { shared, bad, neighbour }).has_value());
+}
+
+Test(promptEvidence, requestIsTheCauseRatherThanAPartThatExplainsNoMoreEnds)
+{
+    Reports reports;
+    for (const auto* target : { "a", "b", "c" })
+        reports.add(target, { { bad, deadly }, { bad, requestBit | reports.requests } });
+    reports.evidence.update();
+    cr_assert(reports.isQuarantined(deadly));
+    cr_assert_not(reports.isQuarantined(bad), "its other requests are sent");
+    // An end without the request, and the part explains more.
+    reports.add("d", { { bad, neighbour } });
+    reports.evidence.update();
+    cr_assert(reports.isQuarantined(bad));
+    cr_assert_not(reports.isQuarantined(deadly));
+}
+
+/// Each request with the part comes three times before it is refused.
+Test(promptEvidence, partThatWasAnsweredBeforeIsQuarantinedAfterFiveEndsBesideRepeatedRequests)
+{
+    Reports reports;
+    for (const auto* target : { "a", "b", "c" })
+        reports.add(target, { { bad, deadly } }, { bad });
+    reports.evidence.update();
+    cr_assert(reports.isQuarantined(deadly));
+    for (const auto* target : { "d", "e" })
+        reports.add(target, { { bad, neighbour } }, { bad });
+    reports.evidence.update();
+    cr_assert(reports.isQuarantined(bad));
+}
+
+Test(promptEvidence, requestsThatRanBesideTheCauseAreReleasedByAnAnswerOrAFurtherEnd)
+{
+    Reports reports;
+    for (const auto* target : { "a", "b", "c" })
+        reports.add(target, { { deadly }, { neighbour }, { third } });
+    reports.add("z", { { neighbour } });
+    reports.evidence.recordSound(neighbour);
+    reports.evidence.update();
+    cr_assert_not(reports.isQuarantined(neighbour), "it was answered");
+    cr_assert(reports.isQuarantined(deadly) && reports.isQuarantined(third), "nothing tells them apart");
+    reports.add("d", { { deadly } });
+    reports.evidence.update();
+    cr_assert(reports.isQuarantined(deadly));
+    cr_assert_not(reports.isQuarantined(third));
+}
+
+Test(promptEvidence, repetitionIsSuspectedAfterTwoOtherTargetsEnded)
+{
+    Reports reports;
+    const std::vector<PartHash> parts { shared, deadly };
+    const auto suspected = [&] { return reports.evidence.findSuspected(parts, 9, { "c", 1 }).value_or(0); };
+    reports.add("a", { parts });
+    reports.add("c", { parts });
+    reports.evidence.update();
+    cr_assert_eq(suspected(), 0, "one other end");
+    reports.add("b", { parts });
+    reports.evidence.update();
+    cr_assert_eq(suspected(), deadly);
+    cr_assert_eq(reports.evidence.findSuspected(std::vector { shared, neighbour }, 9, { "d", 1 }).value_or(0), shared,
+        "another request with the part");
+}
+
+Test(promptEvidence, newRequestsThatBreakConnectionsDoNotDisplaceTheEvidenceAgainstARequest)
+{
+    Reports reports;
+    for (const auto* target : { "a", "b", "c" })
+        reports.add(target, { { deadly } });
+    reports.evidence.update();
+    for (PartHash request = 100; request < 100 + 2 * maxKeptRequests; ++request)
+        reports.add("t" + std::to_string(request), { { requestBit | request } });
+    cr_assert_eq(reports.evidence.keptRequests(), maxKeptRequests);
+    reports.evidence.update();
+    cr_assert(reports.isQuarantined(deadly));
+}
+
+Test(promptQuarantine, requestWithoutAPromptIsReportedWithItsOwnPart)
+{
+    QuarantineSite site;
+    cr_assert_not(site.quarantine.needsOwnPart());
+    site.breakAttempt("a", "r1", { deadly });
+    site.breakAttempt("a", "r2", { neighbour }, false);
+    site.grantAll();
+    const auto report = fromRecord(site.store.writes.at(0).value);
+    cr_assert(report.has_value());
+    cr_assert_eq(report->beginning.size(), 1);
+    cr_assert_eq(report->beginning[0].parts, (std::vector<PartHash> { deadly }));
+    cr_assert(report->answeredParts.empty(), "only prompts share parts with other requests");
+    site.quarantine.update();
+    cr_assert_not(site.quarantine.needsOwnPart(), "one end quarantines nothing, so no answer to the request matters");
+    site.breakAttempt("b", "r3", { deadly });
+    cr_assert(waitUntil([&] { return site.quarantine.needsOwnPart(); }, 1s));
+    cr_assert_not(site.quarantine.holdsRequests());
+}
+
+Test(promptQuarantine, quarantinedRequestIsTriedOnceByAProcessThatReportedIt)
+{
+    QuarantineSite site;
+    auto& quarantine = site.quarantine;
+    for (const auto* target : { "a", "b", "c" })
+        site.breakAttempt(target, std::string("r") + target, { deadly });
+    cr_assert(waitUntil([&] { return quarantine.holdsRequests(); }, 1s));
+    const auto now = Clock::now();
+    cr_assert_eq(quarantine.refuse({ shared, deadly }, now).value_or(0), deadly);
+    cr_assert(quarantine.refuse({ deadly }, now + 1s).has_value());
+    cr_assert_not(quarantine.refuse({ deadly }, now + 3s).has_value());
+    cr_assert(quarantine.refuse({ deadly }, now + 4s).has_value(), "the result is not known yet");
+    cr_assert_not(quarantine.refuse({ deadly }, now + 6s).has_value(), "nothing was sent");
+    quarantine.onSent({ neighbour });
+    cr_assert_not(quarantine.refuse({ deadly }, now + 9s).has_value());
+    quarantine.onSent({ deadly });
+    cr_assert(quarantine.refuse({ deadly }, now + 1h).has_value());
+    quarantine.onSound({ deadly });
+    quarantine.update();
+    cr_assert_not(quarantine.refuse({ deadly }, now + 1h).has_value());
+}
+
+Test(promptQuarantine, quarantinedRequestIsTriedByTwoProcessesAtMost)
+{
+    const auto triesAfter = [](int ownReport) {
+        QuarantineSite site;
+        auto& quarantine = site.quarantine;
+        const auto prefix = std::string(PromptQuarantine::reportPrefix);
+        for (int i = 0; i < 4; ++i) {
+            if (i == ownReport) {
+                site.breakAttempt("own", "r", { deadly });
+                site.grantAll();
+                const auto& written = site.store.writes.at(0);
+                quarantine.applyRecord({ written.key, written.value, 10 + i }, true);
+                continue;
+            }
+            const TargetEndReport report { { "t" + std::to_string(i), 1 }, { { 7, { deadly } } }, {}, {} };
+            const auto key = prefix + "instance" + std::to_string(i) + "/5-1";
+            quarantine.applyRecord({ key, toRecord(report), 10 + i }, true);
+        }
+        quarantine.update();
+        const auto now = Clock::now();
+        cr_assert(quarantine.refuse({ deadly }, now).has_value());
+        return !quarantine.refuse({ deadly }, now + 1min).has_value();
+    };
+    cr_assert(triesAfter(0));
+    cr_assert(triesAfter(1));
+    cr_assert_not(triesAfter(2));
+    cr_assert_not(triesAfter(4), "it has reported nothing");
+}
+
+/// The end that the first process caused with its trial.
+Test(promptQuarantine, secondProcessDoesNotTryARequestThatCrashedAgain)
+{
+    QuarantineSite site;
+    auto& quarantine = site.quarantine;
+    const auto apply = [&](const std::string& target, int64_t revision) {
+        const TargetEndReport report { { target, 1 }, { { 7, { deadly } } }, {}, {} };
+        const auto key = std::string(PromptQuarantine::reportPrefix) + "first/5-" + target;
+        quarantine.applyRecord({ key, toRecord(report), revision }, true);
+        quarantine.update();
+    };
+    apply("a", 1);
+    apply("b", 2);
+    site.breakAttempt("own", "r", { deadly });
+    cr_assert(waitUntil([&] { return quarantine.holdsRequests(); }, 1s));
+    const auto now = Clock::now();
+    cr_assert(quarantine.refuse({ deadly }, now).has_value());
+    apply("c", 3);
+    cr_assert(quarantine.refuse({ deadly }, now + 1min).has_value());
+}
