Send no request whose caller has closed before its first byte

What callers saw: nothing, but targets got requests for nobody. A caller whose request is not read for a while gives up and asks elsewhere; when the instance went on, it read the request and sent it to a target, and only then the close of its caller.

Cause: the end of a caller's connection is known only once the event loop has handled it, and it handles what was received before first. An instance that was suspended or short of processor time finds both at the same time. A connection to a target that opens meanwhile is handled in any order with the close.

Evidence: requestThatIsReadAfterItsCallerHasLeftIsNotSent failed on the code before for each way to leave (a close, a reset, the end of the sending side): requests arrived at targets more than 0.6 s after their callers had left. It passes now, three runs of three. With the question asked only before a target is chosen, connectionThatOpensAfterTheCallerHasLeftCarriesNoRequest failed in one run of three: which of the two events is handled first is open.

Why the fix works: before an attempt, and again before its first byte, the system is asked whether the caller has closed, besides whether the target takes the request. The mutation caller-gone-unseen turns the first test red.

ForwardTest (46) and ServerCloseTest (17) passed on the result.

Conclusion: what was sent before the caller left is withdrawn as before; a whole request in the buffers of a target that does not read cannot be.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -161,7 +161,7 @@
         this->endForStop();
         return;
     }
-    if (this->request.exchange->callerGone()) {
+    if (this->request.exchange->hasCallerClosed()) {
         this->onCallerGone();
         return;
     }
@@ -484,9 +484,11 @@
     attempt.call = this->context.targets.send(endpoint, request, options, std::move(events));
 }
 
-/// Whether the target still takes the request, which may have waited since it was chosen.
+/// Whether the caller still waits and the target still takes the request, which may have waited since it was chosen.
 bool ForwardCall::mayWrite(Attempt& attempt)
 {
+    if (this->request.exchange->hasCallerClosed())
+        return false;
     const auto& target = *attempt.choice.target;
     const bool isGone = target.registration.isDraining || target.isReplaced;
     attempt.verdict
@@ -886,9 +888,14 @@
     this->attemptFailed(slot, detail, { kind, detail, this->execution(), retryAfterRefusal });
 }
 
-/// The target no longer took requests when the first byte was due, which is no failure of the target.
+/// The target no longer took requests, or the caller had left, when the first byte was due, which is no failure of the
+/// target.
 void ForwardCall::onWithheld(Slot& slot)
 {
+    if (this->request.exchange->hasCallerClosed()) {
+        this->onCallerGone();
+        return;
+    }
     --this->runs;
     this->context.metrics.attemptsWithheld.Increment();
     const auto outcome = "withheld: the target " + std::string(backoff::toString(slot->verdict));
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -180,6 +180,11 @@
     return !this->connection;
 }
 
+bool Exchange::hasCallerClosed() const
+{
+    return !this->connection || this->connection->hasCallerClosed();
+}
+
 std::string errorBody(const Error& error, std::string_view requestId)
 {
     const auto& answer = answerFor(error.kind);
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -65,6 +65,8 @@
     int64_t unsentBytes() const;
     /// Whether the connection has been closed.
     bool callerGone() const;
+    /// Whether the caller has closed, or ended its sending side, also if the event loop has not handled that yet.
+    bool hasCallerClosed() const;
 
     std::function<void()> onCallerGone; ///< called when the caller disconnects before the answer has ended
     std::function<void()> onDrained; ///< called each time that some of the unsent bytes were written
--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <linux/sockios.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -350,6 +351,12 @@
         this->drop(); // a request that crosses the close is reset, so that its caller knows that it was not read
 }
 
+bool ServerConnection::hasCallerClosed() const
+{
+    pollfd descriptor { static_cast<int>(this->socket.socketDescriptor()), POLLRDHUP, 0 };
+    return this->state == State::Closed || ::poll(&descriptor, 1, 0) > 0;
+}
+
 void ServerConnection::extendIdleTime()
 {
     if (this->state == State::Idle) // the timer fires early once and is armed again
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -22,6 +22,8 @@
     void sendLastChunk();
     void abort();
     void closeWhenIdle();
+    /// Whether the caller has closed, or ended its sending side, also if the event loop has not handled that yet.
+    bool hasCallerClosed() const;
     /// Keeps an idle connection until the idle time of the server's limits has passed, unless it is kept for longer.
     void extendIdleTime();
 
--- a/tests/CallerGoneTest.cpp
+++ b/tests/CallerGoneTest.cpp
@@ -84,6 +84,54 @@
         + "\r\nContent-Length: 2\r\n\r\nok";
 }
 
+/// A target whose system takes no connection until admit().
+class LateTarget {
+public:
+    LateTarget()
+        : listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(this->listener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+        listen(this->listener, 0);
+        socklen_t length = sizeof(address);
+        getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &length);
+        this->endpoint = { "127.0.0.1", ntohs(address.sin_port) };
+        this->queued = std::make_unique<RawCaller>(this->endpoint);
+    }
+    ~LateTarget()
+    {
+        ::close(this->listener);
+    }
+    LateTarget(const LateTarget&) = delete;
+    LateTarget& operator=(const LateTarget&) = delete;
+
+    void admit()
+    {
+        ::close(accept(this->listener, nullptr, nullptr));
+        this->queued.reset();
+        listen(this->listener, SOMAXCONN);
+    }
+    /// What has arrived on the next connection; nullopt if there is none.
+    std::optional<std::string> receive() const
+    {
+        const int connection = accept(this->listener, nullptr, nullptr);
+        if (connection < 0)
+            return std::nullopt;
+        char bytes[4096];
+        const auto count = recv(connection, bytes, sizeof(bytes), MSG_DONTWAIT);
+        ::close(connection);
+        return std::string(bytes, static_cast<size_t>(std::max<ssize_t>(count, 0)));
+    }
+
+    Endpoint endpoint;
+
+private:
+    int listener;
+    std::unique_ptr<RawCaller> queued; ///< fills the queue of the listening socket
+};
+
 /// A site whose plain service consists of targets in the test, which answer the first arrival of a request with a
 /// refusal after a delay and further ones with success.
 struct RefusingSite {
@@ -180,6 +228,29 @@
     }
 }
 
+Test(callerGone, requestThatIsReadAfterItsCallerHasLeftIsNotSent, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site;
+    auto& entry = site.startEntry();
+    for (const auto* path : { "/read/x", "/book/x", "/ask/x", "/once/x" })
+        cr_assert_eq(site.sendAndWait({ std::string("warm") + path, path })->status, 200);
+    const auto before = arrivals(site.services) + arrivals(site.engines);
+    for (const auto way : allWays) {
+        entry.freeze();
+        for (const auto* path : { "/read/x", "/book/x", "/ask/x", "/once/x" }) {
+            RawCaller caller(entry.address());
+            cr_assert(caller.send(requestText("late" + std::to_string(static_cast<int>(way)) + path, path)));
+            leave(caller, way);
+            runFor(10ms);
+        }
+        runFor(600ms);
+        entry.thaw();
+        runFor(500ms);
+        cr_expect_eq(arrivals(site.services) + arrivals(site.engines), before, "%d", static_cast<int>(way));
+    }
+}
+
 Test(callerGone, pipelinedRequestIsNotSentAfterItsCallerHasLeft, .timeout = 60)
 {
     const Application application;
@@ -218,3 +289,33 @@
     cr_expect_eq(arrivals(site.engines), 1);
     cr_expect_eq(sum(site.services, "cancelled"), 1);
 }
+
+Test(callerGone, connectionThatOpensAfterTheCallerHasLeftCarriesNoRequest, .timeout = 60)
+{
+    const Application application;
+    LateTarget target;
+    ForwardSite site;
+    site.publish({ forwardKey }, 5000, 2000);
+    site.registerTarget("late", "desk", "", target.endpoint);
+    auto& entry = site.startEntry();
+    setAll(site.services, { { "draining", true } });
+    runFor(300ms);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (const auto* path : { "/read/x", "/book/x" }) {
+        callers.push_back(std::make_unique<RawCaller>(entry.address()));
+        cr_assert(callers.back()->send(requestText(path, path)));
+    }
+    runFor(100ms);
+    entry.freeze();
+    callers.clear();
+    target.admit();
+    runFor(1500ms); // the system tries again to connect after a second
+    entry.thaw();
+    runFor(300ms);
+    int connections = 0;
+    while (const auto received = target.receive()) {
+        ++connections;
+        cr_expect(received->empty(), "%s", received->c_str());
+    }
+    cr_assert_gt(connections, 0);
+}
