Detect the close of a caller whose bytes are not read meanwhile

What callers saw: nothing, but a target worked on, up to the request's deadline, for a caller that had sent further requests on its connection and then left.

Cause: while a request is answered, at most 64 KiB of what follows are taken from the socket, whose own buffer of 256 KiB then fills up. Qt stops looking at a socket with a full buffer, so the close was seen only when the answer ended.

Why the fix works: while reading is paused, the system is asked each 100 ms whether the caller has closed. Connections that do not pause are not asked.

What remains: a close behind more bytes than the system's buffers hold has not arrived, and shows only when the answer ends.

Conclusion: what a caller has sent no longer hides that it has left, as far as its close has reached the system.

--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -17,6 +17,9 @@
 
     constexpr qint64 readBufferBytes = 256 << 10;
     constexpr size_t maxUnparsedBytes = 64 << 10;
+    /// How often a caller's close is looked for while reading is paused, which hides it from the event loop. A fraction
+    /// of the half second within which a target's work for a caller that has left has to end.
+    constexpr std::chrono::milliseconds closeCheckInterval { 100 };
     /// From accepting a connection; some round trips, within which a caller that has just connected sends its request.
     constexpr std::chrono::milliseconds firstRequestTimeout { 500 };
     /// Bytes received from a caller after its last answer; bounds the work that a caller causes which never stops.
@@ -102,6 +105,13 @@
         this->checkSendProgress();
         break;
     case State::Answering:
+        if (this->unparsed.size() < maxUnparsedBytes)
+            break;
+        if (this->hasCallerClosed())
+            this->socket.abort();
+        else
+            this->setDeadline(closeCheckInterval);
+        break;
     case State::Closed:
         break;
     }
@@ -109,8 +119,10 @@
 
 void ServerConnection::readMore()
 {
-    if (this->state == State::Answering && this->unparsed.size() >= maxUnparsedBytes)
+    if (this->state == State::Answering && this->unparsed.size() >= maxUnparsedBytes) {
+        this->setDeadline(closeCheckInterval);
         return;
+    }
     const auto bytes = this->socket.readAll();
     if (this->state == State::Closing) {
         this->discardedBytes += static_cast<size_t>(bytes.size());
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -43,7 +43,7 @@
         Idle, ///< until ServerLimits::idleTimeout
         Headers, ///< until headerTimeout
         Body, ///< until bodyTimeout
-        Answering, ///< until the handler ends the answer; its deadline is that of the request
+        Answering, ///< until the handler ends the answer; the request's deadline is the handler's
         Closing, ///< sends what is queued and discards what arrives, until sendTimeout or lingerTimeout
         Closed,
     };
--- a/tests/CallerGoneTest.cpp
+++ b/tests/CallerGoneTest.cpp
@@ -214,6 +214,30 @@
     }
 }
 
+Test(callerGone, attemptEndsThoughTheCallerHasSentMoreThanIsReadMeanwhile, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site;
+    site.publish({ forwardKey }, 5000, 2000);
+    auto& entry = site.startEntry();
+    setAll(site.services, { { "answer", "silent" } });
+    int calls = 0;
+    for (const auto way : { Leaving::Close, Leaving::Reset }) {
+        RawCaller caller(entry.address());
+        cr_assert(caller.send(requestText("p" + std::to_string(calls), "/read/x")));
+        cr_assert(waitUntil([&] { return sum(site.services, "runs") > calls; }, patience));
+        ++calls;
+        for (int i = 0; i < 5; ++i) {
+            cr_assert(caller.send(requestText("behind", "/read/x", 80000)));
+            runFor(50ms);
+        }
+        leave(caller, way);
+        cr_expect(waitUntil([&] { return sum(site.services, "cancelled") == calls; }, withdrawalTime), "%d",
+            static_cast<int>(way));
+        cr_assert(waitUntil([&] { return sum(site.services, "cancelled") == calls; }, patience));
+    }
+}
+
 Test(callerGone, refusedRequestIsNotSentToAnotherTargetAfterItsCallerHasLeft, .timeout = 60)
 {
     RefusingSite refusing;
