--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <linux/sockios.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -16,6 +17,9 @@
 
     constexpr qint64 readBufferBytes = 256 << 10;
     constexpr size_t maxUnparsedBytes = 64 << 10;
+    /// How often a caller's close is looked for while reading is paused, which hides it from the event loop. A fraction
+    /// of the half second within which a target's work for a caller that has left has to end.
+    constexpr std::chrono::milliseconds closeCheckInterval { 100 };
     /// From accepting a connection; some round trips, within which a caller that has just connected sends its request.
     constexpr std::chrono::milliseconds firstRequestTimeout { 500 };
     /// Bytes received from a caller after its last answer; bounds the work that a caller causes which never stops.
@@ -101,6 +105,13 @@
         this->checkSendProgress();
         break;
     case State::Answering:
+        if (this->unparsed.size() < maxUnparsedBytes)
+            break;
+        if (this->hasCallerClosed())
+            this->socket.abort();
+        else
+            this->setDeadline(closeCheckInterval);
+        break;
     case State::Closed:
         break;
     }
@@ -108,8 +119,10 @@
 
 void ServerConnection::readMore()
 {
-    if (this->state == State::Answering && this->unparsed.size() >= maxUnparsedBytes)
+    if (this->state == State::Answering && this->unparsed.size() >= maxUnparsedBytes) {
+        this->setDeadline(closeCheckInterval);
         return;
+    }
     const auto bytes = this->socket.readAll();
     if (this->state == State::Closing) {
         this->discardedBytes += static_cast<size_t>(bytes.size());
@@ -350,6 +363,12 @@
         this->drop(); // a request that crosses the close is reset, so that its caller knows that it was not read
 }
 
+bool ServerConnection::hasCallerClosed() const
+{
+    pollfd descriptor { static_cast<int>(this->socket.socketDescriptor()), POLLRDHUP, 0 };
+    return this->state == State::Closed || ::poll(&descriptor, 1, 0) > 0;
+}
+
 void ServerConnection::extendIdleTime()
 {
     if (this->state == State::Idle) // the timer fires early once and is armed again
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -22,6 +22,8 @@
     void sendLastChunk();
     void abort();
     void closeWhenIdle();
+    /// Whether the caller has closed, or ended its sending side, also if the event loop has not handled that yet.
+    bool hasCallerClosed() const;
     /// Keeps an idle connection until the idle time of the server's limits has passed, unless it is kept for longer.
     void extendIdleTime();
 
@@ -41,7 +43,7 @@
         Idle, ///< until ServerLimits::idleTimeout
         Headers, ///< until headerTimeout
         Body, ///< until bodyTimeout
-        Answering, ///< until the handler ends the answer; its deadline is that of the request
+        Answering, ///< until the handler ends the answer; the request's deadline is the handler's
         Closing, ///< sends what is queued and discards what arrives, until sendTimeout or lingerTimeout
         Closed,
     };
