Discard what a withdrawn request has queued at its target

What callers saw: nothing, but a target that had not read for a while got requests whole whose callers had left, or that had been withdrawn, when it read on.

Cause: a call that is cancelled or fails closes its connection in order. The system then goes on to deliver what it has taken from the instance, however late the target makes room for it.

Why the fix works: a connection on which bytes of the request are not acknowledged is reset instead. A target that has the whole request sees an orderly close, as before.

What remains: a small request lies whole in the buffers of a target that does not read, and nothing takes it back.

Conclusion: what has not reached a target when its request is withdrawn does not reach it later.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -5,6 +5,8 @@
 #include <cerrno>
 #include <charconv>
 #include <limits>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace dragonfly::http {
@@ -46,6 +48,18 @@
         return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
     }
 
+    /// Lets the close of @p socket discard the bytes that the other side has not acknowledged, which an orderly close
+    /// delivers however late.
+    void discardUndelivered(const QTcpSocket& socket)
+    {
+        const auto descriptor = static_cast<int>(socket.socketDescriptor());
+        int undelivered = 0;
+        if (::ioctl(descriptor, SIOCOUTQ, &undelivered) || !undelivered)
+            return;
+        const linger immediately { 1, 0 };
+        ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+    }
+
     std::string serialize(const Endpoint& endpoint, const Request& request)
     {
         std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
@@ -385,6 +399,7 @@
     this->resetNotifier.reset();
     this->pool->removeIdle(this);
     this->socket.disconnect(this);
+    discardUndelivered(this->socket);
     this->socket.abort();
     this->deleteLater();
 }
--- a/tests/CallerGoneTest.cpp
+++ b/tests/CallerGoneTest.cpp
@@ -72,6 +72,20 @@
     return total;
 }
 
+/// Waits until @p entry knows that @p count targets are draining.
+void waitUntilDraining(Process& entry, size_t count)
+{
+    const auto areDraining = [&] {
+        const auto status = get(entry.address("admin"), "/status");
+        require(waitFor(status), "no status");
+        size_t draining = 0;
+        for (const auto& target : status->json()["targets"].toArray())
+            draining += target.toObject()["draining"].toBool();
+        return draining == count;
+    };
+    require(waitUntil(areDraining, patience), "the targets are not known to be draining");
+}
+
 std::string refusal(const std::string& id)
 {
     return "HTTP/1.1 503 Service Unavailable\r\nX-Dragonflyarch-Attempt-Id: " + id
@@ -87,9 +101,12 @@
 /// A target whose system takes no connection until admit().
 class LateTarget {
 public:
-    LateTarget()
+    /// @param receiveBufferBytes size of the system's receive buffers; 0 for the default
+    explicit LateTarget(int receiveBufferBytes = 0)
         : listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0))
     {
+        if (receiveBufferBytes)
+            setsockopt(this->listener, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -113,16 +130,26 @@
         this->queued.reset();
         listen(this->listener, SOMAXCONN);
     }
-    /// What has arrived on the next connection; nullopt if there is none.
+    /// What arrives on the next connection within some time; nullopt if there is no connection.
     std::optional<std::string> receive() const
     {
         const int connection = accept(this->listener, nullptr, nullptr);
         if (connection < 0)
             return std::nullopt;
-        char bytes[4096];
-        const auto count = recv(connection, bytes, sizeof(bytes), MSG_DONTWAIT);
+        std::string received;
+        bool ended = false;
+        waitUntil(
+            [&] {
+                char bytes[4096];
+                const auto count = recv(connection, bytes, sizeof(bytes), MSG_DONTWAIT);
+                if (count > 0)
+                    received.append(bytes, static_cast<size_t>(count));
+                ended = count == 0 || (count < 0 && errno != EAGAIN);
+                return ended;
+            },
+            1s);
         ::close(connection);
-        return std::string(bytes, static_cast<size_t>(std::max<ssize_t>(count, 0)));
+        return received;
     }
 
     Endpoint endpoint;
@@ -323,7 +350,7 @@
     site.registerTarget("late", "desk", "", target.endpoint);
     auto& entry = site.startEntry();
     setAll(site.services, { { "draining", true } });
-    runFor(300ms);
+    waitUntilDraining(entry, site.services.size());
     std::vector<std::unique_ptr<RawCaller>> callers;
     for (const auto* path : { "/read/x", "/book/x" }) {
         callers.push_back(std::make_unique<RawCaller>(entry.address()));
@@ -343,3 +370,26 @@
     }
     cr_assert_gt(connections, 0);
 }
+
+Test(callerGone, requestThatATargetHasNotTakenFromItsConnectionDoesNotArriveWhole, .timeout = 60)
+{
+    constexpr size_t bodyBytes = 60000;
+    const Application application;
+    LateTarget target(4 << 10);
+    target.admit();
+    ForwardSite site;
+    site.publish({ forwardKey }, 5000, 2000);
+    site.registerTarget("late", "desk", "", target.endpoint);
+    auto& entry = site.startEntry();
+    setAll(site.services, { { "draining", true } });
+    waitUntilDraining(entry, site.services.size());
+    RawCaller caller(entry.address());
+    cr_assert(caller.send(requestText("r", "/read/x", bodyBytes)));
+    runFor(200ms);
+    caller.close();
+    runFor(withdrawalTime);
+    const auto received = target.receive();
+    cr_assert(received);
+    cr_assert_not(received->empty());
+    cr_assert_lt(received->size(), bodyBytes);
+}
