Ask targets again whose connections open slowly

What callers saw: a request was refused with 503 after 0.8 s of its 5 s, with two sound targets whose connections took over 0.4 s each; a stream that had begun was broken off 0.4 s after its engine ended, though the next engine was about to take it.

Cause: an attempt is given up if no connection is open after 0.4 s, and a target that was tried once never received the request again.

Change: a target that was not reached in time may receive a further attempt. Nothing was sent there, so no request can run twice, and no retry is used up. A new connection every 0.4 s finds an end of the trouble sooner than the system's own repetition after 1 s. A request that no target has received is offered for half of its time only: kept longer, it would cost its caller the time to repeat it elsewhere. A stream that has begun is offered until its deadline. 16 attempts at most bound the line in the log. Refused connections are final as before, since the process there has ended.

RawServer takes a time for which it neither accepts nor refuses connections.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -46,6 +46,11 @@
     constexpr milliseconds minOfferInterval { 20 };
     /// With less time left until the deadline, a retry could not succeed.
     constexpr milliseconds minRemainingForRetry { 30 };
+    /// Limit on all attempts, of which those to unreachable targets cost time only. Bounds the request's log line.
+    constexpr uint32_t maxAttempts = 16;
+    /// A request that no target has received is refused after this part of its time, so that its caller can repeat it
+    /// at another instance.
+    constexpr int unsentTimeDivisor = 2;
     /// Limit on attempts of which bytes were sent, also when the request did not run.
     constexpr uint32_t maxSends = 4;
     /// Limit on an answer, or an event of a stream, that is buffered until it is complete.
@@ -485,7 +490,7 @@
     const auto now = Clock::now();
     const auto& registration = choice.target->registration;
     this->context.metrics.attempts.Increment();
-    if (this->triedTargets.empty())
+    if (!this->attemptCount++)
         this->context.retryWindowOf(registration.service).recordFirstSend(now);
     this->triedTargets.push_back(registration.id);
     this->excludedTargets.push_back(registration.id);
@@ -495,7 +500,7 @@
     const auto uncachedTokens
         = metadata.promptTokens - std::min(metadata.promptTokens, choice.policyChoice.cachedTokens);
     auto& attempt = slot.emplace();
-    attempt.number = static_cast<uint32_t>(this->triedTargets.size());
+    attempt.number = this->attemptCount;
     attempt.load = entry::TargetLoad(choice.target->state, uncachedTokens);
     attempt.sentAt = now;
     attempt.permit = permit;
@@ -969,6 +974,10 @@
         this->mayHaveRun = true;
     else
         this->discountRun(*slot);
+    if (this->mayBeReachedLater(*slot, failure)) {
+        std::erase(this->excludedTargets, slot->choice.target->registration.id);
+        std::erase(this->triedTargets, slot->choice.target->registration.id);
+    }
     const bool isPastDeadline = Clock::now() >= this->request.deadline;
     const auto kind = isPastDeadline ? ErrorKind::DeadlineExceeded : ErrorKind::TargetFailed;
     const auto detail = isWithdrawn ? "withdrawn: the target's weights may no longer answer" : failure.detail;
@@ -980,6 +989,19 @@
     this->attemptFailed(slot, detail, { kind, detail, this->execution(), retryAfterRefusal });
 }
 
+/// Whether a target to which no connection was opened in time may receive a further attempt: connections open slowly
+/// while a target's queue of connections is full, or its machine or link loses packets.
+bool ForwardCall::mayBeReachedLater(const Attempt& attempt, const http::CallFailure& failure) const
+{
+    const auto now = Clock::now();
+    const bool isUnreached = failure.kind == http::CallFailureKind::ConnectFailed && !failure.requestSent
+        && now >= attempt.sentAt + connectTimeout;
+    if (!isUnreached || this->attemptCount >= maxAttempts)
+        return false;
+    const auto& arrived = this->request.arrived;
+    return this->streamBegun || now < arrived + (this->request.deadline - arrived) / unsentTimeDivisor;
+}
+
 /// The target no longer took requests when the first byte was due, which is no failure of the target.
 void ForwardCall::onWithheld(Slot& slot)
 {
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -134,6 +134,7 @@
     void endOverlap(Clock::time_point now);
     void allowAgain(const Attempt& attempt);
     void discountRun(const Attempt& attempt);
+    bool mayBeReachedLater(const Attempt& attempt, const http::CallFailure& failure) const;
     void beginRelay();
 
     void onTooLarge(Slot& slot, const std::string& what);
@@ -193,12 +194,14 @@
     /// Made while the current attempt makes no progress. Invariant: set only if the current attempt is, and nothing of
     /// its answer was relayed, which is buffered.
     Slot backup;
-    std::vector<std::string> triedTargets; ///< ids of the targets of all attempts
+    uint32_t attemptCount = 0;
+    /// Ids of the targets of all attempts but those that were not reached and may be reached later.
+    std::vector<std::string> triedTargets;
     /// Ids of those that receive no further attempt of a continuation: they failed, or an attempt is open.
     std::vector<std::string> excludedTargets;
     /// Ids of those whose attempt was withdrawn for want of progress, which are counted in runs once.
     std::vector<std::string> withdrawnTargets;
-    std::vector<Endpoint> triedEndpoints; ///< of the same targets
+    std::vector<Endpoint> triedEndpoints; ///< of the targets of all attempts
     std::string attemptLog; ///< the ended attempts and denied retries, for the log line of the request
     bool isDenialLogged = false; ///< a denied backup was counted and logged; it may be denied again many times
     bool isWaitLogged = false; ///< that no target is usable for a backup was logged
--- a/tests/SilentTargetTest.cpp
+++ b/tests/SilentTargetTest.cpp
@@ -421,3 +421,49 @@
             cr_expect_eq(line.endsWith(" 1"), line.contains("stream_interrupted"), "%s", qPrintable(line));
     }
 }
+
+Test(silentTarget, requestIsNotRefusedWhileConnectionsToItsTargetsOpenSlowly, .timeout = 60)
+{
+    for (const auto* path : { "/read/x", "/book/x" }) {
+        SilentSite silent;
+        control(silent.site.services[0]->address(), { { "draining", true } });
+        const RawAnswer done { headFor("r1", "Content-Length: 4") + "done", Ending::KeepOpen };
+        const RawServer slow[] = { RawServer({ done }, 1200ms), RawServer({ done }, 1200ms) };
+        for (const auto& server : slow)
+            silent.site.registerTarget("slow-" + QString::number(server.address().port), "desk", "", server.address());
+        runFor(300ms);
+        const auto answer = silent.site.sendAndWait({ .id = "r1", .path = path, .deadlineMs = 5000 });
+        cr_expect_eq(
+            answer->status, 200, "%s: %d after %d ms", path, answer->status, static_cast<int>(answer->took().count()));
+    }
+}
+
+Test(silentTarget, streamIsNotBrokenWhileTheConnectionToTheNextTargetOpensSlowly, .timeout = 60)
+{
+    SilentSite silent;
+    control(silent.site.engines[0]->address(), { { "event_ms", 3000 } });
+    const std::string events = eventsUntil(3).substr(eventsUntil(1).size());
+    const RawServer slow(
+        { { headFor("s1", "Content-Length: " + std::to_string(events.size())) + events, Ending::KeepOpen } }, 1500ms);
+    const auto answer = silent.sendBeside(slow, "s1", "/ask/x");
+    runFor(200ms);
+    silent.site.engines[0]->kill();
+    cr_assert(waitFor(answer, 10s));
+    cr_expect(answer->whole, "%s", answer->body.c_str());
+    cr_expect(answer->body == eventsUntil(3), "%s", answer->body.c_str());
+}
+
+Test(silentTarget, requestIsRefusedInTimeIfNoTargetTakesAConnection, .timeout = 60)
+{
+    constexpr int deadlineMs = 3000;
+    SilentSite silent;
+    control(silent.site.services[0]->address(), { { "draining", true } });
+    const RawServer slow({}, 4s);
+    silent.site.registerTarget("slow", "desk", "", slow.address());
+    runFor(300ms);
+    const auto answer = silent.site.sendAndWait({ .id = "b1", .path = "/book/x", .deadlineMs = deadlineMs });
+    cr_expect_eq(answer->status, 503, "%d", answer->status);
+    cr_expect_eq(answer->execution(), "not-run");
+    // Three quarters of its time would be lost to its caller.
+    cr_expect_lt(answer->took(), std::chrono::milliseconds(deadlineMs * 3 / 4));
+}
--- a/tests/support/RawServer.cpp
+++ b/tests/support/RawServer.cpp
@@ -7,7 +7,7 @@
 
 namespace testing {
 
-RawServer::RawServer(std::vector<RawAnswer> answers)
+RawServer::RawServer(std::vector<RawAnswer> answers, std::chrono::milliseconds takesNoneFor)
     : listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
     sockaddr_in address {};
@@ -15,10 +15,26 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof(address);
     bind(this->listener, reinterpret_cast<sockaddr*>(&address), length);
-    listen(this->listener, 16);
+    listen(this->listener, takesNoneFor.count() ? 0 : 16);
     getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &length);
     this->endpoint = { "127.0.0.1", ntohs(address.sin_port) };
-    this->thread = std::thread([this, answers = std::move(answers)] { this->run(answers); });
+    if (takesNoneFor.count())
+        this->fillQueue();
+    this->thread = std::thread([this, answers = std::move(answers), takesNoneFor] {
+        std::this_thread::sleep_for(takesNoneFor);
+        if (this->filler >= 0)
+            close(accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC));
+        this->run(answers);
+    });
+}
+
+void RawServer::fillQueue()
+{
+    sockaddr_in address {};
+    socklen_t length = sizeof(address);
+    getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &length);
+    this->filler = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    connect(this->filler, reinterpret_cast<sockaddr*>(&address), length);
 }
 
 RawServer::~RawServer()
@@ -26,6 +42,7 @@
     shutdown(this->listener, SHUT_RDWR);
     this->thread.join();
     close(this->listener);
+    close(this->filler);
     for (const int descriptor : this->keptOpen)
         close(descriptor);
 }
--- a/tests/support/RawServer.h
+++ b/tests/support/RawServer.h
@@ -28,7 +28,9 @@
 /// Serves one connection after the other in its own thread: the first request gets the first answer, and so on.
 class RawServer {
 public:
-    explicit RawServer(std::vector<RawAnswer> answers);
+    /// @param takesNoneFor until then connections are neither established nor refused
+    explicit RawServer(
+        std::vector<RawAnswer> answers, std::chrono::milliseconds takesNoneFor = std::chrono::milliseconds(0));
     ~RawServer();
 
     dragonfly::Endpoint address() const
@@ -37,11 +39,14 @@
     }
 
 private:
+    /// Fills the listening socket's queue of connections.
+    void fillQueue();
     void run(const std::vector<RawAnswer>& answers);
     /// Receives a request on @p connection and answers it; false if the caller closed the connection.
     static bool answer(int connection, const RawAnswer& answer);
 
     int listener = -1;
+    int filler = -1; ///< the only connection that fits into the queue while no others are taken
     dragonfly::Endpoint endpoint;
     std::vector<int> keptOpen; ///< connections that stay open until destruction
     std::thread thread;
