Write reports that may complete the evidence before others

When more than 16 targets end at about the same time, the report on the third end of a request waited behind those on the other ends: each instance writes four a second, in the order in which the targets ended. The other instances would go on sending the request for longer than the 4 s that the users allow.

Reports that name a request, or a part of prompts that the instance has not seen answered, which a report on another end names too, are now written first, and dropped last when too many wait. Popular parts do not make a report urgent.

The report on a repetition behind 20 other ends is the second one written; before, it was the last, after 5 s: the test is red with the mutation that reports in turn. All 46 tests of the parts, the five with crashing requests and the eight with deadly parts pass.

--- a/src/quarantine/PromptEvidence.cpp
+++ b/src/quarantine/PromptEvidence.cpp
@@ -331,6 +331,22 @@
     return std::nullopt;
 }
 
+bool PromptEvidence::isContinuedBy(const TargetEndReport& report) const
+{
+    std::unordered_set<PartHash> named;
+    for (const auto& request : report.beginning)
+        named.insert(request.parts.begin(), request.parts.end());
+    for (const auto part : report.formerlySound)
+        named.erase(part);
+    return std::ranges::any_of(this->reports, [&](const auto& entry) {
+        const auto& known = entry.second.content;
+        return known.incarnation != report.incarnation
+            && std::ranges::any_of(known.beginning, [&named](const BeginningRequest& request) {
+                   return std::ranges::any_of(request.parts, [&named](PartHash part) { return named.contains(part); });
+               });
+    });
+}
+
 std::optional<size_t> PromptEvidence::reporterRank(PartHash part, std::string_view processPrefix) const
 {
     std::map<std::string_view, int64_t> firstReports; // by process; reports that are not written yet are the latest
--- a/src/quarantine/PromptEvidence.h
+++ b/src/quarantine/PromptEvidence.h
@@ -111,6 +111,9 @@
     /// @param request hash of the request's id; without meaning if its own part is among @p parts
     std::optional<PartHash> findSuspected(
         std::span<const PartHash> parts, uint64_t request, const Incarnation& incarnation) const;
+    /// Whether @p report adds an end to those that may quarantine a request, or a part of prompts that its instance has
+    /// not seen answered: another report names it at another end.
+    bool isContinuedBy(const TargetEndReport& report) const;
     /// The number of processes whose reports named @p part before the first such report under @p processPrefix; nullopt
     /// if there is none.
     std::optional<size_t> reporterRank(PartHash part, std::string_view processPrefix) const;
--- a/src/quarantine/PromptQuarantine.cpp
+++ b/src/quarantine/PromptQuarantine.cpp
@@ -276,8 +276,10 @@
         { { "target", incarnation.target }, { "requests", std::to_string(report.beginning.size()) },
             { "parts", listParts(report.beginning, false) }, { "own_parts", listParts(report.beginning, true) } });
     const auto key = this->reportKeyPrefix + std::to_string(++this->lastReport);
+    const auto urgency
+        = this->evidence.isContinuedBy(report) ? RecordPublisher::Urgency::Urgent : RecordPublisher::Urgency::Ordinary;
     this->evidence.add(key, report, std::nullopt);
-    this->reportPublisher.write(key, toRecord(report));
+    this->reportPublisher.write(key, toRecord(report), urgency);
     QTimer::singleShot(
         registrationTimeout, this, [this, key, incarnation] { this->withdrawIfRegistered(key, incarnation); });
     this->scheduleUpdate();
--- a/src/quarantine/RecordPublisher.cpp
+++ b/src/quarantine/RecordPublisher.cpp
@@ -30,9 +30,9 @@
     connect(&this->timer, &QTimer::timeout, this, &RecordPublisher::writeNext);
 }
 
-void RecordPublisher::write(const std::string& key, const std::string& value)
+void RecordPublisher::write(const std::string& key, const std::string& value, Urgency urgency)
 {
-    this->enqueue({ key, value });
+    this->enqueue({ key, value, urgency });
 }
 
 void RecordPublisher::remove(const std::string& key)
@@ -42,14 +42,21 @@
 
 void RecordPublisher::enqueue(Record record)
 {
-    if (this->waiting.size() >= maxWaiting) {
+    const auto findOrdinary = [this] {
         // The first record may be the one that is being written.
-        const auto oldest = this->waiting.begin() + (this->isCallInFlight ? 1 : 0);
+        return std::find_if(this->waiting.begin() + (this->isCallInFlight ? 1 : 0), this->waiting.end(),
+            [](const Record& waits) { return waits.urgency == Urgency::Ordinary; });
+    };
+    if (this->waiting.size() >= maxWaiting) {
+        auto oldest = findOrdinary();
+        if (oldest == this->waiting.end())
+            oldest = this->waiting.begin() + (this->isCallInFlight ? 1 : 0);
         const auto dropped = *oldest;
         this->waiting.erase(oldest);
         this->finish(dropped, false);
     }
-    this->waiting.push_back(std::move(record));
+    const auto place = record.urgency == Urgency::Urgent ? findOrdinary() : this->waiting.end();
+    this->waiting.insert(place, std::move(record));
     this->writeNext();
 }
 
--- a/src/quarantine/RecordPublisher.h
+++ b/src/quarantine/RecordPublisher.h
@@ -30,8 +30,13 @@
 public:
     RecordPublisher(store::WatchableStore& store, observe::Metrics& metrics, const PublisherTimings& timings);
 
-    /// Writes @p value to @p key soon. The oldest record that waits is dropped when too many do.
-    void write(const std::string& key, const std::string& value);
+    enum class Urgency {
+        Ordinary,
+        Urgent, ///< written before all ordinary records that wait
+    };
+
+    /// Writes @p value to @p key soon. The oldest ordinary record that waits is dropped when too many do.
+    void write(const std::string& key, const std::string& value, Urgency urgency = Urgency::Ordinary);
     /// Removes @p key soon, after the writes that wait.
     void remove(const std::string& key);
     /// To be called when the service has returned from an older copy, which may have granted the lease to others.
@@ -46,6 +51,7 @@
     struct Record {
         std::string key;
         std::optional<std::string> value; ///< nullopt to remove the key
+        Urgency urgency = Urgency::Ordinary;
         int failures = 0;
     };
 
@@ -60,7 +66,7 @@
     store::WatchableStore& store;
     observe::Metrics& metrics;
     PublisherTimings timings;
-    std::deque<Record> waiting;
+    std::deque<Record> waiting; ///< the first is in flight or next; behind it urgent records come before others
     std::optional<int64_t> lease;
     BootClock::time_point leaseGrantedAt; ///< a moment before the lease was granted
     Deadline nextCallAt; ///< earliest start of the next write
--- a/tests/QuarantinePartsTest.cpp
+++ b/tests/QuarantinePartsTest.cpp
@@ -1047,3 +1047,41 @@
     apply("c", 3);
     cr_assert(quarantine.refuse({ deadly }, now + 1min).has_value());
 }
+
+Test(recordPublisher, urgentRecordsAreWrittenFirstAndDroppedLast)
+{
+    PublisherSite site;
+    RecordPublisher publisher(site.store, site.metrics, { 60s, 1ms, 10ms });
+    publisher.onDone = [&](const std::string& key, bool written) { site.done.emplace_back(key, written); };
+    publisher.write("in flight", "1");
+    site.store.grants.front()(int64_t { 7 });
+    for (int i = 0; i < 31; ++i)
+        publisher.write("ordinary " + std::to_string(i), "1");
+    publisher.write("urgent 1", "1", RecordPublisher::Urgency::Urgent);
+    publisher.write("urgent 2", "1", RecordPublisher::Urgency::Urgent);
+    cr_assert_eq(site.done.size(), 2);
+    cr_assert(site.done[0] == std::pair(std::string("ordinary 0"), false));
+    cr_assert(site.done[1] == std::pair(std::string("ordinary 1"), false));
+    for (const auto* expected : { "in flight", "urgent 1", "urgent 2", "ordinary 2", "ordinary 3" }) {
+        const auto number = site.store.writes.size();
+        cr_assert_eq(site.store.writes.back().key, expected, "%s", site.store.writes.back().key.c_str());
+        std::exchange(site.store.puts.back(), {})(Success {});
+        cr_assert(waitUntil([&] { return site.store.writes.size() > number; }, 2s));
+    }
+}
+
+/// More targets have ended than reports are written in the time that the users allow.
+Test(promptQuarantine, reportOnARepetitionIsWrittenBeforeThoseOnOtherEnds)
+{
+    QuarantineSite site;
+    site.breakAttempt("a", "r1", { shared, deadly });
+    site.grantAll();
+    for (int i = 0; i < 20; ++i)
+        site.breakAttempt("t" + std::to_string(i), "s", { requestBit | static_cast<PartHash>(100 + i) });
+    site.breakAttempt("z", "r2", { shared, deadly });
+    runFor(200ms);
+    cr_assert_eq(site.store.writes.size(), 1);
+    std::exchange(site.store.puts[0], {})(Success {});
+    cr_assert(waitUntil([&] { return site.store.writes.size() == 2; }, 2s));
+    cr_assert_eq(fromRecord(site.store.writes[1].value)->incarnation.target, "z");
+}
