Ask engines again from which a request was withdrawn for their weights

What callers saw: a request that may be repeated ended with 502 in the middle of a roll-out, 8 s before its deadline, while its engines were loading the weights with which they could have answered it.

Cause: a request that waits at an engine is withdrawn before the engine's replaced weights may no longer answer. A silent engine has a backup by then, so both attempts were withdrawn at the same time, the maximum of two targets was used up, and a tried target never received the request again.

Evidence: forward/requestWithdrawnForItsWeightsIsAnsweredOnceNewOnesAreLoaded (both engines have the request when new weights are named; a load takes 6.5 s, the former weights may answer for 6 s; deadline 12 s) gave before "502 after 4145 ms", and passes with the change, with the new weights.

Change: such a withdrawal is no failure of the target, which may receive the request again, counted once. A request in this state also waits if no target takes it because their weights may no longer answer, until one has loaded newer ones, at most until the deadline. Every attempt still passes the check of the weights.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -192,15 +192,18 @@
 {
     if (!this->isContinuation())
         return false;
-    const auto next = nextSend(this->nextAttemptQuery(now));
-    if (!next || next->at + minRemainingForRetry > this->request.deadline)
+    const auto query = this->nextAttemptQuery(now);
+    const auto next = nextSend(query);
+    const auto last = this->request.deadline - minRemainingForRetry;
+    if (next ? next->at > last : !isAwaitingWeights(query) || now >= last)
         return false;
     if (!std::exchange(this->isPauseLogged, true)) {
         const auto after = std::chrono::duration_cast<milliseconds>(now - this->request.arrived);
         this->appendToLog("no usable target now, waits after " + std::to_string(after.count()) + " ms");
     }
-    // A target that registers meanwhile is found at the next offer.
-    const auto offer = std::clamp(next->at, now + minOfferInterval, now + refusalBackoff);
+    // A target that registers or loads weights meanwhile is found at the next offer.
+    const auto at = next ? next->at : Deadline::max();
+    const auto offer = std::clamp(at, now + minOfferInterval, now + refusalBackoff);
     this->keptAlive = this->shared_from_this();
     QTimer::singleShot(remaining(offer, now), &this->context.loop, [waiting = this->weak_from_this()] {
         if (const auto call = waiting.lock())
@@ -974,6 +977,8 @@
         this->mayHaveRun = true;
     else
         this->discountRun(*slot);
+    if (isWithdrawn)
+        this->allowAgain(*slot);
     if (this->mayBeReachedLater(*slot, failure)) {
         std::erase(this->excludedTargets, slot->choice.target->registration.id);
         std::erase(this->triedTargets, slot->choice.target->registration.id);
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -90,11 +90,11 @@
     {
         return !this->streamBegun || (this->request.route->isResumable && this->events.canResume());
     }
-    /// Whether the caller has a part of the stream, or a target was withdrawn that did not fail. Targets that did not
-    /// fail may then receive the request again.
+    /// Whether the caller has a part of the stream, or an attempt was withdrawn at a target that did not fail. Targets
+    /// that did not fail may then receive the request again.
     bool isContinuation() const
     {
-        return this->isRepeatable() && this->isStream() && (this->streamBegun || !this->withdrawnTargets.empty());
+        return this->isRepeatable() && (this->streamBegun || !this->withdrawnTargets.empty());
     }
     bool acquireRetry(const directory::Registration& target, Clock::time_point now);
     bool reserveAttemptAfterBackup(Clock::time_point now);
@@ -199,7 +199,8 @@
     std::vector<std::string> triedTargets;
     /// Ids of those that receive no further attempt of a continuation: they failed, or an attempt is open.
     std::vector<std::string> excludedTargets;
-    /// Ids of those whose attempt was withdrawn for want of progress, which are counted in runs once.
+    /// Ids of those whose attempt was withdrawn for want of progress or for its weights, which are counted in runs
+    /// once.
     std::vector<std::string> withdrawnTargets;
     std::vector<Endpoint> triedEndpoints; ///< of the targets of all attempts
     std::string attemptLog; ///< the ended attempts and denied retries, for the log line of the request
--- a/src/forward/TargetChooser.cpp
+++ b/src/forward/TargetChooser.cpp
@@ -384,6 +384,23 @@
     return earliest;
 }
 
+bool isAwaitingWeights(const ChoiceQuery& query)
+{
+    const auto services = serviceOrder(query.route, query.random);
+    const auto newest = newestWeights(query, services);
+    return std::ranges::any_of(services, [&](const std::string& service) {
+        return runsModels(query, service)
+            && std::ranges::any_of(query.directory.targetsOf(service), [&](const auto& target) {
+                   const auto& registration = target->registration;
+                   const bool isGone
+                       = registration.isDraining || target->isReplaced || query.gate.isLeaving(registration);
+                   const auto version = target->weightsOf(query.metadata.model);
+                   return !isGone && !isExcluded(query, *target) && version
+                       && !isVersionAllowed(query, version, newest, std::chrono::microseconds(0));
+               });
+    });
+}
+
 void applyStatement(backoff::SendGate& gate, const directory::Registration& target, const AnswerMetadata& answer,
     const std::string& source, Clock::time_point now)
 {
--- a/src/forward/TargetChooser.h
+++ b/src/forward/TargetChooser.h
@@ -53,6 +53,10 @@
 /// The earliest time at which any target that may be selected takes a request; nullopt if there is none.
 std::optional<NextSend> nextSend(const ChoiceQuery& query);
 
+/// Whether a target that may be selected runs only weights that may no longer answer. It takes requests again once it
+/// has loaded newer ones.
+bool isAwaitingWeights(const ChoiceQuery& query);
+
 /// Applies what @p answer says about further requests to @p gate, unless another process than @p target sent it.
 /// @param source the id of the request, or the kind of the call, that was answered
 void applyStatement(backoff::SendGate& gate, const directory::Registration& target, const AnswerMetadata& answer,
--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -487,6 +487,26 @@
     cr_assert_eq(resumable->headers.valueOr("X-Dragonflyarch-Weight-Versions", ""), "2");
 }
 
+Test(forward, requestWithdrawnForItsWeightsIsAnsweredOnceNewOnesAreLoaded, .timeout = 60)
+{
+    constexpr int deadlineMs = 12000;
+    const Application application;
+    ForwardSite site;
+    site.publish({ forwardKey }, deadlineMs, 200);
+    site.startEntry(true, "forwarding: { weightsTime: 6s }\n");
+    runFor(4s); // until it holds the lease and may send orders
+    setAll(site.engines, { { "work_ms", 9000 }, { "load_ms", 6500 } }); // longer than the former weights may answer
+    const auto answer = site.send({ .id = "r1", .path = "/ask/x", .deadlineMs = deadlineMs });
+    for (const auto& engine : site.engines)
+        cr_assert(waitUntil([&] { return control(engine->address())["runs"].toInt() == 1; }, 3s));
+    setAll(site.engines, { { "work_ms", 5 } });
+    site.setWantedWeights(2);
+    cr_assert(waitFor(answer, 14s));
+    cr_assert_eq(answer->status, 200, "%d after %d ms", answer->status, static_cast<int>(answer->took().count()));
+    cr_assert(answer->whole);
+    cr_assert_eq(answer->headers.valueOr("X-Dragonflyarch-Weight-Versions", ""), "2");
+}
+
 Test(forward, replacedWeightsExpireAtAnInstanceThatStartedAfterTheReplacement, .timeout = 60)
 {
     const Application application;
