Test that a stream which waits for a target ends with the drain

The wait that keeps a stream while each target refuses has no open attempt, so nothing but the call itself ends it when the instance stops. The test has an engine that falls silent and two that refuse and ask for 2 s; SIGTERM comes in the wait, with a drain of 0.3 s. The process exits with 0, the stream ends visibly, and no engine gets a further request.

--- a/tests/SilentTargetTest.cpp
+++ b/tests/SilentTargetTest.cpp
@@ -386,6 +386,33 @@
     cr_expect_eq(silent.site.entries[0]->waitForExit(2s), 0, "the request is still open");
 }
 
+Test(silentTarget, streamThatWaitsForATargetEndsWithTheDrain, .timeout = 60)
+{
+    SilentSite silent;
+    const auto& engines = silent.site.engines;
+    const auto arrivals = [&] {
+        qsizetype count = 0;
+        for (const auto& engine : engines)
+            count += control(engine->address())["arrivals"].toArray().size();
+        return count;
+    };
+    auto& entry = silent.site.startEntry(true, "drain: { notice: 100ms, time: 300ms }\n");
+    control(engines[0]->address(), { { "event_ms", pauseMs }, { "events", 3 }, { "retry_after", "2" } });
+    const auto answer = silent.site.send({ .id = "s1", .path = "/ask/x", .deadlineMs = timeoutMs }, 1);
+    cr_assert(waitUntil([&] { return countOf(engines[0], "runs") == 1; }, 2s));
+    control(engines[0]->address(), { { "answer", "busy" } });
+    control(engines[1]->address(),
+        { { "answer", "busy" }, { "refusal_ms", 400 }, { "retry_after", "2" }, { "draining", false } });
+    cr_assert(waitUntil([&] { return arrivals() == 3; }, 3s));
+    runFor(100ms);
+    cr_assert_not(answer->ended, "no target takes the stream, but one will in time");
+    entry.terminate();
+    cr_expect_eq(entry.waitForExit(2s), 0);
+    cr_assert(waitFor(answer, 2s));
+    cr_expect_not(answer->whole);
+    cr_expect_eq(arrivals(), 3, "%d requests", static_cast<int>(arrivals()));
+}
+
 Test(silentTarget, streamStaysAtTheSilentTargetIfNoRetryIsLeftAfterTheOther, .timeout = 60)
 {
     SilentSite silent;
