Test which waiting requests are withdrawn when a request is quarantined

When a request is quarantined, repeats of it may wait at targets that have not begun them, or be kept from a crash by chance. Idempotent ones are withdrawn and answered at once, not as "not run". Non-idempotent ones that were sent to a plain target stay: they may have run, and ending them would not undo it.

The tests put 16 repeats before three targets that end and one that is silent.

--- a/tests/CrashingRequestTest.cpp
+++ b/tests/CrashingRequestTest.cpp
@@ -46,10 +46,11 @@
     std::vector<AnswerPointer> deadly;
 
     /// @param path of all requests
-    explicit CrashSite(const std::string& path)
+    /// @param furtherServices targets of the plain service beyond the usual number
+    explicit CrashSite(const std::string& path, size_t furtherServices = 0)
         : path(path)
     {
-        while (this->site.services.size() < targets)
+        while (this->site.services.size() < targets + furtherServices)
             this->site.addService();
         while (this->site.engines.size() < targets)
             this->site.addEngine();
@@ -79,6 +80,7 @@
         this->deadly.push_back(this->site.send({ .id = "d" + std::to_string(this->deadly.size()),
                                                    .path = this->path,
                                                    .body = deadlyBody,
+                                                   .deadlineMs = 9000,
                                                    .prompt = "aa:200,f0:60" },
             entry));
         return this->deadly.back();
@@ -226,3 +228,49 @@
     const auto after = site.servedShare(std::max(storeBackAt + 2 * contactTime.count(), restartedAt), ended);
     cr_expect_geq(after, 0.5, "sound requests served after the crashes: %.2f", after);
 }
+
+namespace {
+
+/// A site with a further target that survives the request and does not answer, and deadly requests at all targets.
+struct WaitingSite : CrashSite {
+    Process& survivor;
+
+    explicit WaitingSite(const std::string& path)
+        : CrashSite(path, 1)
+        , survivor(*this->site.services.back())
+    {
+        this->site.publish({ forwardKey }, 10000);
+        control(this->survivor.address("control"), { { "deadly_body", "" }, { "answer", "silent" } });
+        runFor(1s); // the instances read the configuration
+        constexpr int requests = 16;
+        for (int i = 0; i < requests; ++i)
+            this->sendDeadly(0);
+        require(waitUntil([this] { return this->times("crashes").size() == targets; }, 3s), "not all targets ended");
+    }
+
+    int atSurvivor(const char* field) const
+    {
+        const auto value = control(this->survivor.address("control"))[QLatin1String(field)];
+        return value.isArray() ? static_cast<int>(value.toArray().size()) : value.toInt();
+    }
+};
+
+}
+
+Test(crashingRequest, idempotentRequestsThatWaitAreWithdrawnAtTheThirdCrash)
+{
+    WaitingSite site("/read/x");
+    cr_assert(waitForAll(site.deadly, 4s), "requests wait on for their time-out");
+    cr_assert_gt(site.atSurvivor("arrivals"), 0);
+    cr_assert(waitUntil([&site] { return site.atSurvivor("cancelled") == site.atSurvivor("arrivals"); }, 1s));
+    for (const auto& answer : site.deadly)
+        cr_assert_neq(answer->execution(), "not-run");
+}
+
+Test(crashingRequest, nonIdempotentRequestsThatWereSentStayWithTheirTarget)
+{
+    WaitingSite site("/book/x");
+    runFor(2s);
+    cr_assert_gt(site.atSurvivor("arrivals"), 0);
+    cr_assert_eq(site.atSurvivor("cancelled"), 0);
+}
