Use a peer's proof while a revision check waits for the service

A caller gets 503 (not run) on routes with keys, although a peer had just proved the configuration.

Cause: when the followed peer is silent, the instance's own check of the revision goes to the service. If that does not answer either, the check waits for 1 s and its repeat for 0.4 to 0.8 s more. A proof of the next peer that arrives meanwhile was kept, but used by the next check only. The class is known here: something ends (a proof) while another part has what would renew it.

Change: the check that waits for the service is answered by the next recent proof of the followed peer for the same revision. An answer of the service that comes later counts too; a failure only marks the service as failed.

The new test relayedSource/proofOfAPeerIsUsedWhileACheckWaitsForTheService fails on the code before ("follower.checked ... is false"), two more guard what must not change.

--- a/src/relay/RelayedSource.cpp
+++ b/src/relay/RelayedSource.cpp
@@ -3,6 +3,9 @@
 #include "observe/Log.h"
 #include "relay/PeerRecord.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace dragonfly::relay {
 
 using observe::logChange;
@@ -154,6 +157,7 @@
     if (!this->proof || peerProof.revision != this->proof->revision || peerProof.provedAt > this->proof->provedAt)
         this->proof = peerProof;
     this->updateFollowedPeer(watch.peer->instance);
+    this->answerCheckFromProof();
     store::Changes changes;
     changes.revision = reply.revision();
     if (reply.has_revision_age_ms())
@@ -210,15 +214,30 @@
     this->queryNextSource();
 }
 
+/// Whether the followed peer has recently proved that @p revision is the newest.
+bool RelayedSource::isProved(int64_t revision, BootClock::time_point now) const
+{
+    // An instance without a followed peer renews its proof at the service, because its own followers rely on it.
+    return this->followedPeer && this->proof && this->proof->revision == revision
+        && now - this->proof->provedAt <= maxCheckProofAge;
+}
+
+/// Answers the check that waits for the service. The service may not answer until the proof that the instance has ends.
+void RelayedSource::answerCheckFromProof()
+{
+    if (!this->waitingCheck || !this->isProved(this->waitingCheck->expected, BootClock::now()))
+        return;
+    const auto check = std::exchange(this->waitingCheck, std::nullopt);
+    const auto age = std::max(check->sentAt - this->proof->provedAt, BootClock::duration::zero());
+    check->done(store::Unchanged { std::chrono::ceil<std::chrono::milliseconds>(age) });
+}
+
 void RelayedSource::checkRevision(
     const std::string& key, int64_t expected, Deadline deadline, std::function<void(store::CheckResult)> done)
 {
     const auto now = BootClock::now();
-    // An instance without a followed peer renews its proof at the service, because its own followers rely on it.
-    const bool isProved = this->followedPeer && this->proof && this->proof->revision == expected
-        && now - this->proof->provedAt <= maxCheckProofAge;
     const bool isProbeDue = this->serviceProbeAt && Clock::now() >= *this->serviceProbeAt;
-    if (!isProved) {
+    if (!this->isProved(expected, now)) {
         this->checkAtService(key, expected, deadline, std::move(done));
         return;
     }
@@ -232,13 +251,20 @@
     const std::string& key, int64_t expected, Deadline deadline, std::function<void(store::CheckResult)> done)
 {
     this->metrics.platformCalls.Increment();
+    const auto number = ++this->lastCheckNumber;
+    if (done)
+        this->waitingCheck = Check { number, expected, BootClock::now(), done };
     this->service.checkRevision(
-        key, expected, deadline, [this, done = std::move(done)](const store::CheckResult& result) {
-            if (std::holds_alternative<store::StoreFailure>(result))
+        key, expected, deadline, [this, number, done = std::move(done)](const store::CheckResult& result) {
+            const bool isFailure = std::holds_alternative<store::StoreFailure>(result);
+            if (isFailure)
                 this->recordServiceFailure();
             else
                 this->recordServiceAnswer();
-            if (done)
+            const bool isWaiting = this->waitingCheck && this->waitingCheck->number == number;
+            if (isWaiting)
+                this->waitingCheck.reset();
+            if (done && (isWaiting || !isFailure))
                 done(result);
             this->endWatchFromBeforeOutage();
         });
--- a/src/relay/RelayedSource.h
+++ b/src/relay/RelayedSource.h
@@ -37,7 +37,9 @@
     /// Peers are queried only for watches of all keys (empty @p prefix); others go to the service.
     void watch(const std::string& prefix, int64_t after, Clock::time_point waitUntil, Deadline deadline,
         std::function<void(store::WatchResult)> done) override;
-    /// Answers from the followed peer's proof while it is recent, otherwise from the service.
+    /// Answers from the followed peer's proof while it is recent, otherwise from the service. If a recent proof of the
+    /// followed peer arrives before the service's answer, @p done is called with both, but not with a failure after the
+    /// proof.
     void checkRevision(const std::string& key, int64_t expected, Deadline deadline,
         std::function<void(store::CheckResult)> done) override;
     Clock::time_point lastOutageEnd() const override
@@ -73,6 +75,16 @@
         BootClock::time_point provedAt;
     };
 
+    /// A check that waits for the service.
+    struct Check {
+        uint64_t number = 0; ///< counts the checks
+        int64_t expected = 0;
+        BootClock::time_point sentAt; ///< the age of its answer counts from then
+        std::function<void(store::CheckResult)> done;
+    };
+
+    bool isProved(int64_t revision, BootClock::time_point now) const;
+    void answerCheckFromProof();
     void queryNextSource();
     void queryPeer(const Peer& peer);
     void queryService();
@@ -98,6 +110,8 @@
     QTimer replyTimer;
     std::set<std::string> silentPeers; ///< peers that did not answer their last query
     std::optional<Proof> proof;
+    std::optional<Check> waitingCheck;
+    uint64_t lastCheckNumber = 0;
     std::optional<std::string> followedPeer;
     std::optional<Deadline> serviceProbeAt; ///< earliest next probe of the service; empty while the service answers
     Clock::time_point
--- a/tests/RelayTest.cpp
+++ b/tests/RelayTest.cpp
@@ -99,6 +99,7 @@
     PeerRanking ranking { peer("small", 120) };
     RelayedSource source { service, ranking, transport, metrics };
     std::optional<store::WatchResult> result;
+    std::optional<store::CheckResult> checked; ///< answer to the latest check
 
     Follower()
     {
@@ -138,12 +139,12 @@
     /// Age of the proof that answers a check of revision 7; nothing when the check went to the service.
     std::optional<std::chrono::milliseconds> checkedProofAge()
     {
-        std::optional<store::CheckResult> checked;
+        this->checked.reset();
         this->source.checkRevision(
-            "config", 7, Clock::now() + 1s, [&checked](const store::CheckResult& received) { checked = received; });
-        if (!checked)
+            "config", 7, Clock::now() + 1s, [this](const store::CheckResult& received) { this->checked = received; });
+        if (!this->checked)
             return std::nullopt;
-        return std::get<store::Unchanged>(*checked).age;
+        return std::get<store::Unchanged>(*this->checked).age;
     }
 };
 
@@ -439,6 +440,46 @@
     cr_assert_eq(follower.service.watches.size(), 2);
 }
 
+Test(relayedSource, proofOfAPeerIsUsedWhileACheckWaitsForTheService)
+{
+    Follower follower;
+    follower.watch();
+    follower.reply(25, 2500ms); // relayed on, but too old for a check
+    cr_assert_not(follower.checkedProofAge().has_value());
+    cr_assert_eq(follower.service.checks.size(), 1);
+    follower.watch(25);
+    follower.reply(26, 300ms);
+    cr_assert(follower.checked && std::holds_alternative<store::Unchanged>(*follower.checked));
+    const auto age = std::get<store::Unchanged>(*follower.checked).age;
+    cr_assert(age > 200ms && age <= 300ms, "%ld ms at the time of the check", static_cast<long>(age.count()));
+    follower.service.checks.back()(store::StoreFailure::Unknown);
+    cr_assert(std::holds_alternative<store::Unchanged>(*follower.checked));
+}
+
+Test(relayedSource, answerOfTheServiceCountsAlsoAfterAProofOfAPeer)
+{
+    Follower follower;
+    follower.watch();
+    follower.reply(25, 2500ms);
+    cr_assert_not(follower.checkedProofAge().has_value());
+    follower.watch(25);
+    follower.reply(26, 300ms);
+    follower.service.checks.back()(store::Conflict { { "config", "{}", 9 } });
+    cr_assert(follower.checked && std::holds_alternative<store::Conflict>(*follower.checked));
+}
+
+Test(relayedSource, checkOfARevisionThatNoPeerHasProvedWaitsForTheService)
+{
+    Follower follower;
+    follower.watch();
+    follower.source.checkRevision(
+        "config", 8, Clock::now() + 1s, [&](const store::CheckResult& received) { follower.checked = received; });
+    follower.reply(25, 300ms);
+    cr_assert_not(follower.checked.has_value());
+    follower.service.checks.back()(store::StoreFailure::Unknown);
+    cr_assert(follower.checked && std::holds_alternative<store::StoreFailure>(*follower.checked));
+}
+
 Test(relayedSource, watchFromBeforeAnOutageEndsOnRecovery)
 {
     Follower follower;
