Test disturbances while two attempts of a request are open

Plays what no test had: SIGTERM, and a suspension of the process with and without SIGTERM, in each part of the change of a resumed stream from a silent target to one that refuses late; the end of the drain while a stream and a request each wait at two silent targets, on a running and on a suspended instance; and an answer of the second target that arrives while the instance is suspended across the end of its drain.

Streams are whole, requests that may have run get 502, the process ends with status 0, and all targets are left.

--- a/tests/SilentTargetTest.cpp
+++ b/tests/SilentTargetTest.cpp
@@ -34,12 +34,12 @@
     Application application;
     ForwardSite site;
 
-    SilentSite()
+    explicit SilentSite(const std::string& settings = "", int targetLatencyMs = ::targetLatencyMs)
     {
         for (const auto* others : { &this->site.engines, &this->site.services })
             control(others->at(1)->address(), { { "draining", true } });
         this->site.publish({ forwardKey }, timeoutMs, targetLatencyMs);
-        this->site.startEntry();
+        this->site.startEntry(true, settings);
         runFor(200ms);
     }
 
@@ -467,3 +467,105 @@
     // Three quarters of its time would be lost to its caller.
     cr_expect_lt(answer->took(), std::chrono::milliseconds(deadlineMs * 3 / 4));
 }
+
+namespace {
+
+qsizetype arrivalsAt(const std::unique_ptr<Process>& target)
+{
+    return control(target->address())["arrivals"].toArray().size();
+}
+
+/// When the instance is disturbed, counted from the arrival of a resumed stream at its second target. The first target
+/// is withdrawn after 250 ms; the second one refuses after 700 ms.
+constexpr std::chrono::milliseconds disturbances[] = { 0ms, 150ms, 450ms };
+
+}
+
+Test(silentTarget, signalWhileAStreamChangesItsTargetDoesNotBreakIt, .timeout = 60)
+{
+    for (const auto after : disturbances) {
+        SilentSite silent;
+        control(silent.site.engines[0]->address(), { { "event_ms", pauseMs }, { "events", 3 } });
+        const auto answer = silent.send("s1", "/ask/x", { { "answer", "busy" }, { "refusal_ms", 700 } });
+        cr_assert(waitUntil([&] { return arrivalsAt(silent.site.engines[1]) == 1; }, 2s));
+        runFor(after);
+        auto& entry = *silent.site.entries[0];
+        entry.terminate();
+        cr_assert(waitFor(answer, 10s));
+        cr_expect(answer->whole, "after %d ms: %s", static_cast<int>(after.count()), answer->body.c_str());
+        cr_expect(answer->body == eventsUntil(3), "%s", answer->body.c_str());
+        cr_expect_eq(entry.waitForExit(10s), 0);
+    }
+}
+
+Test(silentTarget, suspensionWhileAStreamChangesItsTargetDoesNotBreakIt, .timeout = 90)
+{
+    for (const bool isStopped : { false, true }) {
+        for (const auto after : disturbances) {
+            SilentSite silent;
+            control(silent.site.engines[0]->address(), { { "event_ms", pauseMs }, { "events", 3 } });
+            const auto answer = silent.send("s1", "/ask/x", { { "answer", "busy" }, { "refusal_ms", 700 } });
+            cr_assert(waitUntil([&] { return arrivalsAt(silent.site.engines[1]) == 1; }, 2s));
+            runFor(after);
+            auto& entry = *silent.site.entries[0];
+            if (isStopped)
+                entry.terminate();
+            entry.freeze();
+            runFor(1s);
+            entry.thaw();
+            cr_assert(waitFor(answer, 10s));
+            cr_expect(answer->whole, "after %d ms, stopped %d: %s", static_cast<int>(after.count()), isStopped,
+                answer->body.c_str());
+            cr_expect(answer->body == eventsUntil(3), "%s", answer->body.c_str());
+        }
+    }
+}
+
+Test(silentTarget, endOfTheDrainEndsBothAttemptsWithAFinalAnswer, .timeout = 60)
+{
+    for (const bool isSuspended : { false, true }) {
+        SilentSite silent("drain: { notice: 300ms, time: 1500ms }\n");
+        for (const auto* targets : { &silent.site.engines, &silent.site.services })
+            control(targets->at(0)->address(), { { "answer", "silent" } });
+        const auto stream = silent.send("s1", "/ask/x", { { "answer", "silent" } });
+        const auto call = silent.send("i1", "/read/x", { { "answer", "silent" } });
+        for (const auto* targets : { &silent.site.engines, &silent.site.services })
+            cr_assert(waitUntil([&] { return countOf(targets->at(1), "runs") == 1; }, 2s));
+        auto& entry = *silent.site.entries[0];
+        entry.terminate();
+        if (isSuspended) {
+            entry.freeze();
+            runFor(2s);
+            entry.thaw();
+        }
+        cr_assert_eq(entry.waitForExit(5s), 0);
+        for (const auto& answer : { stream, call }) {
+            cr_assert(waitFor(answer, 1s));
+            cr_expect(answer->whole);
+            cr_expect_eq(answer->status, 502, "%d", answer->status);
+            cr_expect_eq(answer->execution(), "unknown");
+        }
+        for (const auto* targets : { &silent.site.engines, &silent.site.services }) {
+            for (const auto& target : *targets)
+                cr_expect(waitUntil([&] { return countOf(target, "cancelled") == 1; }, 1s));
+        }
+    }
+}
+
+Test(silentTarget, answerOfTheBackupThatArrivesWhileTheDrainEndsIsDelivered, .timeout = 60)
+{
+    SilentSite silent("drain: { notice: 300ms, time: 1500ms }\n");
+    control(silent.site.engines[0]->address(), { { "event_ms", 5000 }, { "events", 3 } });
+    const auto answer = silent.send("s1", "/ask/x", { { "work_ms", 400 }, { "events", 3 } });
+    cr_assert(waitUntil([&] { return arrivalsAt(silent.site.engines[1]) == 1; }, 2s));
+    auto& entry = *silent.site.entries[0];
+    entry.terminate();
+    runFor(50ms);
+    entry.freeze();
+    runFor(2s);
+    entry.thaw();
+    cr_assert(waitFor(answer, 5s));
+    cr_expect(answer->whole, "%s", answer->body.c_str());
+    cr_expect(answer->body == eventsUntil(3), "%s", answer->body.c_str());
+    cr_expect_eq(entry.waitForExit(5s), 0);
+}
