Ask slow targets of fast routes again

What callers saw: on a route whose target latency is under 200 ms, a look-up got 503 after 0.37 s of a deadline of 5 s, because the connection to the only target took 1.2 s to open.

Cause: a target counts as not reached in time, and may be asked again, once 400 ms have passed since the attempt began. The connection is given up sooner than that if the attempt's time for progress is shorter: twice the target latency, 350 ms at least. Such an attempt counted as a failed target. Requests that may not be repeated have no time for progress and were not affected.

Evidence: silentTarget/requestOfAFastRouteIsNotRefusedWhileConnectionsOpenSlowly (target latency 100 ms) on the sources before: "/read/x: 503 after 367 ms".

Why this works: the attempt stores the deadline that its connection was given, and that one decides.

--- a/src/forward/Attempt.h
+++ b/src/forward/Attempt.h
@@ -15,6 +15,7 @@
     std::optional<http::Call> call;
     entry::TargetLoad load;
     Clock::time_point sentAt;
+    Deadline connectDeadline; ///< a target to which no connection is open by then is given up
     Clock::time_point waitingSince; ///< of the last step: connecting, sent, bytes of the answer
     Deadline progressDeadline; ///< without progress by then, another target is asked too
     /// Of a backup that resumes a stream: when it becomes the only attempt, unless it has ended by then.
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -566,7 +566,9 @@
     if (isAwaitingEngine(attempt))
         attempt.isConfirmed = this->isConfirmed(attempt);
     this->updateAwaiting();
-    http::CallOptions options { now + connectTimeout, this->startProgressTimeout(attempt) };
+    const auto deadline = this->startProgressTimeout(attempt);
+    attempt.connectDeadline = std::min(now + connectTimeout, attempt.progressDeadline);
+    http::CallOptions options { attempt.connectDeadline, deadline };
     if (!this->isRepeatable())
         options.minIdleSince = now - (this->isStream() ? maxIdleTimeForStreams : maxIdleTime);
     options.reuseConnection = this->canIdentifyAnswerFrom(endpoint);
@@ -1060,7 +1062,7 @@
 {
     const auto now = Clock::now();
     const bool isUnreached = failure.kind == http::CallFailureKind::ConnectFailed && !failure.requestSent
-        && now >= attempt.sentAt + connectTimeout;
+        && now >= attempt.connectDeadline;
     if (!isUnreached || this->attemptCount >= maxAttempts)
         return false;
     const auto& arrived = this->request.arrived;
--- a/tests/SilentTargetTest.cpp
+++ b/tests/SilentTargetTest.cpp
@@ -569,3 +569,19 @@
     cr_expect(answer->body == eventsUntil(3), "%s", answer->body.c_str());
     cr_expect_eq(entry.waitForExit(5s), 0);
 }
+
+Test(silentTarget, requestOfAFastRouteIsNotRefusedWhileConnectionsOpenSlowly, .timeout = 60)
+{
+    constexpr int shortTargetLatencyMs = 100;
+    for (const auto* path : { "/read/x", "/book/x" }) {
+        SilentSite silent("", shortTargetLatencyMs);
+        control(silent.site.services[0]->address(), { { "draining", true } });
+        const RawAnswer done { headFor("r1", "Content-Length: 4") + "done", Ending::KeepOpen };
+        const RawServer slow({ done }, 1200ms);
+        silent.site.registerTarget("slow", "desk", "", slow.address());
+        runFor(300ms);
+        const auto answer = silent.site.sendAndWait({ .id = "r1", .path = path, .deadlineMs = 5000 });
+        cr_expect_eq(
+            answer->status, 200, "%s: %d after %d ms", path, answer->status, static_cast<int>(answer->took().count()));
+    }
+}
