Keep a withdrawn stream going late in a drain

What callers saw: in a planned stop, a stream whose engine was silent stopped after its first event and the connection closed, although the engine that had made it was sound and would have taken the stream again (LOST).

Cause: at the end of the overlap the silent engine is withdrawn only if another attempt may follow, and the time left to the stop is looked at then. The other engine refuses up to some hundred milliseconds later. If the stop had come near, or had been ordered, in between, the promised attempt was denied and the stream aborted. The window is two target latencies long (400 ms at least), which can exceed the last sixth of the grace period that the rule excuses, and no engine was at work then anyway.

Evidence, silentTarget/streamIsNotBrokenByARefusalLateInADrain on the sources before: SIGTERM 300 ms after the resumed stream was sent, refusal 400 ms later, a drain of 1.2 s, a target latency of 500 ms: the caller has "id: 1" of three events and a broken stream.

Why this works: a stream that was withdrawn from a target is sent once more whatever time is left, since the alternative is to break it. Retries and sends are charged as before.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -178,7 +178,9 @@
     }
     if (this->failIfQuarantined())
         return;
-    if (const auto conflict = this->findStopConflict(now)) {
+    // A stream that was withdrawn from a target might have gone on there, so it is not broken for want of time.
+    const bool mayEndLate = this->streamBegun && !this->withdrawnTargets.empty();
+    if (const auto conflict = mayEndLate ? std::nullopt : this->findStopConflict(now)) {
         this->fail({ ErrorKind::NoTarget, *conflict, this->execution(), retryAfterStop });
         return;
     }
--- a/tests/SilentTargetTest.cpp
+++ b/tests/SilentTargetTest.cpp
@@ -570,6 +570,21 @@
     cr_expect_eq(entry.waitForExit(5s), 0);
 }
 
+Test(silentTarget, streamIsNotBrokenByARefusalLateInADrain, .timeout = 60)
+{
+    constexpr int slowTargetLatencyMs = 500;
+    SilentSite silent("drain: { notice: 100ms, time: 1100ms }\n", slowTargetLatencyMs);
+    control(silent.site.engines[0]->address(), { { "event_ms", 3000 }, { "events", 3 } });
+    const auto answer = silent.send("s1", "/ask/x", { { "answer", "busy" }, { "refusal_ms", 700 } });
+    cr_assert(waitUntil([&] { return arrivalsAt(silent.site.engines[1]) == 1; }, 3s));
+    runFor(300ms); // the first target is withdrawn
+    control(silent.site.engines[0]->address(), { { "event_ms", 20 } });
+    silent.site.entries[0]->terminate();
+    cr_assert(waitFor(answer, 5s));
+    cr_expect(answer->whole, "%s", answer->body.c_str());
+    cr_expect(answer->body == eventsUntil(3), "%s", answer->body.c_str());
+}
+
 Test(silentTarget, requestOfAFastRouteIsNotRefusedWhileConnectionsOpenSlowly, .timeout = 60)
 {
     constexpr int shortTargetLatencyMs = 100;
