--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -178,7 +178,9 @@
     }
     if (this->failIfQuarantined())
         return;
-    if (const auto conflict = this->findStopConflict(now)) {
+    // A stream that was withdrawn from a target might have gone on there, so it is not broken for want of time.
+    const bool mayEndLate = this->streamBegun && !this->withdrawnTargets.empty();
+    if (const auto conflict = mayEndLate ? std::nullopt : this->findStopConflict(now)) {
         this->fail({ ErrorKind::NoTarget, *conflict, this->execution(), retryAfterStop });
         return;
     }
@@ -569,7 +571,9 @@
     if (isAwaitingEngine(attempt))
         attempt.isConfirmed = this->isConfirmed(attempt);
     this->updateAwaiting();
-    http::CallOptions options { now + connectTimeout, this->startProgressTimeout(attempt) };
+    const auto deadline = this->startProgressTimeout(attempt);
+    attempt.connectDeadline = std::min(now + connectTimeout, attempt.progressDeadline);
+    http::CallOptions options { attempt.connectDeadline, deadline };
     if (!this->isRepeatable())
         options.minIdleSince = now - (this->isStream() ? maxIdleTimeForStreams : maxIdleTime);
     options.reuseConnection = this->canIdentifyAnswerFrom(endpoint);
@@ -1065,7 +1069,7 @@
 {
     const auto now = Clock::now();
     const bool isUnreached = failure.kind == http::CallFailureKind::ConnectFailed && !failure.requestSent
-        && now >= attempt.sentAt + connectTimeout;
+        && now >= attempt.connectDeadline;
     if (!isUnreached || this->attemptCount >= maxAttempts)
         return false;
     const auto& arrived = this->request.arrived;
