Say that a connection closes if the configuration allows no idle time

What callers saw: with an idle time of zero, each answer left them to take the connection as kept, and it was closed at once. A request sent on it crossed the close.

Cause: the idle time was looked at after the answer, and only the caller or a drain made an answer say "Connection: close".

Evidence: answerSaysThatTheConnectionClosesIfItMayNotBeIdle failed on the code before (the answer's head had only its length).

Why the fix works: the head of an answer says so if no idle time is allowed and no request waits.

With it comes refusalArrivesThoughTheCallerSendsOnForLongerThanTheServerLingers, which passed before: a caller that sends the body of a refused request for longer than the server lingers still receives the refusal, on Linux.

--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -264,6 +264,13 @@
     return this->socket.bytesToWrite() + inSystem;
 }
 
+/// Whether the connection may carry another request: one that waits behind this answer, or one that comes later.
+bool ServerConnection::mayKeep() const
+{
+    const bool mayBeIdle = this->server->limits.idleTimeout.count() > 0;
+    return !this->server->closing && (mayBeIdle || !this->unparsed.empty());
+}
+
 std::string ServerConnection::headText(int status, const Headers& headers, std::string_view framing) const
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
@@ -279,7 +286,7 @@
 {
     if (this->state != State::Answering)
         return;
-    this->keepAlive = this->keepAlive && !this->server->closing;
+    this->keepAlive = this->keepAlive && this->mayKeep();
     auto text = this->headText(status, headers, "Content-Length: " + std::to_string(body.size()));
     text.append(body);
     this->socket.write(text.data(), static_cast<qint64>(text.size()));
@@ -290,7 +297,7 @@
 {
     if (this->state != State::Answering)
         return;
-    this->keepAlive = this->keepAlive && !this->server->closing;
+    this->keepAlive = this->keepAlive && this->mayKeep();
     const auto text = this->headText(status, headers, "Transfer-Encoding: chunked");
     this->socket.write(text.data(), static_cast<qint64>(text.size()));
 }
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -55,6 +55,7 @@
     void refuse(ErrorKind kind, std::string detail);
     void onAnswerSent();
     bool hasWaitingInput() const;
+    bool mayKeep() const;
     void closeInOrder();
     void endSending();
     void checkSendProgress();
--- a/tests/ServerCloseTest.cpp
+++ b/tests/ServerCloseTest.cpp
@@ -210,6 +210,40 @@
     cr_assert(caller->receiveUntil("answer to /now"), "closed after the shorter time");
 }
 
+Test(serverClose, answerSaysThatTheConnectionClosesIfItMayNotBeIdle, .timeout = 30)
+{
+    http::ServerLimits limits;
+    limits.idleTimeout = 0ms;
+    TestedServer tested(limits);
+    RawCaller caller(tested.endpoint);
+    cr_assert(caller.send(get("/now")));
+    cr_assert(caller.receiveToEnd());
+    cr_assert_neq(caller.received.find("\r\nConnection: close\r\n"), std::string::npos, "%s", caller.received.c_str());
+
+    RawCaller reader(tested.endpoint);
+    cr_assert(reader.send(get("/stream")));
+    cr_assert(tested.waitForRequest());
+    tested.held[0]->beginStream(200, {});
+    tested.held[0]->finish();
+    cr_assert(reader.receiveToEnd());
+    cr_assert_neq(reader.received.find("\r\nConnection: close\r\n"), std::string::npos, "%s", reader.received.c_str());
+}
+
+Test(serverClose, refusalArrivesThoughTheCallerSendsOnForLongerThanTheServerLingers, .timeout = 30)
+{
+    http::ServerLimits limits;
+    limits.bodyBytes = 1000;
+    limits.lingerTimeout = 500ms;
+    TestedServer tested(limits);
+    RawCaller caller(tested.endpoint);
+    cr_assert(caller.send("POST /now HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n"));
+    for (int i = 0; i < 20; ++i) {
+        caller.send(std::string(1000, 'x'));
+        runFor(50ms);
+    }
+    cr_assert(caller.receiveUntil("HTTP/1.1 413"), "%s", caller.received.c_str());
+}
+
 Test(serverClose, requestThatWaitsBehindAKeptStreamIsAnsweredInTheDrain, .timeout = 30)
 {
     TestedServer tested;
