Log that the request of a caller who left may have run

What was seen: the line of a request whose caller had left said execution=not-run although a target had it. It could not be told from a request that was not sent because its caller had left before.

Cause: onCallerGone() withdraws the open attempts without noting that they were sent; the other ways to give up a request do.

Evidence: logSaysWhetherTheRequestOfACallerWhoLeftMayHaveRun failed on the code before: execution=not-run beside "service-0 (... 103 ms, sent): the caller disconnected".

Why the fix works: an attempt of which a byte was sent sets mayHaveRun, as in fail() and endForStop().

No answer is concerned, since the caller is gone.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -1020,6 +1020,7 @@
     for (auto* slot : { &this->backup, &this->attempt }) {
         if (!*slot)
             continue;
+        this->mayHaveRun = this->mayHaveRun || (*slot)->isSent;
         if ((*slot)->call)
             (*slot)->call->cancel();
         this->endAttempt(*slot, "the caller disconnected");
--- a/tests/CallerGoneTest.cpp
+++ b/tests/CallerGoneTest.cpp
@@ -393,3 +393,29 @@
     cr_assert_not(received->empty());
     cr_assert_lt(received->size(), bodyBytes);
 }
+
+Test(callerGone, logSaysWhetherTheRequestOfACallerWhoLeftMayHaveRun, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site;
+    site.publish({ forwardKey }, 5000, 2000);
+    auto& entry = site.startEntry();
+    setAll(site.services, { { "answer", "silent" } });
+    RawCaller sent(entry.address());
+    cr_assert(sent.send(requestText("sent", "/read/x")));
+    cr_assert(waitUntil([&] { return sum(site.services, "runs") == 1; }, patience));
+    sent.close();
+    entry.freeze();
+    RawCaller unsent(entry.address());
+    cr_assert(unsent.send(requestText("unsent", "/read/x")));
+    unsent.close();
+    runFor(100ms);
+    entry.thaw();
+    for (const auto* id : { "sent", "unsent" }) {
+        const auto part = "request=" + std::string(id) + " ";
+        cr_assert(waitUntil([&] { return entry.printedLine(part); }, patience));
+        const auto line = entry.findLine(part);
+        const auto* execution = std::string_view(id) == "sent" ? "execution=unknown" : "execution=not-run";
+        cr_expect_neq(line.find(execution), std::string::npos, "%s", line.c_str());
+    }
+}
