Search the reports for a trial of a request every two seconds at most

Each refusal of a repeat looked through all reports for the processes that named its request first, up to 4,096 requests. A caller that repeats a quarantined request a thousand times a second could take a noticeable share of a core so.

The search is now made when a trial could be due: at the first refusal, and then every two seconds. The cost before was not measured.

--- a/src/quarantine/PromptQuarantine.cpp
+++ b/src/quarantine/PromptQuarantine.cpp
@@ -350,19 +350,21 @@
 /// cause of the ends by chance.
 bool PromptQuarantine::mayTryRequest(PartHash part, Clock::time_point now)
 {
-    if (this->triedRequests.contains(part))
+    auto& next = this->nextTrials.try_emplace(part, now).first->second;
+    if (now < next || this->triedRequests.contains(part))
         return false;
+    next = now + trialInterval; // also bounds how often the reports are searched
     const auto rank = this->evidence.reporterRank(part, this->reportKeyPrefix);
     if (!rank || *rank >= requestTriers)
         return false;
     const auto ends = this->evidence.endsAgainst(part);
-    const auto known = this->endsAtFirstRefusal.try_emplace(part, ends).first->second;
-    if (*rank && ends > known)
-        return false; // the trial by the first process ended a target
-    const auto next = this->nextTrials.try_emplace(part, now + requestTrialDelay * (static_cast<int>(*rank) + 1)).first;
-    if (now < next->second)
+    const auto [known, isFirstRefusal] = this->endsAtFirstRefusal.try_emplace(part, ends);
+    if (isFirstRefusal) {
+        next = now + requestTrialDelay * (static_cast<int>(*rank) + 1);
         return false;
-    next->second = now + trialInterval;
+    }
+    if (*rank && ends > known->second)
+        return false; // the trial by the first process ended a target
     logChange(LogLevel::Info, "quarantined request tried", { { "own_part", toText(part) } });
     return true;
 }
