Share the site of the tests with targets that requests end

CrashingRequestTest and QuarantineTest had the same struct but for the targets, the requests and the number of the crash that counts. It is one class in tests/support now, from which both derive. Checks, bounds and played loads are unchanged; deadly arrivals are now collected from all targets in both, where those of the plain service can have none in QuarantineTest.

--- a/tests/CrashingRequestTest.cpp
+++ b/tests/CrashingRequestTest.cpp
@@ -2,10 +2,8 @@
 // instances, a metadata store, and targets that end and return. The requests come again and again with one path, caller
 // and body, and a new id each time.
 
-#include "tests/support/ForwardSite.h"
+#include "tests/support/CrashSite.h"
 
-#include <QDateTime>
-#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace testing;
@@ -14,41 +12,19 @@
 
 namespace {
 
-constexpr size_t instances = 3;
 constexpr size_t targets = 3;
-/// Stated target: this long after the third crash, at most maxLateArrivals requests reach targets.
-constexpr std::chrono::milliseconds contactTime { 4000 };
-constexpr int maxLateArrivals = 3;
-constexpr qsizetype countedCrashes = 3;
+constexpr size_t countedCrashes = 3;
 constexpr const char* deadlyBody = "this body ends each target that begins it";
 
-struct SoundRequest {
-    AnswerPointer answer;
-    int64_t sentAt; ///< milliseconds since the Unix epoch
-};
-
-bool isServed(const AnswerPointer& answer)
-{
-    return answer->status == 200 && answer->whole;
-}
-
-bool isQuarantined(const AnswerPointer& answer)
-{
-    return answer->body.find("prompt_quarantined") != std::string::npos;
-}
-
-/// A site whose targets end when they begin to run a request with the deadly body.
-struct CrashSite {
-    const Application application;
-    ForwardSite site;
-    std::string path;
-    std::vector<SoundRequest> sound;
-    std::vector<AnswerPointer> deadly;
-
+/// A site whose targets end when they begin to run a request with the deadly body. Sound requests have the path, the
+/// caller and the first part of the prompt of those.
+class BodySite : public CrashSite {
+public:
     /// @param path of all requests
     /// @param furtherServices targets of the plain service beyond the usual number
-    explicit CrashSite(const std::string& path, size_t furtherServices = 0)
-        : path(path)
+    explicit BodySite(const std::string& path, size_t furtherServices = 0)
+        : CrashSite(countedCrashes)
+        , path(path)
     {
         while (this->site.services.size() < targets + furtherServices)
             this->site.addService();
@@ -59,102 +35,31 @@
                 control(target->address("control"),
                     { { "deadly_body", deadlyBody }, { "work_ms", 20 }, { "events", 12 }, { "event_ms", 20 } });
         }
-        while (this->site.entries.size() < instances)
-            this->site.startEntry();
-    }
-
-    /// Sends a sound request, with the path, the caller and the first part of the prompt of those that end targets.
-    void sendSound()
-    {
-        const auto number = std::to_string(this->sound.size());
-        this->sound.push_back({ this->site.send({ .id = "s" + number,
-                                                    .path = this->path,
-                                                    .body = "sound " + number,
-                                                    .prompt = "aa:200,e" + number + ":60" },
-                                    this->sound.size() % this->site.entries.size()),
-            QDateTime::currentMSecsSinceEpoch() });
+        this->startEntries();
     }
 
-    AnswerPointer sendDeadly(size_t entry)
+protected:
+    ForwardRequestSpec soundRequest(const std::string& number) const override
     {
-        this->deadly.push_back(this->site.send({ .id = "d" + std::to_string(this->deadly.size()),
-                                                   .path = this->path,
-                                                   .body = deadlyBody,
-                                                   .deadlineMs = 9000,
-                                                   .prompt = "aa:200,f0:60" },
-            entry));
-        return this->deadly.back();
+        return {
+            .id = "s" + number, .path = this->path, .body = "sound " + number, .prompt = "aa:200,e" + number + ":60"
+        };
     }
-
-    /// Sends 20 sound requests a second and, if @p withDeadly, 5 that end targets, in turn to all instances.
-    void play(std::chrono::milliseconds duration, bool withDeadly)
+    ForwardRequestSpec deadlyRequest(const std::string& number) const override
     {
-        constexpr int soundPerDeadly = 4;
-        const auto end = Clock::now() + duration;
-        for (int tick = 0; Clock::now() < end; ++tick, runFor(50ms)) {
-            this->sendSound();
-            if (withDeadly && tick % soundPerDeadly == 0)
-                this->sendDeadly(this->deadly.size() % this->site.entries.size());
-        }
+        return {
+            .id = "d" + number, .path = this->path, .body = deadlyBody, .deadlineMs = 9000, .prompt = "aa:200,f0:60"
+        };
     }
 
-    void waitForAnswers()
-    {
-        std::vector<AnswerPointer> all = this->deadly;
-        for (const auto& request : this->sound)
-            all.push_back(request.answer);
-        require(waitForAll(all, 20s), "not all requests were answered");
-    }
-
-    /// The times that the targets report in @p field, in order.
-    std::vector<int64_t> times(const char* field) const
-    {
-        std::vector<int64_t> found;
-        for (const auto* processes : { &this->site.services, &this->site.engines }) {
-            for (const auto& target : *processes) {
-                for (const auto& time : control(target->address("control"))[QLatin1String(field)].toArray())
-                    found.push_back(time.toInteger());
-            }
-        }
-        std::sort(found.begin(), found.end());
-        return found;
-    }
-
-    /// The time of the third crash; of the last if there were fewer.
-    int64_t countedFrom() const
-    {
-        const auto crashes = this->times("crashes");
-        require(!crashes.empty(), "no target ended");
-        return crashes[std::min<size_t>(crashes.size(), countedCrashes) - 1];
-    }
-
-    /// Deadly requests that reached targets later than contactTime after the third crash and after @p storeBackAt.
-    int lateArrivals(int64_t storeBackAt = 0) const
-    {
-        const auto counted = std::max(this->countedFrom(), storeBackAt) + contactTime.count();
-        const auto arrivals = this->times("deadly_arrivals");
-        return static_cast<int>(std::ranges::count_if(arrivals, [counted](int64_t time) { return time > counted; }));
-    }
-
-    /// The share of the sound requests sent from @p begin to @p end that were served; 0 if there were none.
-    double servedShare(int64_t begin, int64_t end) const
-    {
-        int sent = 0;
-        int served = 0;
-        for (const auto& request : this->sound) {
-            if (request.sentAt < begin || request.sentAt >= end)
-                continue;
-            ++sent;
-            served += isServed(request.answer);
-        }
-        return sent ? static_cast<double>(served) / sent : 0;
-    }
+private:
+    std::string path;
 };
 
 /// Plays a request to @p path that ends each target which begins it beside sound ones.
 void checkThatItStops(const char* path)
 {
-    CrashSite site(path);
+    BodySite site(path);
     site.play(2s, false);
     const auto began = QDateTime::currentMSecsSinceEpoch();
     site.play(14s, true);
@@ -165,7 +70,7 @@
     const auto after = site.servedShare(site.countedFrom() + 2 * contactTime.count(), ended);
     cr_expect_leq(late, maxLateArrivals,
         "%d repeats reached targets later than %d ms after the third crash; %d crashes", late,
-        static_cast<int>(contactTime.count()), static_cast<int>(site.times("crashes").size()));
+        static_cast<int>(contactTime.count()), site.crashes());
     cr_expect_gt(before, 0);
     cr_expect_geq(after, before / 2, "sound requests served before: %.2f, after the crashes: %.2f", before, after);
     const auto& last = site.deadly.back();
@@ -199,7 +104,7 @@
 
 Test(crashingRequest, repeatsStopAfterTheStoreWasAwayAtTheThirdCrashAndAnInstanceRestarted)
 {
-    CrashSite site("/read/x");
+    BodySite site("/read/x");
     site.play(1s, false);
     // The route allows two targets for each request.
     require(waitFor(site.sendDeadly(0)), "no answer");
@@ -223,8 +128,7 @@
     }
     site.waitForAnswers();
     const auto late = site.lateArrivals(storeBackAt);
-    cr_expect_leq(late, maxLateArrivals, "%d repeats reached targets late; %d crashes", late,
-        static_cast<int>(site.times("crashes").size()));
+    cr_expect_leq(late, maxLateArrivals, "%d repeats reached targets late; %d crashes", late, site.crashes());
     const auto after = site.servedShare(std::max(storeBackAt + 2 * contactTime.count(), restartedAt), ended);
     cr_expect_geq(after, 0.5, "sound requests served after the crashes: %.2f", after);
 }
@@ -232,11 +136,11 @@
 namespace {
 
 /// A site with a further target that survives the request and does not answer, and deadly requests at all targets.
-struct WaitingSite : CrashSite {
+struct WaitingSite : BodySite {
     Process& survivor;
 
     explicit WaitingSite(const std::string& path)
-        : CrashSite(path, 1)
+        : BodySite(path, 1)
         , survivor(*this->site.services.back())
     {
         this->site.publish({ forwardKey }, 10000);
--- a/tests/QuarantineTest.cpp
+++ b/tests/QuarantineTest.cpp
@@ -1,10 +1,8 @@
 // End-to-end tests of the quarantine of prompt parts that crash engines, with real processes: several entry
 // instances, a metadata store, and engines that end and return.
 
-#include "tests/support/ForwardSite.h"
+#include "tests/support/CrashSite.h"
 
-#include <QDateTime>
-#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace testing;
@@ -13,120 +11,23 @@
 
 namespace {
 
-constexpr size_t instances = 3;
 constexpr size_t engines = 6;
-/// Stated target: this long after the fifth crash, at most maxLateArrivals requests reach engines.
-constexpr std::chrono::milliseconds contactTime { 4000 };
-constexpr int maxLateArrivals = 3;
-constexpr qsizetype countedCrashes = 5;
+constexpr size_t countedCrashes = 5;
 constexpr const char* deadlyPart = "dead";
 
-struct SoundRequest {
-    AnswerPointer answer;
-    int64_t sentAt; ///< milliseconds since the Unix epoch
-};
-
-bool isServed(const AnswerPointer& answer)
-{
-    return answer->status == 200 && answer->whole;
-}
-
-bool isQuarantined(const AnswerPointer& answer)
-{
-    return answer->body.find("prompt_quarantined") != std::string::npos;
-}
-
-/// A site whose engines end when they begin to answer a request with the deadly part.
-struct CrashSite {
-    const Application application;
-    ForwardSite site;
-    std::vector<SoundRequest> sound;
-    std::vector<AnswerPointer> deadly;
-
-    CrashSite()
+/// A site whose engines end when they begin to answer a request with the deadly part. Sound requests share their caller
+/// and their first part with those.
+class PartSite : public CrashSite {
+public:
+    PartSite()
+        : CrashSite(countedCrashes)
     {
         while (this->site.engines.size() < engines)
             this->site.addEngine();
         for (const auto& engine : this->site.engines)
             control(engine->address("control"),
                 { { "deadly_part", deadlyPart }, { "work_ms", 20 }, { "events", 12 }, { "event_ms", 20 } });
-        while (this->site.entries.size() < instances)
-            this->site.startEntry();
-    }
-
-    /// Sends a sound request, which shares its caller and its first part with those that end engines.
-    void sendSound()
-    {
-        const auto number = std::to_string(this->sound.size());
-        this->sound.push_back(
-            { this->site.send({ .id = "s" + number, .path = "/ask/x", .prompt = "aa:200,cc:50,e" + number + ":60" },
-                  this->sound.size() % this->site.entries.size()),
-                QDateTime::currentMSecsSinceEpoch() });
-    }
-
-    AnswerPointer sendDeadly(size_t entry)
-    {
-        const auto number = std::to_string(this->deadly.size());
-        this->deadly.push_back(
-            this->site.send({ .id = "d" + number,
-                                .path = "/ask/x",
-                                .prompt = "aa:200," + std::string(deadlyPart) + ":80,f" + number + ":60" },
-                entry));
-        return this->deadly.back();
-    }
-
-    /// Sends 20 sound requests a second and, if @p withDeadly, 5 that end engines, in turn to all instances.
-    void play(std::chrono::milliseconds duration, bool withDeadly)
-    {
-        constexpr int soundPerDeadly = 4;
-        const auto end = Clock::now() + duration;
-        for (int tick = 0; Clock::now() < end; ++tick, runFor(50ms)) {
-            this->sendSound();
-            if (withDeadly && tick % soundPerDeadly == 0)
-                this->sendDeadly(this->deadly.size() % this->site.entries.size());
-        }
-    }
-
-    void waitForAnswers()
-    {
-        std::vector<AnswerPointer> all = this->deadly;
-        for (const auto& request : this->sound)
-            all.push_back(request.answer);
-        require(waitForAll(all, 20s), "not all requests were answered");
-    }
-
-    /// The times that the engines report in @p field, in order.
-    std::vector<int64_t> times(const char* field) const
-    {
-        std::vector<int64_t> found;
-        for (const auto& engine : this->site.engines) {
-            for (const auto& time : control(engine->address("control"))[QLatin1String(field)].toArray())
-                found.push_back(time.toInteger());
-        }
-        std::sort(found.begin(), found.end());
-        return found;
-    }
-
-    /// The time of the fifth crash; of the last if there were fewer.
-    int64_t countedFrom() const
-    {
-        const auto crashes = this->times("crashes");
-        require(!crashes.empty(), "no engine ended");
-        return crashes[std::min<size_t>(crashes.size(), countedCrashes) - 1];
-    }
-
-    /// The share of the sound requests sent from @p begin to @p end that were served; 0 if there were none.
-    double servedShare(int64_t begin, int64_t end) const
-    {
-        int sent = 0;
-        int served = 0;
-        for (const auto& request : this->sound) {
-            if (request.sentAt < begin || request.sentAt >= end)
-                continue;
-            ++sent;
-            served += isServed(request.answer);
-        }
-        return sent ? static_cast<double>(served) / sent : 0;
+        this->startEntries();
     }
 
     /// Waits until all engines have returned and every instance knows them.
@@ -146,22 +47,32 @@
                     10s),
             "the engines have not returned");
     }
+
+protected:
+    ForwardRequestSpec soundRequest(const std::string& number) const override
+    {
+        return { .id = "s" + number, .path = "/ask/x", .prompt = "aa:200,cc:50,e" + number + ":60" };
+    }
+    ForwardRequestSpec deadlyRequest(const std::string& number) const override
+    {
+        return { .id = "d" + number,
+            .path = "/ask/x",
+            .prompt = "aa:200," + std::string(deadlyPart) + ":80,f" + number + ":60" };
+    }
 };
 
 }
 
 Test(quarantine, requestsWithAPartThatCrashesEnginesStopReachingThem)
 {
-    CrashSite site;
+    PartSite site;
     site.play(2s, false);
     site.play(10s, true);
     site.waitForAnswers();
-    const auto counted = site.countedFrom() + contactTime.count();
-    const auto arrivals = site.times("deadly_arrivals");
-    const auto late = std::ranges::count_if(arrivals, [counted](int64_t time) { return time > counted; });
+    const auto late = site.lateArrivals();
     cr_assert_leq(late, maxLateArrivals,
-        "%d requests with the part reached engines later than %d ms after the crash; %d crashes",
-        static_cast<int>(late), static_cast<int>(contactTime.count()), static_cast<int>(site.times("crashes").size()));
+        "%d requests with the part reached engines later than %d ms after the crash; %d crashes", late,
+        static_cast<int>(contactTime.count()), site.crashes());
     cr_assert(isQuarantined(site.deadly.back()));
     cr_assert_eq(site.deadly.back()->status, 503);
     cr_assert_eq(site.deadly.back()->execution(), "not-run");
@@ -170,7 +81,7 @@
 
 Test(quarantine, soundRequestsWithTheSameKeyAndFirstPartAreServed)
 {
-    CrashSite site;
+    PartSite site;
     site.play(3s, false);
     const auto began = QDateTime::currentMSecsSinceEpoch();
     site.play(14s, true);
@@ -185,17 +96,15 @@
 /// No instance has seen the shared part answered when the first engines end.
 Test(quarantine, partsThatAllRequestsShareAreServedWhenCrashesComeFirst)
 {
-    CrashSite site;
+    PartSite site;
     for (size_t entry = 0; entry < instances; ++entry)
         site.sendDeadly(entry);
     site.play(13s, true);
     const auto ended = QDateTime::currentMSecsSinceEpoch();
     site.waitForAnswers();
-    const auto counted = site.countedFrom() + contactTime.count();
-    const auto arrivals = site.times("deadly_arrivals");
-    const auto late = std::ranges::count_if(arrivals, [counted](int64_t time) { return time > counted; });
-    cr_assert_leq(late, maxLateArrivals, "%d requests with the part reached engines late; %d crashes",
-        static_cast<int>(late), static_cast<int>(site.times("crashes").size()));
+    const auto late = site.lateArrivals();
+    cr_assert_leq(
+        late, maxLateArrivals, "%d requests with the part reached engines late; %d crashes", late, site.crashes());
     // Without crashes all are served.
     const auto after = site.servedShare(site.countedFrom() + 2 * contactTime.count(), ended);
     cr_assert_geq(after, 0.5, "served after the crashes: %.2f", after);
@@ -204,7 +113,7 @@
 /// Only requests with both parts come until the quarantine, so that nothing tells the shared part from the bad one.
 Test(quarantine, sharedPartIsServedAfterACrashThatItCouldHaveCaused)
 {
-    CrashSite site;
+    PartSite site;
     for (const size_t entry : { 0u, 1u })
         require(waitFor(site.sendDeadly(entry)), "no answer");
     runFor(1s);
@@ -213,14 +122,12 @@
     site.waitForAnswers();
     const auto after = site.servedShare(site.countedFrom() + 2 * contactTime.count(), ended);
     cr_assert_geq(after, 0.5, "served after the crashes: %.2f", after);
-    const auto counted = site.countedFrom() + contactTime.count();
-    const auto arrivals = site.times("deadly_arrivals");
-    cr_assert_leq(std::ranges::count_if(arrivals, [counted](int64_t time) { return time > counted; }), maxLateArrivals);
+    cr_assert_leq(site.lateArrivals(), maxLateArrivals);
 }
 
 Test(quarantine, instancesThatStartAfterTheCrashesRefuseToo)
 {
-    CrashSite site;
+    PartSite site;
     site.play(1s, false);
     site.play(5s, true);
     site.waitForAnswers();
@@ -242,7 +149,7 @@
 
 Test(quarantine, suspectedRequestIsNotSentToAnotherEngine)
 {
-    CrashSite site;
+    PartSite site;
     const auto sendAndCount = [&site](size_t entry) {
         const auto answer = site.sendDeadly(entry);
         require(waitFor(answer), "no answer");
@@ -256,7 +163,7 @@
 
 Test(quarantine, enginesThatEndForOtherReasonsQuarantineNothing)
 {
-    CrashSite site;
+    PartSite site;
     for (int round = 0; round < 8; ++round) {
         site.play(500ms, false);
         control(site.site.engines[static_cast<size_t>(round) % engines]->address("control"), { { "crash", true } });
@@ -269,7 +176,7 @@
 
 Test(quarantine, partStaysRefusedWhenTheStoreReturnsWithoutTheReports, .timeout = 90)
 {
-    CrashSite site;
+    PartSite site;
     site.site.controlStore({ { "save", true } });
     site.play(1s, false);
     site.play(5s, true);
