Keep a withdrawn stream while all its targets are replaced

A draining engine finishes what it has, so the stream would have gone on at the first one.

Cause: the silent engine was withdrawn at the end of the overlap, when another attempt was possible. When the other engine refused, both were draining, so no target was usable or would be at a known time, and the stream was aborted at once although it had seconds left and a target came 300 ms later.

Evidence, silentTarget/streamIsNotBrokenWhileAllTargetsAreReplaced on the sources before: the caller has "id: 1" of three events and a broken stream.

Streams whose targets ended themselves are aborted at once as before. Nothing is sent, and no retry taken, while there is no target.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -178,9 +178,7 @@
     }
     if (this->failIfQuarantined())
         return;
-    // A stream that was withdrawn from a target might have gone on there, so it is not broken for want of time.
-    const bool mayEndLate = this->streamBegun && !this->withdrawnTargets.empty();
-    if (const auto conflict = mayEndLate ? std::nullopt : this->findStopConflict(now)) {
+    if (const auto conflict = this->isWithdrawnStream() ? std::nullopt : this->findStopConflict(now)) {
         this->fail({ ErrorKind::NoTarget, *conflict, this->execution(), retryAfterStop });
         return;
     }
@@ -202,15 +200,16 @@
 {
     if (!this->isContinuation())
         return false;
+    // A target that registers meanwhile, or returns, is found at the next offer.
     const auto next = nextSend(this->nextAttemptQuery(now));
-    if (!next || next->at + minRemainingForRetry > this->request.deadline)
+    const auto opensAt = next ? next->at : now + refusalBackoff;
+    if ((!next && !this->isWithdrawnStream()) || opensAt + minRemainingForRetry > this->request.deadline)
         return false;
     if (!std::exchange(this->isPauseLogged, true)) {
         const auto after = std::chrono::duration_cast<milliseconds>(now - this->request.arrived);
         this->appendToLog("no usable target now, waits after " + std::to_string(after.count()) + " ms");
     }
-    // A target that registers meanwhile is found at the next offer.
-    const auto offer = std::clamp(next->at, now + minOfferInterval, now + refusalBackoff);
+    const auto offer = std::clamp(opensAt, now + minOfferInterval, now + refusalBackoff);
     this->keptAlive = this->shared_from_this();
     QTimer::singleShot(remaining(offer, now), &this->context.loop, [waiting = this->weak_from_this()] {
         if (const auto call = waiting.lock())
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -97,6 +97,12 @@
     {
         return this->isRepeatable() && this->isStream() && (this->streamBegun || !this->withdrawnTargets.empty());
     }
+    /// Whether a stream that has begun was withdrawn from a target, where it might have gone on. It is not broken while
+    /// some target may still take it.
+    bool isWithdrawnStream() const
+    {
+        return this->streamBegun && !this->withdrawnTargets.empty();
+    }
     bool acquireRetry(const directory::Registration& target, Clock::time_point now);
     bool reserveAttemptAfterBackup(Clock::time_point now);
     void send(Slot& slot, TargetChoice choice);
--- a/tests/SilentTargetTest.cpp
+++ b/tests/SilentTargetTest.cpp
@@ -585,6 +585,23 @@
     cr_expect(answer->body == eventsUntil(3), "%s", answer->body.c_str());
 }
 
+Test(silentTarget, streamIsNotBrokenWhileAllTargetsAreReplaced, .timeout = 60)
+{
+    SilentSite silent;
+    silent.earnRetry();
+    control(silent.site.engines[0]->address(), { { "event_ms", 3000 }, { "events", 3 } });
+    const auto answer = silent.send("s1", "/ask/x", { { "answer", "busy" }, { "refusal_ms", 700 }, { "events", 3 } });
+    cr_assert(waitUntil([&] { return arrivalsAt(silent.site.engines[1]) == 1; }, 2s));
+    runFor(350ms); // the first target is withdrawn
+    for (const auto& engine : silent.site.engines)
+        control(engine->address(), { { "draining", true } });
+    runFor(700ms);
+    control(silent.site.engines[1]->address(), { { "answer", "good" }, { "draining", false } });
+    cr_assert(waitFor(answer, 10s));
+    cr_expect(answer->whole, "%s", answer->body.c_str());
+    cr_expect(answer->body == eventsUntil(3), "%s", answer->body.c_str());
+}
+
 Test(silentTarget, requestOfAFastRouteIsNotRefusedWhileConnectionsOpenSlowly, .timeout = 60)
 {
     constexpr int shortTargetLatencyMs = 100;
