Keep a withdrawn stream while its retry is denied

What callers saw: a stream whose engine was silent stopped after its first event and the connection closed (LOST), although both engines would have taken it some hundred milliseconds later.

Cause: when the silent engine is withdrawn, one further attempt is reserved. If the other engine refuses and the first one, asked with that attempt, refuses too, a second one is needed. Where the retry budget had none at that moment, the stream was aborted at once, with seconds left. The budget is one of a sliding window to which every new request adds, so it denies for a moment.

Evidence, silentTarget/streamIsNotBrokenWhileNoRetryIsLeft on the sources before: the caller has "id: 1" of three events and a broken stream, and 11 requests reached the engines. With the change the stream is whole, with 12 (eight other requests and four attempts).

Why this works: a stream that was withdrawn from a target is offered again every 250 ms until its deadline, as it is while no target is usable. It sends nothing until a retry is granted, so the budget is kept, and four sends remain the limit. The denial is counted and logged once. The line of the pause says "no attempt allowed now" for both reasons.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -189,6 +189,8 @@
         return;
     }
     if (this->sends && !this->acquireRetry(choice->target->registration, now)) {
+        if (this->isWithdrawnStream() && this->offerAgainAt(now + refusalBackoff, now))
+            return;
         this->fail({ ErrorKind::Overloaded, "the retry budget is exhausted", this->execution(), retryAfterRefusal });
         return;
     }
@@ -205,11 +207,18 @@
     const auto opensAt = next ? next->at : now + refusalBackoff;
     if ((!next && !this->isWithdrawnStream()) || opensAt + minRemainingForRetry > this->request.deadline)
         return false;
+    return this->offerAgainAt(std::clamp(opensAt, now + minOfferInterval, now + refusalBackoff), now);
+}
+
+/// Begins the next attempt at @p offer; false if that is too late for it.
+bool ForwardCall::offerAgainAt(Clock::time_point offer, Clock::time_point now)
+{
+    if (offer + minRemainingForRetry > this->request.deadline)
+        return false;
     if (!std::exchange(this->isPauseLogged, true)) {
         const auto after = std::chrono::duration_cast<milliseconds>(now - this->request.arrived);
-        this->appendToLog("no usable target now, waits after " + std::to_string(after.count()) + " ms");
+        this->appendToLog("no attempt allowed now, waits after " + std::to_string(after.count()) + " ms");
     }
-    const auto offer = std::clamp(opensAt, now + minOfferInterval, now + refusalBackoff);
     this->keptAlive = this->shared_from_this();
     QTimer::singleShot(remaining(offer, now), &this->context.loop, [waiting = this->weak_from_this()] {
         if (const auto call = waiting.lock())
@@ -272,7 +281,8 @@
     this->retryGrant = window.tryAcquireRetry(now);
     if (this->retryGrant)
         return true;
-    if (this->attempt && std::exchange(this->isDenialLogged, true))
+    const bool isAskedAgain = this->attempt || this->isWithdrawnStream();
+    if (isAskedAgain && std::exchange(this->isDenialLogged, true))
         return false;
     this->context.metrics.retriesDenied.Increment();
     const auto after = std::chrono::duration_cast<milliseconds>(now - this->request.arrived);
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -84,6 +84,7 @@
         const std::vector<std::string>* only = nullptr) const;
     ChoiceQuery nextAttemptQuery(Clock::time_point now) const;
     bool waitForTarget(Clock::time_point now);
+    bool offerAgainAt(Clock::time_point offer, Clock::time_point now);
     void endWait();
     void failWithoutTarget(Clock::time_point now);
     bool mayTryAnotherTarget() const;
@@ -218,7 +219,7 @@
     std::vector<std::string> withdrawnTargets;
     std::vector<Endpoint> triedEndpoints; ///< of the targets of all attempts
     std::string attemptLog; ///< the ended attempts and denied retries, for the log line of the request
-    bool isDenialLogged = false; ///< a denied backup was counted and logged; it may be denied again many times
+    bool isDenialLogged = false; ///< a denied retry was counted and logged; it may be denied again many times
     bool isStopLogged = false; ///< that a stop leaves no time for a backup was logged
     bool isWaitLogged = false; ///< that no target is usable for a backup was logged
     bool isPauseLogged = false; ///< that the request waits between two attempts was logged
--- a/tests/SilentTargetTest.cpp
+++ b/tests/SilentTargetTest.cpp
@@ -617,3 +617,24 @@
             answer->status, 200, "%s: %d after %d ms", path, answer->status, static_cast<int>(answer->took().count()));
     }
 }
+
+Test(silentTarget, streamIsNotBrokenWhileNoRetryIsLeft, .timeout = 60)
+{
+    SilentSite silent;
+    const auto& first = silent.site.engines[0];
+    control(first->address(), { { "event_ms", 3000 }, { "events", 3 } });
+    const auto answer = silent.send("s1", "/ask/x", { { "answer", "busy" }, { "refusal_ms", 700 } });
+    cr_assert(waitUntil([&] { return arrivalsAt(silent.site.engines[1]) == 1; }, 2s));
+    runFor(350ms); // the first target is withdrawn
+    control(first->address(), { { "answer", "busy" }, { "refusal_ms", 0 } });
+    cr_assert(waitUntil([&] { return arrivalsAt(first) == 2; }, 2s));
+    for (const auto& engine : silent.site.engines)
+        control(engine->address(), { { "answer", "good" }, { "event_ms", 20 } });
+    runFor(300ms);
+    silent.earnRetry();
+    cr_assert(waitFor(answer, 10s));
+    cr_expect(answer->whole, "%s", answer->body.c_str());
+    cr_expect(answer->body == eventsUntil(3), "%s", answer->body.c_str());
+    const auto arrivals = arrivalsAt(first) + arrivalsAt(silent.site.engines[1]);
+    cr_expect_eq(arrivals, 12, "%d", static_cast<int>(arrivals));
+}
