--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -178,9 +178,7 @@
     }
     if (this->failIfQuarantined())
         return;
-    // A stream that was withdrawn from a target might have gone on there, so it is not broken for want of time.
-    const bool mayEndLate = this->streamBegun && !this->withdrawnTargets.empty();
-    if (const auto conflict = mayEndLate ? std::nullopt : this->findStopConflict(now)) {
+    if (const auto conflict = this->isWithdrawnStream() ? std::nullopt : this->findStopConflict(now)) {
         this->fail({ ErrorKind::NoTarget, *conflict, this->execution(), retryAfterStop });
         return;
     }
@@ -191,6 +189,8 @@
         return;
     }
     if (this->sends && !this->acquireRetry(choice->target->registration, now)) {
+        if (this->isWithdrawnStream() && this->offerAgainAt(now + refusalBackoff, now))
+            return;
         this->fail({ ErrorKind::Overloaded, "the retry budget is exhausted", this->execution(), retryAfterRefusal });
         return;
     }
@@ -204,16 +204,24 @@
         return false;
     const auto query = this->nextAttemptQuery(now);
     const auto next = nextSend(query);
-    const auto last = this->request.deadline - minRemainingForRetry;
-    if (next ? next->at > last : !isAwaitingWeights(query) || now >= last)
+    if (!next && !this->isWithdrawnStream() && !isAwaitingWeights(query))
+        return false;
+    // A target that registers, returns or loads weights meanwhile is found at the next offer.
+    const auto opensAt = next ? next->at : now + refusalBackoff;
+    if (opensAt > this->request.deadline - minRemainingForRetry)
+        return false;
+    return this->offerAgainAt(std::clamp(opensAt, now + minOfferInterval, now + refusalBackoff), now);
+}
+
+/// Begins the next attempt at @p offer; false if that is too late for it.
+bool ForwardCall::offerAgainAt(Clock::time_point offer, Clock::time_point now)
+{
+    if (offer > this->request.deadline - minRemainingForRetry)
         return false;
     if (!std::exchange(this->isPauseLogged, true)) {
         const auto after = std::chrono::duration_cast<milliseconds>(now - this->request.arrived);
-        this->appendToLog("no usable target now, waits after " + std::to_string(after.count()) + " ms");
+        this->appendToLog("no attempt allowed now, waits after " + std::to_string(after.count()) + " ms");
     }
-    // A target that registers or loads weights meanwhile is found at the next offer.
-    const auto at = next ? next->at : Deadline::max();
-    const auto offer = std::clamp(at, now + minOfferInterval, now + refusalBackoff);
     this->keptAlive = this->shared_from_this();
     QTimer::singleShot(remaining(offer, now), &this->context.loop, [waiting = this->weak_from_this()] {
         if (const auto call = waiting.lock())
@@ -276,7 +284,8 @@
     this->retryGrant = window.tryAcquireRetry(now);
     if (this->retryGrant)
         return true;
-    if (this->attempt && std::exchange(this->isDenialLogged, true))
+    const bool isAskedAgain = this->attempt || this->isWithdrawnStream();
+    if (isAskedAgain && std::exchange(this->isDenialLogged, true))
         return false;
     this->context.metrics.retriesDenied.Increment();
     const auto after = std::chrono::duration_cast<milliseconds>(now - this->request.arrived);
