--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -77,8 +77,8 @@
           *registry, "dragonfly_claims_unreachable", "Claims refused because the platform's service was unreachable"))
     , targetEndReports(counter(*registry, "dragonfly_target_end_reports_total",
           "Reports published on targets that ended while they began answers"))
-    , quarantinedParts(gauge(
-          *registry, "dragonfly_quarantined_parts", "Prompt parts and requests that are kept from targets because they crash them"))
+    , quarantinedParts(gauge(*registry, "dragonfly_quarantined_parts",
+          "Prompt parts and requests that are kept from targets because they crash them"))
     , limitedTargets(gauge(*registry, "dragonfly_limited_targets", "Targets whose answers name a limit of requests"))
     , leavingTargets(
           gauge(*registry, "dragonfly_leaving_targets", "Processes of targets that said in an answer that they leave"))
