Log the software versions of targets and the attempt that a caller resumes

Cause: nothing in the logs tells engines of two software versions apart. The codec read the version of a registration and dropped it, and no line has the attempt that a caller names when it takes up a stream. So the hypotheses on streams that go on at another version cannot be distinguished: goes on within one answer, at another instance, or after a restart of all.

Change: registrations keep the version, a text; a missing or empty one names none, another type refuses the record, a long one is bounded by a hash. Lines on targets have it as software, entries of attempts too, and the line of a request has resumes. The stand-in target can name a version in its record and in its events.

Nothing uses the version yet. softwareVersionIsATextOrMissing covers the record.

--- a/src/directory/Directory.cpp
+++ b/src/directory/Directory.cpp
@@ -22,7 +22,8 @@
         logChange(LogLevel::Info, event,
             { { "target", registration.id }, { "service", registration.service },
                 { "address", registration.endpoint.toString() }, { "data_centre", registration.dataCentre },
-                { "draining", registration.isDraining ? "yes" : "no" }, { "weights", formatWeights(registration) } });
+                { "draining", registration.isDraining ? "yes" : "no" }, { "software", registration.softwareVersion },
+                { "weights", formatWeights(registration) } });
     }
 
     bool isSameProcess(const Registration& a, const Registration& b)
--- a/src/directory/Registration.h
+++ b/src/directory/Registration.h
@@ -13,6 +13,8 @@
     std::string service;
     Endpoint endpoint;
     std::string dataCentre;
+    /// Version of the software that the target runs, not of its weights; targets that name none share the empty one.
+    std::string softwareVersion;
     uint32_t slots = 0; ///< maximum number of requests in one batch
     bool isDraining = false;
     int64_t startedUnixMs = 0; ///< distinguishes two processes with the same id; 0: unknown
--- a/src/forward/Dialect.h
+++ b/src/forward/Dialect.h
@@ -27,6 +27,9 @@
     uint32_t promptTokens = 0;
     std::vector<PromptPart> prompt; ///< in order; the last part belongs to this request or its session alone
     std::string lastEventId; ///< last event received of the stream to resume; empty for a new stream
+    /// Id of the caller's attempt that brought the first event of the stream to resume; empty if it names none,
+    /// several, or one that is too long.
+    std::string resumedRequestId;
 };
 
 /// The metadata that the router adds to a request for a target.
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -570,6 +570,7 @@
     attempt.load = entry::TargetLoad(choice.target->state, uncachedTokens);
     attempt.sentAt = now;
     attempt.permit = permit;
+    attempt.softwareVersion = registration.softwareVersion;
     attempt.weights = this->describeWeights(choice.weightsVersion);
     attempt.waitingSince = now;
     const auto endpoint = registration.endpoint;
@@ -1132,9 +1133,10 @@
         this->context.metrics.attemptsUnsent.Increment();
     this->appendToLog(choice.target->registration.id + " (" + std::string(routing::toString(choice.policyChoice.reason))
         + ", " + std::to_string(choice.candidates) + " candidates"
-        + (choice.withheld ? ", " + std::to_string(choice.withheld) + " take none now" : "") + ", weights "
-        + slot->weights + ", cached " + std::to_string(choice.policyChoice.cachedTokens) + "/"
-        + std::to_string(this->request.metadata.promptTokens) + (choice.fetchCacheFrom ? ", fetched" : "") + ", "
+        + (choice.withheld ? ", " + std::to_string(choice.withheld) + " take none now" : "") + ", software "
+        + slot->softwareVersion + ", weights " + slot->weights + ", cached "
+        + std::to_string(choice.policyChoice.cachedTokens) + "/" + std::to_string(this->request.metadata.promptTokens)
+        + (choice.fetchCacheFrom ? ", fetched" : "") + ", "
         + (firstEvent ? "first event after " + std::to_string(firstEvent->count()) + " of " : "")
         + std::to_string(took.count()) + " ms, " + (slot->isSent ? "sent" : "not sent") + "): " + outcome);
     slot.reset();
@@ -1198,8 +1200,8 @@
         { { "request", this->request.metadata.requestId }, { "route", this->request.route->name },
             { "config", std::to_string(this->request.routes->version()) },
             { "config_age_ms", configAge ? std::to_string(configAge->count()) : "unproved" },
-            { "status", std::to_string(status) }, { "outcome", outcome },
-            { "execution", std::string(toString(this->execution())) },
+            { "resumes", this->request.metadata.resumedRequestId }, { "status", std::to_string(status) },
+            { "outcome", outcome }, { "execution", std::string(toString(this->execution())) },
             { "took_ms", std::to_string(std::chrono::duration_cast<milliseconds>(took).count()) },
             { "attempts", this->attemptLog } });
 }
--- a/standins/target.cpp
+++ b/standins/target.cpp
@@ -41,6 +41,7 @@
     std::string store; ///< address of the metadata store
     std::string service;
     std::string dataCentre;
+    std::string software; ///< version of the software that the record names; none if empty
     std::string model; ///< name of the served model; empty for a plain service
     bool checksFencing = true; ///< refuses orders with an older fencing token
 };
@@ -258,7 +259,8 @@
             return;
         }
         const auto text = std::to_string(number);
-        exchange->write("id: " + text + "\ndata: token " + text + "\n\n");
+        const auto software = this->settings.software.empty() ? "" : " of " + this->settings.software;
+        exchange->write("id: " + text + "\ndata: token " + text + software + "\n\n");
         QTimer::singleShot(
             this->eventMs, &this->timerContext, [this, exchange, number] { this->sendEvent(exchange, number + 1); });
     }
@@ -387,11 +389,13 @@
 
     void writeRegistration()
     {
-        const QJsonObject record { { "service", QString::fromStdString(this->settings.service) },
+        QJsonObject record { { "service", QString::fromStdString(this->settings.service) },
             { "address", QString::fromStdString(this->address) },
             { "zone", QString::fromStdString(this->settings.dataCentre) }, { "slots", 8 },
             { "state", this->isDraining ? "draining" : "ready" }, { "models", this->models() },
             { "born", 1000 + this->lifetime }, { "seq", ++this->registrations } };
+        if (!this->settings.software.empty())
+            record["version"] = QString::fromStdString(this->settings.software);
         this->sendToStore({ { "put",
             QJsonObject { { "key", QString::fromStdString("servers/" + this->registeredId()) },
                 { "value", QString::fromStdString(toJson(record)) } } } });
@@ -458,6 +462,7 @@
         "store", options::value(&settings.store)->required(), "address of the metadata store")(
         "service", options::value(&settings.service)->required(), "service that the target belongs to")(
         "data-centre", options::value(&settings.dataCentre)->required(), "data centre of the target")(
+        "software", options::value(&settings.software), "version of the software, which events name; none if omitted")(
         "model", options::value(&settings.model), "served model; a plain service if omitted");
     if (!parseOptions(argc, argv, description))
         return 2;
--- a/tests/OddRecordTest.cpp
+++ b/tests/OddRecordTest.cpp
@@ -94,6 +94,24 @@
         cr_expect(!refusal("[{\"name\":\"m\",\"version\":3}]", models).empty(), "models %s are taken", models);
 }
 
+Test(registration, softwareVersionIsATextOrMissing)
+{
+    const auto versionOf = [](const std::string& value) {
+        const auto decoded = decode(with(soundRegistration, "\"version\":\"v1\",", value));
+        return std::get<directory::Registration>(decoded).softwareVersion;
+    };
+    cr_expect_eq(versionOf(R"("version":"v1",)"), "v1");
+    for (const auto* unnamed : { "", R"("version":"",)", R"("version":null,)" })
+        cr_expect_eq(versionOf(unnamed), "", "%s", unnamed);
+    for (const auto* value : { "1", "1.5", "true", "[]", "{}", "[\"v1\"]" })
+        cr_expect(!refusal("\"version\":\"v1\"", std::string("\"version\":") + value).empty(), "%s is taken", value);
+    const std::string longText(1u << 20, 'v');
+    const auto name = versionOf("\"version\":\"" + longText + "\",");
+    cr_expect_leq(name.size(), 64);
+    cr_expect_eq(name, versionOf("\"version\":\"" + longText + "\","));
+    cr_expect_neq(name, versionOf("\"version\":\"" + longText + "w\","));
+}
+
 Test(registration, addressOfNoProcessRefusesTheRecord)
 {
     for (const auto* address : { "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:70000", "10.0.0.1:4294967376", "10.0.0.1:-1",
