--- a/tests/support/ForwardSite.cpp
+++ b/tests/support/ForwardSite.cpp
@@ -29,12 +29,12 @@
 
 }
 
-ForwardSite::ForwardSite()
+ForwardSite::ForwardSite(const QStringList& softwareVersions)
     : store(std::make_unique<Process>("standin-metadatastore", QStringList {}))
 {
     this->publish({ forwardKey });
-    for (const auto* id : { "engine-0", "engine-1" })
-        this->engines.push_back(this->startTarget(id, "engines", "m"));
+    for (const auto& softwareVersion : softwareVersions)
+        this->addEngine(softwareVersion);
     this->addService();
     this->addService();
 }
@@ -46,13 +46,15 @@
     return *this->services.back();
 }
 
-std::unique_ptr<Process> ForwardSite::startTarget(
-    const QString& id, const QString& service, const QString& model, const QString& dataCentre)
+std::unique_ptr<Process> ForwardSite::startTarget(const QString& id, const QString& service, const QString& model,
+    const QString& dataCentre, const QString& softwareVersion)
 {
     QStringList arguments { "--id", id, "--store", text(this->store->address().toString()), "--service", service,
         "--data-centre", dataCentre };
     if (!model.isEmpty())
         arguments += { "--model", model };
+    if (!softwareVersion.isEmpty())
+        arguments += { "--software", softwareVersion };
     return std::make_unique<Process>("standin-target", arguments);
 }
 
@@ -107,10 +109,17 @@
     this->waitUntilReady(*this->entries[entry]);
 }
 
-void ForwardSite::addEngine()
+Process& ForwardSite::addEngine(const QString& softwareVersion)
 {
     const auto id = "engine-" + QString::number(this->engines.size());
-    this->engines.push_back(this->startTarget(id, "engines", "m"));
+    this->engines.push_back(this->startTarget(id, "engines", "m", "north-a", softwareVersion));
+    return *this->engines.back();
+}
+
+void ForwardSite::waitUntilAllKnown() const
+{
+    for (const auto& entry : this->entries)
+        this->waitUntilReady(*entry);
 }
 
 std::string ForwardSite::settingsFile(size_t entry) const
@@ -142,6 +151,8 @@
     }
     if (!spec.lastEventId.empty())
         headers.add("Last-Event-Id", spec.lastEventId);
+    if (!spec.resumes.empty())
+        headers.add("Resumes", spec.resumes);
     return this->caller.send(this->entries[entry]->address(), { spec.method, spec.path, headers, spec.body });
 }
 
--- a/tests/support/ForwardSite.h
+++ b/tests/support/ForwardSite.h
@@ -22,13 +22,19 @@
     std::string key = forwardKey;
     int deadlineMs = 3000;
     std::string lastEventId = {}; ///< last event received of the stream to resume; empty for a new stream
+    std::string resumes = {}; ///< id of the request that brought the first event of that stream; empty to name none
     std::string prompt = "aa:200,bb:100"; ///< parts of the prompt, on routes of engines
 };
 
 class ForwardSite {
 public:
     /// Starts the store with a configuration, two engines and two targets of a plain service.
-    ForwardSite();
+    ForwardSite()
+        : ForwardSite({ "", "" })
+    {
+    }
+    /// The same with one engine for each of @p softwareVersions, which its record and its events name; none if empty.
+    explicit ForwardSite(const QStringList& softwareVersions);
 
     /// Starts an entry instance.
     /// @param extraSettings further settings; those of "drain" take the place of the site's own
@@ -39,7 +45,9 @@
     /// Kills an entry instance and starts it again under its name.
     void restartEntry(size_t entry);
     /// Starts another engine. Call before startEntry(), which waits for every target.
-    void addEngine();
+    Process& addEngine(const QString& softwareVersion = {});
+    /// Waits until each entry instance knows all targets.
+    void waitUntilAllKnown() const;
     /// Starts another target of the plain service. Call before startEntry().
     Process& addService(const QString& dataCentre = "north-a");
     /// Registers a target that the test runs itself. Call before startEntry().
@@ -77,8 +85,8 @@
 
 private:
     void waitUntilReady(Process& entry) const;
-    std::unique_ptr<Process> startTarget(
-        const QString& id, const QString& service, const QString& model, const QString& dataCentre = "north-a");
+    std::unique_ptr<Process> startTarget(const QString& id, const QString& service, const QString& model,
+        const QString& dataCentre = "north-a", const QString& softwareVersion = {});
 
     QTemporaryDir folder;
     size_t ownTargets = 0; ///< targets that the test runs itself
