Resume a stream only at the software version that began it

Cause: a resumed stream was sent to any engine of the service. Nothing knew an engine's software version, and what an instance knew of a stream ended with it. The class: state that must hold across attempts was kept where the attempt ran.

Change: a stream is bound to the version of the first event that its caller got; one condition in the choice of targets holds for retries, backups and waits alike. src/streams knows where a stream began that a caller takes up. One record has the versions at which streams may have begun: a version takes streams once it is there, and is removed only when none that began there can be resumed. With one version no stream needs a record. With several, each start is recorded when it is sent, before the first event in most cases. What is not known is refused as not run. A draining target of the version takes a stream that can go on nowhere else for half of its drain.

A check took the text of a refusal for an event; it reads events only.

--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -69,8 +69,9 @@
     , quarantine(this->settings.instance, this->store, this->metrics)
     , limits(this->metrics)
     , gate(this->limits, this->metrics)
+    , origins(this->settings.forwarding.origins, this->store, this->directory, this->metrics)
     , forwarding(this->settings.forwarding.requests, this->directory, this->headers, this->metrics, this->quarantine,
-          this->limits, this->gate)
+          this->limits, this->gate, this->origins)
     , forwarder(this->forwarding)
     , server(settings.server, [this](const http::ExchangePointer& exchange) { this->forwarder.handle(exchange); })
 {
@@ -82,11 +83,15 @@
         { { "data_centre", this->settings.place.dataCentre },
             { "platform", this->settings.platform.front().toString() },
             { "proof_validity_ms", std::to_string(this->settings.forwarding.proofValidity.count()) } });
+    this->directory.lateResumption = this->settings.forwarding.lateResumption;
     this->directory.onRoutesChanged = [this] { this->applyRoutes(); };
     this->directory.onWeightsChanged = [this] {
         this->forwarder.updateBeginDeadlines();
         this->rollout.scheduleRollout();
     };
+    this->directory.onTargetAdded = [this] { this->origins.onTargetsChanged(); };
+    this->origins.instanceCount = [this] { return this->ranking.size() + 1; };
+    this->origins.recordsAsOf = [this] { return this->sync.changesAsOf(); };
     this->limits.standingOf = [this](const directory::Registration& target) {
         const auto& regions = this->settings.forwarding.requests.regions;
         const auto region = regions.find(target.dataCentre);
@@ -184,7 +189,7 @@
 {
     if (record.key.starts_with(relay::InstanceRegistry::keyPrefix))
         this->registry.onRecord(record, exists);
-    else if (!this->quarantine.applyRecord(record, exists))
+    else if (!this->quarantine.applyRecord(record, exists) && !this->origins.applyRecord(record, exists))
         this->rollout.applyRecord(record, exists);
 }
 
@@ -194,11 +199,12 @@
     this->registry.onStoreReturned();
     this->rollout.onStoreReturned();
     this->quarantine.onStoreReturned();
+    this->origins.onStoreReturned();
 }
 
 void ForwardingDaemon::onOwnRecordLost(const std::string& key)
 {
-    if (!this->quarantine.onRecordLost(key))
+    if (!this->quarantine.onRecordLost(key) && !this->origins.onRecordLost(key))
         this->onOwnRecord({ key, {}, 0 }, false);
 }
 
@@ -208,6 +214,7 @@
     if (std::exchange(this->isStoreReturned, false))
         this->quarantine.publishMissing([this](const std::string& key) { return this->sync.hasFollowedRecord(key); });
     this->quarantine.update();
+    this->origins.onWholeRead();
 }
 
 void ForwardingDaemon::applyRoutes()
--- a/src/daemon/ForwardingDaemon.h
+++ b/src/daemon/ForwardingDaemon.h
@@ -86,6 +86,7 @@
     quarantine::PromptQuarantine quarantine;
     limits::RequestLimits limits;
     backoff::SendGate gate;
+    streams::StreamOrigins origins;
     forward::ForwardContext forwarding;
     forward::Forwarder forwarder;
     http::Server server;
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -86,6 +86,9 @@
         reader.reportUnknownFields();
     }
 
+    /// The rest is for the delay until this instance learns that a target drains, and for opening a connection.
+    constexpr int drainTimeDivisor = 2;
+
     std::map<std::string, std::string> readRegions(MapReader reader, const YAML::Node& node)
     {
         std::map<std::string, std::string> regions;
@@ -109,6 +112,10 @@
         forwarding.parallelLoads = reader.fraction("parallelLoads", 0.2);
         forwarding.requests.retryBudget.ratio = reader.fraction("retryRatio", 0.2) * usedRetryBudget;
         forwarding.requests.retryBudget.window = reader.duration("retryWindow", seconds(10));
+        forwarding.lateResumption = reader.duration("drainTime", milliseconds(0)) / drainTimeDivisor;
+        forwarding.origins.instance = settings.instance;
+        forwarding.origins.storeWritesPerSecond
+            = static_cast<double>(reader.number("storeWritesPerSecond", 400, 1, 1000000));
         reader.reportUnknownFields();
         forwarding.requests.instance = settings.instance;
         forwarding.requests.place = settings.place;
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -6,6 +6,7 @@
 #include "daemon/DrainSchedule.h"
 #include "entry/Context.h"
 #include "forward/ForwardContext.h"
+#include "streams/StreamOrigins.h"
 #include "weights/LeaderLease.h"
 
 namespace dragonfly::daemon {
@@ -21,6 +22,8 @@
     forward::ForwardSettings requests;
     std::chrono::milliseconds proofValidity { 0 }; ///< time to live of a freshness proof
     weights::LeaderLeaseTimings leaderLease;
+    streams::OriginSettings origins;
+    std::chrono::milliseconds lateResumption { 0 }; ///< as in directory::Directory
     double parallelLoads = 0; ///< maximum share of a model's engines that load weights at the same time, 0 to 1
 };
 
--- a/src/directory/Deployment.h
+++ b/src/directory/Deployment.h
@@ -36,6 +36,11 @@
     bool isAnonymous = false; ///< requests need no API key
     bool isResumable = false; ///< an interrupted stream may continue at another target
     bool describesPrompt = false; ///< requests describe the parts of their prompt, for cache-aware routing
+
+    bool isResumableStream() const
+    {
+        return this->kind == RequestKind::Streaming && this->isResumable;
+    }
 };
 
 /// Properties that all engines of a service share.
--- a/src/directory/Directory.cpp
+++ b/src/directory/Directory.cpp
@@ -28,7 +28,8 @@
 
     bool isSameProcess(const Registration& a, const Registration& b)
     {
-        return a.endpoint == b.endpoint && a.service == b.service && a.startedUnixMs == b.startedUnixMs;
+        return a.endpoint == b.endpoint && a.service == b.service && a.startedUnixMs == b.startedUnixMs
+            && a.softwareVersion == b.softwareVersion;
     }
 
 }
@@ -69,9 +70,15 @@
         logTarget(isNew ? "target registered" : "target changed", registration);
     if (changesWeights)
         target->refusingUntil = {};
+    if (!isNew && !target->registration.isDraining && registration.isDraining)
+        target->resumesUntil = Clock::now() + this->lateResumption;
+    if (registration.sequence != target->registration.sequence)
+        target->isDoubted = false;
     target->registration = std::move(registration);
     if (changesWeights && this->onWeightsChanged)
         this->onWeightsChanged();
+    if (isNew && this->onTargetAdded)
+        this->onTargetAdded();
 }
 
 void Directory::removeTarget(const std::string& id)
--- a/src/directory/Directory.h
+++ b/src/directory/Directory.h
@@ -39,6 +39,8 @@
     }
 
     Freshness freshness;
+    /// How long after its record says so a draining target takes streams that can go on nowhere else.
+    std::chrono::milliseconds lateResumption { 0 };
 
     /// The routes in force; null before the first configuration.
     const RouteTablePointer& routes() const
@@ -75,6 +77,7 @@
     }
 
     std::function<void()> onRoutesChanged; ///< called when a configuration comes into force
+    std::function<void()> onTargetAdded; ///< called when a target, or a new process of one, was registered
     /// Called when wanted weights or those of a target change, or when the confirmation of a replaced version begins or
     /// ends.
     std::function<void()> onWeightsChanged;
--- a/src/directory/RouteTable.cpp
+++ b/src/directory/RouteTable.cpp
@@ -20,6 +20,13 @@
     }
     for (const auto& service : this->deployment.services)
         this->servicesByName[service.name] = &service;
+    for (const auto& route : this->deployment.routes) {
+        if (!route.isResumableStream())
+            continue;
+        this->longestTimeout = std::max(this->longestTimeout, route.timeout);
+        for (const auto& share : route.shares)
+            this->servicesOfResumableRoutes.insert(share.service);
+    }
 }
 
 const Route* RouteTable::findRoute(std::string_view host, std::string_view path) const
--- a/src/directory/RouteTable.h
+++ b/src/directory/RouteTable.h
@@ -4,6 +4,7 @@
 #include "directory/Deployment.h"
 
 #include <memory>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 
@@ -31,6 +32,16 @@
     /// The organisation that owns @p apiKey, or null.
     const Organisation* findOrganisation(std::string_view apiKey) const;
     const Service* findService(std::string_view name) const;
+    /// Longest timeout of the routes with resumable streams; 0 if there is none.
+    std::chrono::milliseconds longestResumableTimeout() const
+    {
+        return this->longestTimeout;
+    }
+    /// Names of the services to which routes with resumable streams lead.
+    const std::set<std::string>& resumableServices() const
+    {
+        return this->servicesOfResumableRoutes;
+    }
     /// Whether requests need an API key at all.
     bool needsKeys() const
     {
@@ -42,6 +53,8 @@
     std::unordered_map<std::string, std::vector<const Route*>> routesByHost; ///< longest prefix first
     std::unordered_map<std::string, const Organisation*> organisationsByKeyHash;
     std::unordered_map<std::string, const Service*> servicesByName;
+    std::set<std::string> servicesOfResumableRoutes;
+    std::chrono::milliseconds longestTimeout { 0 }; ///< of the resumable routes
 };
 
 using RouteTablePointer = std::shared_ptr<const RouteTable>;
--- a/src/directory/Target.h
+++ b/src/directory/Target.h
@@ -14,11 +14,21 @@
     std::shared_ptr<routing::TargetState> state = std::make_shared<routing::TargetState>();
     Deadline refusingUntil; ///< the target refused a request; no requests are sent to it before
     bool isReplaced = false; ///< another target answers at its address
+    bool isDoubted = false; ///< it refused a connection, so its process may have ended; until its next record
+
+    /// A target that drains takes streams that can go on nowhere else before this; the epoch while it does not drain,
+    /// or if this instance does not know since when it does.
+    Deadline resumesUntil;
 
     bool isUsable(Clock::time_point now) const
     {
         return !this->registration.isDraining && !this->isReplaced && now >= this->refusingUntil;
     }
+    /// Whether a stream that can go on at no usable target may go on here.
+    bool mayResumeLate(Clock::time_point now) const
+    {
+        return !this->isReplaced && now >= this->refusingUntil && now < this->resumesUntil;
+    }
     /// The version of the weights of @p model that the target runs; 0 if it does not run the model.
     uint64_t weightsOf(const std::string& model) const
     {
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -44,6 +44,12 @@
     /// Shortest wait until a stream that no target takes is offered again. Bounds the work if a target that is ready to
     /// be chosen is lost to other requests again and again.
     constexpr milliseconds minOfferInterval { 20 };
+    /// How long a stream that is taken up waits for the record of where it began, which takes two watches of 300 ms by
+    /// way of a peer; and the part of its time that it waits at most, so that its caller can go elsewhere.
+    constexpr milliseconds maxOriginWait { 1200 };
+    constexpr int originTimeDivisor = 3;
+    /// How long a new stream waits until it may begin at the version of the only targets: for one write of the record.
+    constexpr milliseconds maxVersionWait { 1000 };
     /// With less time left until the deadline, a retry could not succeed.
     constexpr milliseconds minRemainingForRetry { 30 };
     /// Limit on all attempts, of which those to unreachable targets cost time only. Bounds the request's log line.
@@ -96,6 +102,8 @@
 std::string_view toString(Awaited awaited)
 {
     switch (awaited) {
+    case Awaited::Origin:
+        return "record of the stream's begin";
     case Awaited::NextTarget:
         return "next target";
     case Awaited::Connection:
@@ -146,7 +154,63 @@
         if (auto call = self.lock())
             call->resumeReading();
     };
-    this->nextAttempt();
+    const auto* organisation = this->request.organisation;
+    const auto& metadata = this->request.metadata;
+    this->binding.stream = streams::streamIdOf(organisation ? organisation->name : "", metadata.requestId);
+    if (!isTakeUp(*this->request.route, metadata)) {
+        this->nextAttempt();
+        return;
+    }
+    this->arrivedAtBootClock = BootClock::now();
+    this->resolveOrigin();
+}
+
+/// Binds a stream that is taken up to the version that began it, as soon as that is known.
+void ForwardCall::resolveOrigin()
+{
+    const auto now = Clock::now();
+    if (this->context.isStopping) {
+        this->endForStop();
+        return;
+    }
+    if (this->request.exchange->hasCallerClosed()) {
+        this->onCallerGone();
+        return;
+    }
+    const auto* organisation = this->request.organisation;
+    const auto& resumed = this->request.metadata.resumedRequestId;
+    const bool namesOther = !resumed.empty() && resumed != this->request.metadata.requestId;
+    const auto stream = namesOther ? std::optional(streams::streamIdOf(organisation ? organisation->name : "", resumed))
+                                   : std::nullopt;
+    if (const auto origin = this->context.origins.originOf(*this->request.route, stream)) {
+        this->binding.version = origin->version;
+        this->binding.source = toString(origin->source);
+        this->nextAttempt();
+        return;
+    }
+    const auto& arrived = this->request.arrived;
+    const auto waitUntil
+        = arrived + std::min<Clock::duration>(maxOriginWait, (this->request.deadline - arrived) / originTimeDivisor);
+    if (!stream || now >= waitUntil || this->context.origins.hasReadUpTo(this->arrivedAtBootClock)) {
+        this->context.metrics.takeUpsRefused.Increment();
+        this->fail({ ErrorKind::NoTarget, "the software version at which the stream began is not known",
+            Execution::NotRun, retryAfterRefusal });
+        return;
+    }
+    this->continueAt(now + minOfferInterval, &ForwardCall::resolveOrigin);
+}
+
+/// Goes on with @p step at @p moment, and keeps the object alive until then.
+void ForwardCall::continueAt(Clock::time_point moment, void (ForwardCall::*step)())
+{
+    this->keptAlive = this->shared_from_this();
+    QTimer::singleShot(remaining(moment, Clock::now()), &this->context.loop, [waiting = this->weak_from_this(), step] {
+        const auto call = waiting.lock();
+        if (!call)
+            return;
+        if (const auto self = std::exchange(call->keptAlive, nullptr))
+            (self.get()->*step)();
+    });
 }
 
 /// Whether the request may be retried at another target.
@@ -200,9 +264,11 @@
 /// Waits for a target that takes the next attempt of a continuation. Returns false if there is none in time.
 bool ForwardCall::waitForTarget(Clock::time_point now)
 {
-    if (!this->isContinuation())
-        return false;
     const auto query = this->nextAttemptQuery(now);
+    if (!this->attemptCount && now < this->request.arrived + maxVersionWait && isAwaitingVersion(query))
+        return this->offerAgainAt(now + minOfferInterval, now);
+    if (!this->isContinuation() || isVersionGone(query))
+        return false;
     const auto next = nextSend(query);
     if (!next && !this->isWithdrawnStream() && !isAwaitingWeights(query))
         return false;
@@ -222,20 +288,10 @@
         const auto after = std::chrono::duration_cast<milliseconds>(now - this->request.arrived);
         this->appendToLog("no attempt allowed now, waits after " + std::to_string(after.count()) + " ms");
     }
-    this->keptAlive = this->shared_from_this();
-    QTimer::singleShot(remaining(offer, now), &this->context.loop, [waiting = this->weak_from_this()] {
-        if (const auto call = waiting.lock())
-            call->endWait();
-    });
+    this->continueAt(offer, &ForwardCall::nextAttempt);
     return true;
 }
 
-void ForwardCall::endWait()
-{
-    if (const auto self = std::exchange(this->keptAlive, nullptr))
-        this->nextAttempt();
-}
-
 ChoiceQuery ForwardCall::nextAttemptQuery(Clock::time_point now) const
 {
     if (!this->isContinuation())
@@ -247,21 +303,35 @@
 ChoiceQuery ForwardCall::choiceQuery(
     Clock::time_point now, const std::vector<std::string>& excluded, const std::vector<std::string>* only) const
 {
+    const bool isResumable = this->request.route->isResumableStream();
     return { this->context.directory, *this->request.routes, *this->request.route, this->request.metadata,
         this->request.organisation, this->context.settings.place, this->context.settings.regions,
         this->context.prefixIndex, excluded, this->context.gate, this->context.settings.replacedWeightsTtl,
-        QRandomGenerator::global()->generate64(), now, BootClock::now(), only };
+        QRandomGenerator::global()->generate64(), now, BootClock::now(), isResumable ? &this->context.origins : nullptr,
+        isResumable && this->binding.version ? &*this->binding.version : nullptr, false, only };
 }
 
 std::optional<TargetChoice> ForwardCall::chooseTarget(const ChoiceQuery& query) const
 {
-    return forward::chooseTarget(this->context.settings.policy, query);
+    const auto& policy = this->context.settings.policy;
+    auto choice = forward::chooseTarget(policy, query);
+    if (choice || !query.softwareVersion)
+        return choice;
+    auto late = query;
+    late.isLate = true;
+    return forward::chooseTarget(policy, late);
 }
 
 void ForwardCall::failWithoutTarget(Clock::time_point now)
 {
     const std::vector<std::string> none;
-    const auto next = nextSend(this->choiceQuery(now, none));
+    const auto query = this->choiceQuery(now, none);
+    if (isVersionGone(query)) {
+        this->fail({ ErrorKind::NoTarget, "no target of the software version at which the stream began",
+            this->execution(), retryAfterRefusal });
+        return;
+    }
+    const auto next = nextSend(query);
     if (!next || (next->reason != Verdict::AtLimit && next->reason != Verdict::BackingOff)) {
         this->fail({ ErrorKind::NoTarget, "no usable target for this request", this->execution(), retryAfterRefusal });
         return;
@@ -490,8 +560,10 @@
 
 Awaited ForwardCall::awaited(const Slot& slot) const
 {
-    if (!slot)
-        return Awaited::NextTarget;
+    if (!slot) {
+        const bool isOriginUnknown = isTakeUp(*this->request.route, this->request.metadata) && !this->binding.version;
+        return isOriginUnknown ? Awaited::Origin : Awaited::NextTarget;
+    }
     if (!slot->isSent)
         return Awaited::Connection;
     if (!slot->head.status)
@@ -571,6 +643,8 @@
     attempt.sentAt = now;
     attempt.permit = permit;
     attempt.softwareVersion = registration.softwareVersion;
+    if (this->request.route->isResumableStream())
+        recordAttempt(this->binding, this->context.origins, registration.service, registration.softwareVersion);
     attempt.weights = this->describeWeights(choice.weightsVersion);
     attempt.waitingSince = now;
     const auto endpoint = registration.endpoint;
@@ -608,7 +682,8 @@
     if (this->request.exchange->hasCallerClosed())
         return false;
     const auto& target = *attempt.choice.target;
-    const bool isGone = target.registration.isDraining || target.isReplaced;
+    const bool isResumedLate = this->binding.version && target.mayResumeLate(Clock::now());
+    const bool isGone = (target.registration.isDraining && !isResumedLate) || target.isReplaced;
     attempt.verdict
         = isGone ? Verdict::Leaving : this->context.gate.confirm(target.registration, attempt.permit, Clock::now());
     return attempt.verdict == Verdict::Open;
@@ -923,6 +998,9 @@
     this->attempt->firstEventAfter = std::chrono::duration_cast<milliseconds>(now - this->attempt->sentAt);
     this->attempt->load.promptDone();
     const auto& choice = this->attempt->choice;
+    if (this->request.route->isResumableStream())
+        recordEvent(
+            this->binding, this->context.origins, choice.target->registration.service, this->attempt->softwareVersion);
     rememberPrompt(this->context.prefixIndex, choice, now);
     routing::recordSuccess(*choice.target->state);
     const std::chrono::duration<double> took = now - this->request.arrived;
@@ -1057,6 +1135,8 @@
         this->discountRun(*slot);
     if (isWithdrawn)
         this->allowAgain(*slot);
+    if (failure.kind == http::CallFailureKind::ConnectFailed && Clock::now() < slot->connectDeadline)
+        slot->choice.target->isDoubted = true;
     if (this->mayBeReachedLater(*slot, failure)) {
         std::erase(this->excludedTargets, slot->choice.target->registration.id);
         std::erase(this->triedTargets, slot->choice.target->registration.id);
@@ -1200,8 +1280,10 @@
         { { "request", this->request.metadata.requestId }, { "route", this->request.route->name },
             { "config", std::to_string(this->request.routes->version()) },
             { "config_age_ms", configAge ? std::to_string(configAge->count()) : "unproved" },
-            { "resumes", this->request.metadata.resumedRequestId }, { "status", std::to_string(status) },
-            { "outcome", outcome }, { "execution", std::string(toString(this->execution())) },
+            { "resumes", this->request.metadata.resumedRequestId },
+            { "software", this->binding.version.value_or("any") }, { "software_from", this->binding.source },
+            { "status", std::to_string(status) }, { "outcome", outcome },
+            { "execution", std::string(toString(this->execution())) },
             { "took_ms", std::to_string(std::chrono::duration_cast<milliseconds>(took).count()) },
             { "attempts", this->attemptLog } });
 }
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -15,6 +15,7 @@
 #include "forward/Attempt.h"
 #include "forward/EventCursor.h"
 #include "forward/ForwardContext.h"
+#include "forward/StreamBinding.h"
 
 namespace dragonfly::forward {
 
@@ -32,6 +33,7 @@
 
 /// What an open request waits for.
 enum class Awaited {
+    Origin, ///< the record of where the stream that is taken up began
     NextTarget,
     Connection,
     AnswerBegin,
@@ -77,6 +79,8 @@
     /// An attempt that is open, or none.
     using Slot = std::optional<Attempt>;
 
+    void resolveOrigin();
+    void continueAt(Clock::time_point moment, void (ForwardCall::*step)());
     void nextAttempt();
     std::optional<TargetChoice> chooseTarget(const ChoiceQuery& query) const;
     /// @param only the targets to choose from; null for all that are not @p excluded
@@ -85,7 +89,6 @@
     ChoiceQuery nextAttemptQuery(Clock::time_point now) const;
     bool waitForTarget(Clock::time_point now);
     bool offerAgainAt(Clock::time_point offer, Clock::time_point now);
-    void endWait();
     void failWithoutTarget(Clock::time_point now);
     bool mayTryAnotherTarget() const;
     bool canContinueElsewhere() const
@@ -228,6 +231,8 @@
     uint32_t sends = 0; ///< attempts of which bytes were sent
     uint32_t runs = 0; ///< targets that run the request or may have run it
     EventCursor events;
+    StreamBinding binding; ///< used on routes with resumable streams only
+    BootClock::time_point arrivedAtBootClock; ///< of a stream that is taken up
     /// A target may have run the request. Invariant: a non-repeatable request has no further attempt once this is set.
     bool mayHaveRun = false;
     Clock::time_point attemptEndedAt; ///< of the last attempt; the arrival of the request before the first end
--- a/src/forward/ForwardContext.h
+++ b/src/forward/ForwardContext.h
@@ -11,6 +11,7 @@
 #include "observe/Observe.h"
 #include "quarantine/Quarantine.h"
 #include "routing/Routing.h"
+#include "streams/StreamOrigins.h"
 
 #include <set>
 #include <unordered_set>
@@ -36,7 +37,7 @@
 struct ForwardContext {
     ForwardContext(const ForwardSettings& settings, directory::Directory& directory, const Dialect& dialect,
         observe::Metrics& metrics, quarantine::PromptQuarantine& quarantine, limits::RequestLimits& limits,
-        backoff::SendGate& gate)
+        backoff::SendGate& gate, streams::StreamOrigins& origins)
         : settings(settings)
         , directory(directory)
         , dialect(dialect)
@@ -44,6 +45,7 @@
         , quarantine(quarantine)
         , limits(limits)
         , gate(gate)
+        , origins(origins)
         , prefixIndex(settings.prefixSlots)
     {
     }
@@ -61,6 +63,7 @@
     quarantine::PromptQuarantine& quarantine;
     limits::RequestLimits& limits; ///< updated by answers; asked through the gate
     backoff::SendGate& gate;
+    streams::StreamOrigins& origins;
     routing::PrefixIndex prefixIndex;
     http::ClientPool targets;
     QObject loop; ///< context object of deferred calls, which are dropped when it is destroyed
--- a/src/forward/TargetChooser.cpp
+++ b/src/forward/TargetChooser.cpp
@@ -1,5 +1,7 @@
 #include "forward/TargetChooser.h"
 
+#include "forward/StreamBinding.h"
+
 #include <algorithm>
 #include <functional>
 
@@ -186,7 +188,8 @@
     {
         const auto& id = target.registration.id;
         const auto lists = [&id](const auto& ids) { return std::ranges::find(ids, id) != ids.end(); };
-        return lists(query.excluded) || (query.only && !lists(*query.only));
+        return lists(query.excluded) || (query.only && !lists(*query.only))
+            || (query.origins && !mayStreamAt(*query.origins, query.softwareVersion, target));
     }
 
     /// Whether a request that names a model needs a target of @p service that runs the model. Plain services ignore
@@ -203,7 +206,8 @@
         const bool needsWeights = !model.empty() && runsModels(query, service);
         const auto seed = rankSeed(query);
         for (auto& target : query.directory.targetsOf(service)) {
-            if (!target->isUsable(query.now) || isExcluded(query, *target))
+            const bool isUsable = target->isUsable(query.now) || (query.isLate && target->mayResumeLate(query.now));
+            if (!isUsable || isExcluded(query, *target))
                 continue;
             const auto version = needsWeights ? target->weightsOf(model) : 0;
             auto candidate = candidateOf(query, *target, seed);
@@ -401,6 +405,35 @@
     });
 }
 
+bool isVersionGone(const ChoiceQuery& query)
+{
+    if (!query.softwareVersion)
+        return false;
+    bool hasTargets = false;
+    for (const auto& service : serviceOrder(query.route, query.random)) {
+        for (const auto& target : query.directory.targetsOf(service)) {
+            const bool isLeaving = target->registration.isDraining && query.now >= target->resumesUntil;
+            if (isLeaving || target->isReplaced)
+                continue;
+            hasTargets = true;
+            if (target->registration.softwareVersion == *query.softwareVersion)
+                return false;
+        }
+    }
+    return hasTargets;
+}
+
+bool isAwaitingVersion(const ChoiceQuery& query)
+{
+    if (!query.origins || query.softwareVersion)
+        return false;
+    const auto services = serviceOrder(query.route, query.random);
+    return std::ranges::any_of(services, [&](const std::string& service) {
+        return std::ranges::any_of(query.directory.targetsOf(service),
+            [&](const auto& target) { return target->isUsable(query.now) && !query.origins->mayBeginAt(*target); });
+    });
+}
+
 void applyStatement(backoff::SendGate& gate, const directory::Registration& target, const AnswerMetadata& answer,
     const std::string& source, Clock::time_point now)
 {
--- a/src/forward/TargetChooser.h
+++ b/src/forward/TargetChooser.h
@@ -5,6 +5,7 @@
 #include "directory/Directory.h"
 #include "forward/Dialect.h"
 #include "routing/Routing.h"
+#include "streams/StreamOrigins.h"
 
 namespace dragonfly::forward {
 
@@ -24,6 +25,10 @@
     uint64_t random = 0; ///< a new random number for each attempt
     Clock::time_point now;
     BootClock::time_point bootNow; ///< the same moment; ages of weights include suspensions of the machine
+    /// Of a resumable stream: where it may begin; null for any other request.
+    const streams::StreamOrigins* origins = nullptr;
+    const std::string* softwareVersion = nullptr; ///< if set, the only one at which the stream may go on
+    bool isLate = false; ///< also targets that drain may be selected, as the stream can go on at no other
     const std::vector<std::string>* only = nullptr; ///< if set, the ids of the only targets that may be selected
 };
 
@@ -57,6 +62,12 @@
 /// has loaded newer ones.
 bool isAwaitingWeights(const ChoiceQuery& query);
 
+/// Whether the route has targets, but none of the software version that the stream is bound to.
+bool isVersionGone(const ChoiceQuery& query);
+
+/// Whether a target that may be selected is usable, but streams may not begin at its software version yet.
+bool isAwaitingVersion(const ChoiceQuery& query);
+
 /// Applies what @p answer says about further requests to @p gate, unless another process than @p target sent it.
 /// @param source the id of the request, or the kind of the call, that was answered
 void applyStatement(backoff::SendGate& gate, const directory::Registration& target, const AnswerMetadata& answer,
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -40,6 +40,8 @@
     , retries(counter(*registry, "dragonfly_retries_total", "Attempts made after a failed attempt of the same request"))
     , retriesDenied(counter(*registry, "dragonfly_retries_denied_total", "Retries denied by the retry budget"))
     , streamsResumed(counter(*registry, "dragonfly_streams_resumed_total", "Streams continued on another target"))
+    , takeUpsRefused(counter(*registry, "dragonfly_take_ups_refused_total",
+          "Streams that were not taken up because the software version that began them is not known"))
     , mismatchedAnswers(counter(
           *registry, "dragonfly_mismatched_answers_total", "Answers discarded because they belong to another request"))
     , callersGone(counter(*registry, "dragonfly_callers_gone_total", "Requests whose caller disconnected"))
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -29,6 +29,7 @@
     prometheus::Counter& retries;
     prometheus::Counter& retriesDenied;
     prometheus::Counter& streamsResumed;
+    prometheus::Counter& takeUpsRefused;
     prometheus::Counter& mismatchedAnswers;
     prometheus::Counter& callersGone;
     prometheus::Counter& promptTokens;
--- a/src/quarantine/PromptQuarantine.cpp
+++ b/src/quarantine/PromptQuarantine.cpp
@@ -116,8 +116,8 @@
 PromptQuarantine::PromptQuarantine(const std::string& instance, store::WatchableStore& store, observe::Metrics& metrics)
     : instance(instance)
     , metrics(metrics)
-    , reportPublisher(store, metrics, PublisherTimings { .leaseTtl = reportTtl })
-    , soundPublisher(store, metrics, PublisherTimings { .leaseTtl = soundTtl })
+    , reportPublisher(store, metrics, PublisherSettings { .leaseTtl = reportTtl })
+    , soundPublisher(store, metrics, PublisherSettings { .leaseTtl = soundTtl })
     , reportKeyPrefix(
           std::string(reportPrefix) + instance + "/" + std::to_string(unixTime(WallClock::now()).count()) + "-")
 {
--- a/src/quarantine/RecordPublisher.cpp
+++ b/src/quarantine/RecordPublisher.cpp
@@ -21,10 +21,10 @@
 }
 
 RecordPublisher::RecordPublisher(
-    store::WatchableStore& store, observe::Metrics& metrics, const PublisherTimings& timings)
+    store::WatchableStore& store, observe::Metrics& metrics, const PublisherSettings& settings)
     : store(store)
     , metrics(metrics)
-    , timings(timings)
+    , settings(settings)
 {
     this->timer.setSingleShot(true);
     connect(&this->timer, &QTimer::timeout, this, &RecordPublisher::writeNext);
@@ -69,7 +69,7 @@
         this->timer.start(remaining(this->nextCallAt, now));
         return;
     }
-    if (this->lease && BootClock::now() < this->leaseGrantedAt + std::chrono::milliseconds(this->timings.leaseTtl) / 2)
+    if (this->lease && BootClock::now() < this->leaseGrantedAt + std::chrono::milliseconds(this->settings.leaseTtl) / 2)
         this->put();
     else
         this->grantLease();
@@ -81,7 +81,7 @@
     this->leaseGrantedAt = BootClock::now();
     this->metrics.platformCalls.Increment();
     this->store.grantLease(
-        this->timings.leaseTtl, Clock::now() + callTimeout, [this](const store::LeaseResult& result) {
+        this->settings.leaseTtl, Clock::now() + callTimeout, [this](const store::LeaseResult& result) {
             this->isCallInFlight = false;
             const auto* granted = std::get_if<int64_t>(&result);
             if (!granted) {
@@ -96,7 +96,7 @@
 void RecordPublisher::put()
 {
     this->isCallInFlight = true;
-    this->nextCallAt = Clock::now() + this->timings.writeInterval;
+    this->nextCallAt = Clock::now() + this->settings.writeInterval;
     this->metrics.platformCalls.Increment();
     const auto& record = this->waiting.front();
     const auto deadline = Clock::now() + callTimeout;
@@ -123,9 +123,9 @@
 void RecordPublisher::onFailure(const char* reason)
 {
     auto& record = this->waiting.front();
-    const auto backoff = this->timings.retryBackoff * (1 << std::min(record.failures, maxDoublings));
+    const auto backoff = this->settings.retryBackoff * (1 << std::min(record.failures, maxDoublings));
     ++record.failures;
-    logChange(LogLevel::Warning, "prompt evidence not published",
+    logChange(LogLevel::Warning, std::string(this->settings.content) + " not published",
         { { "key", record.key }, { "reason", reason }, { "failures", std::to_string(record.failures) } });
     this->lease.reset(); // it may have ended
     this->nextCallAt = Clock::now() + backoff;
@@ -140,7 +140,7 @@
 void RecordPublisher::finish(const Record& record, bool isWritten)
 {
     if (!isWritten)
-        logChange(LogLevel::Warning, "prompt evidence dropped", { { "key", record.key } });
+        logChange(LogLevel::Warning, std::string(this->settings.content) + " dropped", { { "key", record.key } });
     if (record.value && this->onDone)
         this->onDone(record.key, isWritten);
 }
--- a/src/quarantine/RecordPublisher.h
+++ b/src/quarantine/RecordPublisher.h
@@ -13,22 +13,24 @@
 #include <deque>
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace dragonfly::quarantine {
 
-struct PublisherTimings {
+struct PublisherSettings {
     /// Records exist for at least half of this time.
     std::chrono::seconds leaseTtl { 1800 };
     /// Between the starts of two writes.
     std::chrono::milliseconds writeInterval { 250 };
     /// After a failed call, doubled with each further one up to eight times this.
     std::chrono::milliseconds retryBackoff { 400 };
+    std::string_view content = "prompt evidence"; ///< what the records hold, for log lines
 };
 
 class RecordPublisher : public QObject {
     Q_OBJECT
 public:
-    RecordPublisher(store::WatchableStore& store, observe::Metrics& metrics, const PublisherTimings& timings);
+    RecordPublisher(store::WatchableStore& store, observe::Metrics& metrics, const PublisherSettings& settings);
 
     enum class Urgency {
         Ordinary,
@@ -39,6 +41,11 @@
     void write(const std::string& key, const std::string& value, Urgency urgency = Urgency::Ordinary);
     /// Removes @p key soon, after the writes that wait.
     void remove(const std::string& key);
+    /// Sets for how long the next lease is granted.
+    void setLeaseTtl(std::chrono::seconds ttl)
+    {
+        this->settings.leaseTtl = ttl;
+    }
     /// To be called when the service has returned from an older copy, which may have granted the lease to others.
     void onStoreReturned()
     {
@@ -65,7 +72,7 @@
 
     store::WatchableStore& store;
     observe::Metrics& metrics;
-    PublisherTimings timings;
+    PublisherSettings settings;
     std::deque<Record> waiting; ///< the first is in flight or next; behind it urgent records come before others
     std::optional<int64_t> lease;
     BootClock::time_point leaseGrantedAt; ///< a moment before the lease was granted
--- /dev/null
+++ b/src/streams/ServiceVersions.cpp
@@ -0,0 +1,73 @@
+#include "streams/ServiceVersions.h"
+
+#include "streams.pb.h"
+
+#include <algorithm>
+
+namespace dragonfly::streams {
+
+namespace {
+
+    /// Room for 2,000 versions with names of 64 bytes; bounds the memory that another writer's record could take.
+    constexpr size_t maxRecordBytes = 256u << 10;
+
+    bool contains(const VersionObservations::Versions& versions, const std::string& service, const std::string& version)
+    {
+        const auto found = versions.find(service);
+        return found != versions.end() && found->second.contains(version);
+    }
+
+}
+
+std::string encodeVersions(const ServiceVersions& versions)
+{
+    pb::VersionsInUse record;
+    for (const auto& [service, phases] : versions) {
+        auto& added = *record.add_services();
+        added.set_service(service);
+        for (const auto& [version, phase] : phases) {
+            auto& entry = *added.add_versions();
+            entry.set_version(version);
+            entry.set_closed(phase == VersionPhase::Closed);
+        }
+    }
+    return record.SerializeAsString();
+}
+
+std::optional<ServiceVersions> decodeVersions(const std::string& bytes)
+{
+    pb::VersionsInUse record;
+    if (bytes.size() > maxRecordBytes || !record.ParseFromString(bytes))
+        return std::nullopt;
+    ServiceVersions versions;
+    for (const auto& service : record.services()) {
+        for (const auto& entry : service.versions())
+            versions[service.service()][entry.version()] = entry.closed() ? VersionPhase::Closed : VersionPhase::Open;
+    }
+    return versions;
+}
+
+ServiceVersions planVersions(const ServiceVersions& current, const VersionObservations& observed)
+{
+    auto next = current;
+    for (const auto& [service, versions] : observed.registered) {
+        for (const auto& version : versions)
+            next[service][version] = VersionPhase::Open;
+    }
+    for (auto& [service, phases] : next) {
+        const auto isExpired = [&](const auto& entry) {
+            return entry.second == VersionPhase::Closed && contains(observed.expired, service, entry.first);
+        };
+        if (!std::ranges::all_of(phases, isExpired))
+            std::erase_if(phases, isExpired);
+        if (phases.size() < 2)
+            continue;
+        for (auto& [version, phase] : phases) {
+            if (contains(observed.abandoned, service, version))
+                phase = VersionPhase::Closed;
+        }
+    }
+    return next;
+}
+
+}
--- /dev/null
+++ b/tests/StreamOriginPartsTest.cpp
@@ -0,0 +1,312 @@
+// The parts that know at which software version streams began: the record of versions, the records of starts, and what
+// follows from them for a stream that its caller resumes.
+
+#include "streams/StreamOrigins.h"
+#include "tests/support/FakeWatchableStore.h"
+#include "tests/support/Process.h"
+#include "tests/support/Site.h"
+
+#include <criterion/criterion.h>
+
+using namespace testing;
+using namespace dragonfly;
+using namespace dragonfly::streams;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto open = VersionPhase::Open;
+constexpr auto closed = VersionPhase::Closed;
+
+ServiceVersions ofService(const VersionPhases& phases)
+{
+    return { { "s", phases } };
+}
+
+VersionObservations::Versions names(const std::set<std::string>& versions)
+{
+    return { { "s", versions } };
+}
+
+void expectPlan(const VersionPhases& current, const VersionObservations& observed, const VersionPhases& expected)
+{
+    cr_expect(planVersions(ofService(current), observed) == ofService(expected));
+}
+
+/// One instance's view of a service with resumable streams.
+struct OriginSite {
+    Application application;
+    FakeWatchableStore store;
+    observe::Metrics metrics;
+    directory::Directory directory { 3s };
+    StreamOrigins origins;
+    directory::Route route;
+    int64_t revision = 0;
+
+    explicit OriginSite(const VersionTimings& timings = { 100ms, 300ms, 0ms, 10ms, 20ms })
+        : origins({ "one", 400, timings }, this->store, this->directory, this->metrics)
+    {
+        this->route.name = "ask";
+        this->route.host = "a.example";
+        this->route.pathPrefix = "/";
+        this->route.kind = directory::RequestKind::Streaming;
+        this->route.isResumable = true;
+        this->route.shares = { { "s", 1 } };
+        directory::Deployment deployment;
+        deployment.version = 1;
+        deployment.routes = { this->route };
+        this->directory.apply(deployment);
+        this->directory.onTargetAdded = [this] { this->origins.onTargetsChanged(); };
+    }
+
+    const directory::Target& add(const std::string& id, const std::string& version, uint64_t sequence = 1)
+    {
+        directory::Registration registration;
+        registration.id = id;
+        registration.service = "s";
+        registration.endpoint = { "10.0.0.1", 80 };
+        registration.softwareVersion = version;
+        registration.sequence = sequence;
+        this->directory.registerTarget(registration);
+        return *this->directory.targets().at(id);
+    }
+    /// Puts a record of versions that another instance wrote in force.
+    void applyVersions(const VersionPhases& phases)
+    {
+        this->origins.applyRecord({ VersionRegistry::key, encodeVersions(ofService(phases)), ++this->revision }, true);
+    }
+    bool waitForSwap(size_t number) const
+    {
+        return waitUntil([&] { return this->store.swaps.size() > number; }, 2s);
+    }
+    ServiceVersions swapped(size_t number) const
+    {
+        return decodeVersions(this->store.swaps.at(number).value).value_or(ServiceVersions());
+    }
+    void answerSwap(size_t number)
+    {
+        this->store.swaps.at(number).done(store::Swapped { ++this->revision });
+    }
+    std::string originOf(const std::string& request) const
+    {
+        const auto origin = this->origins.originOf(this->route, streamIdOf("org", request));
+        return origin ? origin->version : "unknown";
+    }
+    void recordOf(const std::string& key, const std::vector<StreamStart>& starts)
+    {
+        this->origins.applyRecord(
+            { std::string(StartRecorder::keyPrefix) + key, encodeStarts(starts), ++this->revision }, true);
+    }
+};
+
+StreamStart startOf(const std::string& request, const std::string& version, bool isBegun = false)
+{
+    return { streamIdOf("org", request), version, isBegun };
+}
+
+}
+
+Test(streamVersions, planOpensClosesAndRemovesVersions)
+{
+    expectPlan({}, { names({ "v1" }), {}, {} }, { { "v1", open } });
+    expectPlan({ { "v1", open } }, { names({ "v1", "v2" }), {}, {} }, { { "v1", open }, { "v2", open } });
+    expectPlan({ { "v1", open }, { "v2", open } }, { names({ "v2" }), {}, {} }, { { "v1", open }, { "v2", open } });
+    expectPlan({ { "v1", open }, { "v2", open } }, { names({ "v2" }), names({ "v1" }), {} },
+        { { "v1", closed }, { "v2", open } });
+    expectPlan({ { "v1", closed }, { "v2", open } }, { names({ "v2" }), names({ "v1" }), names({ "v1" }) },
+        { { "v2", open } });
+    expectPlan({ { "v1", closed }, { "v2", open } }, { names({ "v1", "v2" }), {}, names({ "v1" }) },
+        { { "v1", open }, { "v2", open } });
+}
+
+Test(streamVersions, onlyVersionIsNeitherClosedNorRemoved)
+{
+    expectPlan({ { "v1", open } }, { {}, names({ "v1" }), {} }, { { "v1", open } });
+    expectPlan({ { "v1", closed } }, { {}, names({ "v1" }), names({ "v1" }) }, { { "v1", closed } });
+    expectPlan({ { "v1", closed }, { "v2", closed } }, { {}, names({ "v1", "v2" }), names({ "v1", "v2" }) },
+        { { "v1", closed }, { "v2", closed } });
+}
+
+Test(streamVersions, recordsAreReadAsTheyWereWritten)
+{
+    const ServiceVersions versions { { "s", { { "v1", open }, { "v2", closed } } }, { "t", { { "", open } } } };
+    cr_expect(decodeVersions(encodeVersions(versions)) == versions);
+    const auto starts = decodeStarts(encodeStarts({ startOf("a", "v1"), startOf("b", "v2", true) }));
+    cr_assert(starts.has_value());
+    cr_assert_eq(starts->size(), 2);
+    cr_expect_eq(starts->front().stream, streamIdOf("org", "a"));
+    cr_expect_eq(starts->back().version, "v2");
+    cr_expect(starts->back().isBegun);
+    for (const auto& bytes : { std::string("\xff\xff"), std::string(1u << 20, '\x0a') }) {
+        cr_expect(!decodeVersions(bytes));
+        cr_expect(!decodeStarts(bytes));
+    }
+}
+
+Test(streamOrigins, streamsBeginOnlyAtVersionsInTheRecord, .timeout = 20)
+{
+    OriginSite site;
+    const auto& first = site.add("i-1", "v1");
+    cr_expect(!site.origins.mayBeginAt(first), "nothing has been read");
+    site.origins.onWholeRead();
+    cr_assert(site.waitForSwap(0));
+    cr_expect_eq(site.store.swaps[0].expected, 0);
+    cr_expect(!site.origins.mayBeginAt(first), "the record is not written yet");
+    cr_expect_eq(site.originOf("a"), "unknown");
+    site.answerSwap(0);
+    cr_expect(site.origins.mayBeginAt(first));
+    cr_expect_eq(site.originOf("a"), "v1");
+    const auto& second = site.add("i-2", "v2");
+    cr_assert(site.waitForSwap(1));
+    cr_expect_eq(site.store.swaps[1].expected, 1);
+    cr_expect(!site.origins.mayBeginAt(second));
+    cr_expect_eq(site.originOf("a"), "v1", "no stream has begun elsewhere");
+    site.answerSwap(1);
+    cr_expect(site.origins.mayBeginAt(second));
+    cr_expect_eq(site.originOf("a"), "unknown");
+}
+
+Test(streamOrigins, versionThatHasLeftIsRemembered, .timeout = 20)
+{
+    OriginSite site;
+    site.origins.onWholeRead();
+    site.applyVersions({ { "v1", open }, { "v2", open } });
+    const auto since = Clock::now();
+    site.add("i-2", "v2");
+    cr_assert(site.waitForSwap(0));
+    cr_expect(site.swapped(0) == ofService({ { "v1", closed }, { "v2", open } }));
+    cr_expect_geq((Clock::now() - since).count(), std::chrono::nanoseconds(100ms).count());
+    site.answerSwap(0);
+    const auto closedAt = Clock::now();
+    cr_expect_eq(site.originOf("a"), "unknown", "one version among the targets proves nothing");
+    cr_assert(site.waitForSwap(1));
+    cr_expect_geq((Clock::now() - closedAt).count(), std::chrono::nanoseconds(300ms).count());
+    cr_expect(site.swapped(1) == ofService({ { "v2", open } }));
+    cr_expect_eq(site.originOf("a"), "unknown", "the record is not written yet");
+    site.answerSwap(1);
+    cr_expect_eq(site.originOf("a"), "v2");
+}
+
+Test(streamOrigins, versionIsRememberedForTheTimeOfTheLongestStream, .timeout = 20)
+{
+    OriginSite site;
+    directory::Deployment deployment;
+    deployment.version = 2;
+    site.route.timeout = 400ms;
+    deployment.routes = { site.route };
+    site.directory.apply(deployment);
+    site.origins.onWholeRead();
+    site.applyVersions({ { "v1", closed }, { "v2", open } });
+    const auto closedAt = Clock::now();
+    site.add("i-2", "v2");
+    cr_assert(site.waitForSwap(0));
+    cr_expect_geq((Clock::now() - closedAt).count(), std::chrono::nanoseconds(800ms).count());
+}
+
+Test(streamOrigins, versionThatComesBackIsOpenedBeforeStreamsBeginThere, .timeout = 20)
+{
+    OriginSite site;
+    site.origins.onWholeRead();
+    site.applyVersions({ { "v1", closed }, { "v2", open } });
+    site.add("i-2", "v2");
+    const auto& returned = site.add("i-1", "v1");
+    cr_expect(!site.origins.mayBeginAt(returned));
+    cr_assert(site.waitForSwap(0));
+    cr_expect(site.swapped(0) == ofService({ { "v1", open }, { "v2", open } }));
+    site.store.swaps[0].done(store::Conflict {
+        { VersionRegistry::key, encodeVersions(ofService({ { "v1", open }, { "v2", open }, { "v3", closed } })), 9 } });
+    cr_expect(site.origins.mayBeginAt(returned), "another instance has opened it");
+    cr_expect_eq(site.store.swaps.size(), 1);
+}
+
+Test(streamOrigins, failedWriteIsRepeated, .timeout = 20)
+{
+    OriginSite site;
+    site.origins.onWholeRead();
+    site.add("i-1", "v1");
+    for (size_t i = 0; i < 3; ++i) {
+        cr_assert(site.waitForSwap(i));
+        site.store.swaps[i].done(i % 2 ? store::StoreFailure::Unknown : store::StoreFailure::NotExecuted);
+    }
+    cr_expect(site.waitForSwap(3));
+}
+
+Test(streamOrigins, olderOrLostRecordForgetsNoVersion, .timeout = 20)
+{
+    OriginSite site;
+    site.origins.onWholeRead();
+    site.applyVersions({ { "v1", open }, { "v2", open } });
+    site.add("i-1", "v1");
+    site.add("i-2", "v2");
+    site.origins.onRecordLost(VersionRegistry::key);
+    cr_expect_eq(site.originOf("a"), "unknown");
+    cr_assert(site.waitForSwap(0));
+    cr_expect_eq(site.store.swaps[0].expected, 0);
+    cr_expect(site.swapped(0) == ofService({ { "v1", open }, { "v2", open } }));
+    site.answerSwap(0);
+    site.revision = store::revisionInEra(1, 5);
+    site.applyVersions({ { "v1", open } });
+    cr_expect_eq(site.originOf("a"), "unknown");
+    cr_assert(site.waitForSwap(1));
+    cr_expect(site.swapped(1) == ofService({ { "v1", open }, { "v2", open } }));
+}
+
+Test(streamOrigins, recordsOfOthersSayWhereAStreamBegan, .timeout = 20)
+{
+    OriginSite site;
+    site.origins.onWholeRead();
+    site.applyVersions({ { "v1", open }, { "v2", open } });
+    site.recordOf("two/1", { startOf("a", "v1"), startOf("b", "v2") });
+    cr_expect_eq(site.originOf("a"), "v1");
+    cr_expect_eq(site.originOf("b"), "v2");
+    cr_expect_eq(site.originOf("c"), "unknown");
+    const auto foreign = site.origins.originOf(site.route, streamIdOf("other", "a"));
+    cr_expect(!foreign, "another organisation's id");
+    cr_expect(!site.origins.originOf(site.route, std::nullopt), "no id");
+    site.recordOf("three/1", { startOf("a", "v2") });
+    cr_expect_eq(site.originOf("a"), "unknown", "sent to both");
+    site.recordOf("three/1", { startOf("a", "v2"), startOf("a", "v2", true) });
+    cr_expect_eq(site.originOf("a"), "v2", "its first event is known");
+    site.recordOf("four/1", { startOf("a", "v1", true) });
+    cr_expect_eq(site.originOf("a"), "unknown", "two requests of this id");
+    site.origins.applyRecord({ std::string(StartRecorder::keyPrefix) + "two/1", {}, 99 }, false);
+    cr_expect_eq(site.originOf("b"), "unknown");
+}
+
+Test(streamOrigins, startsAreRecordedWhileTwoVersionsMayBeResumed, .timeout = 20)
+{
+    OriginSite site;
+    site.origins.onWholeRead();
+    site.applyVersions({ { "v1", open } });
+    site.origins.add("s", startOf("early", "v1"));
+    runFor(150ms);
+    cr_expect(site.store.grants.empty(), "recorded without need");
+    site.applyVersions({ { "v1", open }, { "v2", open } });
+    cr_assert(waitUntil([&] { return !site.store.grants.empty(); }, 1s));
+    site.store.grants[0](store::LeaseResult(int64_t { 7 }));
+    cr_assert_eq(site.store.writes.size(), 1);
+    site.origins.add("s", startOf("late", "v2"));
+    cr_expect_eq(site.store.writes.size(), 1, "one write at a time");
+    site.store.puts[0](Success {});
+    cr_assert(waitUntil([&] { return site.store.writes.size() == 2; }, 1s));
+    cr_expect_eq(site.store.writes[0].key, site.store.writes[1].key);
+    cr_expect_eq(decodeStarts(site.store.writes[0].value)->size(), 1);
+    cr_expect_eq(decodeStarts(site.store.writes[1].value)->size(), 2);
+    cr_expect_eq(site.originOf("early"), "v1");
+    cr_expect_eq(site.originOf("late"), "v2");
+}
+
+Test(streamOrigins, targetThatRefusedAConnectionIsNotTrustedUntilItsNextRecord, .timeout = 20)
+{
+    OriginSite site;
+    site.origins.onWholeRead();
+    site.applyVersions({ { "v1", open }, { "v2", open } });
+    site.add("i-1", "v1");
+    auto& target = *site.directory.targets().at("i-1");
+    target.isDoubted = true;
+    cr_expect(!site.origins.mayBeginAt(target));
+    site.add("i-1", "v1");
+    cr_expect(!site.origins.mayBeginAt(target), "the same record again");
+    site.add("i-1", "v1", 2);
+    cr_expect(site.origins.mayBeginAt(*site.directory.targets().at("i-1")));
+}
--- a/tests/StreamVersionTest.cpp
+++ b/tests/StreamVersionTest.cpp
@@ -20,9 +20,9 @@
 std::set<std::string> versionsIn(const std::string& body)
 {
     std::set<std::string> versions;
-    constexpr std::string_view marker = " of ";
+    constexpr std::string_view marker = "data: token ";
     for (auto at = body.find(marker); at != std::string::npos; at = body.find(marker, at + 1)) {
-        const auto begin = at + marker.size();
+        const auto begin = body.find(" of ", at) + 4;
         versions.insert(body.substr(begin, body.find('\n', begin) - begin));
     }
     return versions;
@@ -214,6 +214,31 @@
     cr_expect_eq(countWhole(takenUp), takenUp.size());
 }
 
+Test(streamVersion, takeUpGoesOnAtADrainingTargetOfItsVersionForAWhile, .timeout = 60)
+{
+    for (const auto& [waited, status] : { std::pair(100ms, 200), { 1500ms, 503 } }) {
+        const Application application;
+        ForwardSite site({ "v1" });
+        site.startEntry(true, "forwarding: { drainTime: 2s }\n");
+        const auto stream = site.sendAndWait(streamRequest("s0"));
+        site.addEngine("v2");
+        site.waitUntilAllKnown();
+        control(site.engines[0]->address(), { { "draining", true } });
+        require(waitUntil([&] { return site.entries[0]->printedLine("event=\"target changed\" target=engine-0"); }, 5s),
+            "draining is not known");
+        runFor(waited);
+        auto request = streamRequest("t0");
+        request.lastEventId = "2";
+        request.resumes = "s0";
+        const auto answer = site.sendAndWait(request);
+        cr_expect_eq(answer->status, status);
+        expectNotJoined({ stream }, { answer });
+        auto fresh = site.sendAndWait(streamRequest("s1"));
+        cr_expect(
+            versionsIn(fresh->body) == std::set<std::string> { "v2" }, "a new stream begins at a draining target");
+    }
+}
+
 Test(streamVersion, takeUpThatNamesNoKnownStreamIsRefusedWhileTwoVersionsServe, .timeout = 60)
 {
     const Application application;
--- a/tests/WithheldAttemptTest.cpp
+++ b/tests/WithheldAttemptTest.cpp
@@ -60,8 +60,9 @@
     limits::RequestLimits limits { this->metrics };
     backoff::SendGate gate { this->limits, this->metrics };
     forward::ForwardSettings settings;
+    streams::StreamOrigins origins { { .instance = "one" }, this->store, this->directory, this->metrics };
     forward::ForwardContext context { this->settings, this->directory, this->dialect, this->metrics, this->quarantine,
-        this->limits, this->gate };
+        this->limits, this->gate, this->origins };
     forward::Forwarder forwarder { this->context };
     http::Server server { {}, [this](const http::ExchangePointer& exchange) { this->forwarder.handle(exchange); } };
     Endpoint endpoint;
--- a/tests/support/FakeWatchableStore.h
+++ b/tests/support/FakeWatchableStore.h
@@ -10,6 +10,12 @@
     using Deadline = dragonfly::Deadline;
     template <typename Result> using Done = std::function<void(Result)>;
 
+    struct Swap {
+        std::string key;
+        std::string value;
+        int64_t expected = 0;
+        Done<dragonfly::store::SwapResult> done;
+    };
     struct Write {
         std::string key;
         std::string value;
@@ -37,9 +43,10 @@
     void read(const std::vector<dragonfly::store::ReadRequest>&, Deadline, Done<dragonfly::store::ReadResult>) override
     {
     }
-    void compareAndSwap(
-        const std::string&, int64_t, const std::string&, Deadline, Done<dragonfly::store::SwapResult>) override
+    void compareAndSwap(const std::string& key, int64_t expected, const std::string& value, Deadline,
+        Done<dragonfly::store::SwapResult> done) override
     {
+        this->swaps.push_back({ key, value, expected, std::move(done) });
     }
     void compareAndSwapLeased(const std::string&, int64_t, const std::string&, int64_t, Deadline,
         Done<dragonfly::store::LeasedSwapResult>) override
@@ -62,6 +69,7 @@
     }
 
     std::vector<Done<dragonfly::store::LeaseResult>> grants;
+    std::vector<Swap> swaps; ///< unconditional on a lease
     std::vector<Write> writes; ///< in the order of puts
     std::vector<Done<dragonfly::store::WriteResult>> puts;
     std::vector<std::string> removedKeys; ///< in the order of removals
