Send a stream to a second version only once that is recorded

Cause: a request that is sent to v1, waits, and begins at v2 through a backup leaves the record of v1 visible before that of v2. An instance that resumed the stream took the first for the version that began it. The same holds for the record of the versions: one that is a watch old proves nothing about a version opened since.

Change: attempts at a second version, before the first event, wait until the record names it. The first event is always recorded. A record without it counts once all records up to the arrival of the take-up are known. Streams begin at a version opened beside others 1.2 s later, and the only known version counts if records are no older than that.

Also: an unqualified call of bind() found the standard library's; renamed.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -48,8 +48,9 @@
     /// way of a peer; and the part of its time that it waits at most, so that its caller can go elsewhere.
     constexpr milliseconds maxOriginWait { 1200 };
     constexpr int originTimeDivisor = 3;
-    /// How long a new stream waits until it may begin at the version of the only targets: for one write of the record.
-    constexpr milliseconds maxVersionWait { 1000 };
+    /// How long a new stream waits until it may begin at the version of the only targets: for one write of the record,
+    /// and the delay after which streams begin at a version that was opened beside others.
+    constexpr milliseconds maxVersionWait { 1600 };
     /// With less time left until the deadline, a retry could not succeed.
     constexpr milliseconds minRemainingForRetry { 30 };
     /// Limit on all attempts, of which those to unreachable targets cost time only. Bounds the request's log line.
@@ -182,16 +183,16 @@
     const bool namesOther = !resumed.empty() && resumed != this->request.metadata.requestId;
     const auto stream = namesOther ? std::optional(streams::streamIdOf(organisation ? organisation->name : "", resumed))
                                    : std::nullopt;
-    if (const auto origin = this->context.origins.originOf(*this->request.route, stream)) {
-        this->binding.version = origin->version;
-        this->binding.source = toString(origin->source);
+    const auto origin = this->context.origins.originOf(*this->request.route, stream, this->arrivedAtBootClock);
+    if (origin) {
+        bindTo(this->binding, origin->version, toString(origin->source));
         this->nextAttempt();
         return;
     }
     const auto& arrived = this->request.arrived;
     const auto waitUntil
         = arrived + std::min<Clock::duration>(maxOriginWait, (this->request.deadline - arrived) / originTimeDivisor);
-    if (!stream || now >= waitUntil || this->context.origins.hasReadUpTo(this->arrivedAtBootClock)) {
+    if (now >= waitUntil || this->context.origins.hasReadUpTo(this->arrivedAtBootClock)) {
         this->context.metrics.takeUpsRefused.Increment();
         this->fail({ ErrorKind::NoTarget, "the software version at which the stream began is not known",
             Execution::NotRun, retryAfterRefusal });
@@ -248,7 +249,7 @@
     }
     auto choice = this->chooseTarget(this->nextAttemptQuery(now));
     if (!choice) {
-        if (!this->waitForTarget(now))
+        if (!this->waitForOtherVersion(now) && !this->waitForTarget(now))
             this->failWithoutTarget(now);
         return;
     }
@@ -261,13 +262,37 @@
     this->send(this->attempt, std::move(*choice));
 }
 
+/// Prepares attempts at another software version while no target of those that received the request takes it. Returns
+/// whether one can be made once its record is written.
+bool ForwardCall::prepareOtherVersion(ChoiceQuery query)
+{
+    if (this->binding.isBound || this->binding.versions.empty())
+        return false;
+    if (this->binding.extension) {
+        applyExtension(this->binding, this->context.origins);
+        return true;
+    }
+    query.softwareVersions = nullptr;
+    const auto choice = this->chooseTarget(query);
+    if (!choice)
+        return false;
+    const auto& registration = choice->target->registration;
+    extend(this->binding, this->context.origins, registration.service, registration.softwareVersion);
+    return true;
+}
+
+bool ForwardCall::waitForOtherVersion(Clock::time_point now)
+{
+    return this->prepareOtherVersion(this->nextAttemptQuery(now)) && this->offerAgainAt(now + minOfferInterval, now);
+}
+
 /// Waits for a target that takes the next attempt of a continuation. Returns false if there is none in time.
 bool ForwardCall::waitForTarget(Clock::time_point now)
 {
     const auto query = this->nextAttemptQuery(now);
     if (!this->attemptCount && now < this->request.arrived + maxVersionWait && isAwaitingVersion(query))
         return this->offerAgainAt(now + minOfferInterval, now);
-    if (!this->isContinuation() || isVersionGone(query))
+    if (!this->isContinuation() || (this->binding.isBound && isVersionGone(query)))
         return false;
     const auto next = nextSend(query);
     if (!next && !this->isWithdrawnStream() && !isAwaitingWeights(query))
@@ -308,14 +333,14 @@
         this->request.organisation, this->context.settings.place, this->context.settings.regions,
         this->context.prefixIndex, excluded, this->context.gate, this->context.settings.replacedWeightsTtl,
         QRandomGenerator::global()->generate64(), now, BootClock::now(), isResumable ? &this->context.origins : nullptr,
-        isResumable && this->binding.version ? &*this->binding.version : nullptr, false, only };
+        isResumable ? this->binding.allowed() : nullptr, false, only };
 }
 
 std::optional<TargetChoice> ForwardCall::chooseTarget(const ChoiceQuery& query) const
 {
     const auto& policy = this->context.settings.policy;
     auto choice = forward::chooseTarget(policy, query);
-    if (choice || !query.softwareVersion)
+    if (choice || !this->binding.isBound)
         return choice;
     auto late = query;
     late.isLate = true;
@@ -326,7 +351,7 @@
 {
     const std::vector<std::string> none;
     const auto query = this->choiceQuery(now, none);
-    if (isVersionGone(query)) {
+    if (this->binding.isBound && isVersionGone(query)) {
         this->fail({ ErrorKind::NoTarget, "no target of the software version at which the stream began",
             this->execution(), retryAfterRefusal });
         return;
@@ -561,7 +586,7 @@
 Awaited ForwardCall::awaited(const Slot& slot) const
 {
     if (!slot) {
-        const bool isOriginUnknown = isTakeUp(*this->request.route, this->request.metadata) && !this->binding.version;
+        const bool isOriginUnknown = isTakeUp(*this->request.route, this->request.metadata) && !this->binding.isBound;
         return isOriginUnknown ? Awaited::Origin : Awaited::NextTarget;
     }
     if (!slot->isSent)
@@ -682,7 +707,7 @@
     if (this->request.exchange->hasCallerClosed())
         return false;
     const auto& target = *attempt.choice.target;
-    const bool isResumedLate = this->binding.version && target.mayResumeLate(Clock::now());
+    const bool isResumedLate = this->binding.isBound && target.mayResumeLate(Clock::now());
     const bool isGone = (target.registration.isDraining && !isResumedLate) || target.isReplaced;
     attempt.verdict
         = isGone ? Verdict::Leaving : this->context.gate.confirm(target.registration, attempt.permit, Clock::now());
@@ -763,7 +788,8 @@
     }
     slot->progressDeadline = this->request.deadline;
     if (&slot == &this->attempt) {
-        routing::recordFailure(*this->attempt->choice.target->state, now);
+        if (!this->binding.extension) // otherwise it was recorded when the wait for the extension began
+            routing::recordFailure(*this->attempt->choice.target->state, now);
         this->startBackup();
     }
     slot->call->setDeadline(this->attemptDeadline(*slot));
@@ -782,7 +808,12 @@
             this->appendToLog("no other target asked: " + *conflict);
         return;
     }
-    auto choice = this->chooseTarget(this->choiceQuery(now, this->triedTargets));
+    const auto query = this->choiceQuery(now, this->triedTargets);
+    auto choice = this->chooseTarget(query);
+    if (!choice && this->prepareOtherVersion(query)) {
+        this->attempt->progressDeadline = now + minOfferInterval;
+        return;
+    }
     if (choice && this->acquireRetry(choice->target->registration, now)) {
         this->send(this->backup, std::move(*choice));
         return;
@@ -1281,8 +1312,8 @@
             { "config", std::to_string(this->request.routes->version()) },
             { "config_age_ms", configAge ? std::to_string(configAge->count()) : "unproved" },
             { "resumes", this->request.metadata.resumedRequestId },
-            { "software", this->binding.version.value_or("any") }, { "software_from", this->binding.source },
-            { "status", std::to_string(status) }, { "outcome", outcome },
+            { "software", this->binding.isBound ? *this->binding.versions.begin() : "any" },
+            { "software_from", this->binding.source }, { "status", std::to_string(status) }, { "outcome", outcome },
             { "execution", std::string(toString(this->execution())) },
             { "took_ms", std::to_string(std::chrono::duration_cast<milliseconds>(took).count()) },
             { "attempts", this->attemptLog } });
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -87,6 +87,8 @@
     ChoiceQuery choiceQuery(Clock::time_point now, const std::vector<std::string>& excluded,
         const std::vector<std::string>* only = nullptr) const;
     ChoiceQuery nextAttemptQuery(Clock::time_point now) const;
+    bool prepareOtherVersion(ChoiceQuery query);
+    bool waitForOtherVersion(Clock::time_point now);
     bool waitForTarget(Clock::time_point now);
     bool offerAgainAt(Clock::time_point offer, Clock::time_point now);
     void failWithoutTarget(Clock::time_point now);
--- a/src/forward/TargetChooser.cpp
+++ b/src/forward/TargetChooser.cpp
@@ -189,7 +189,7 @@
         const auto& id = target.registration.id;
         const auto lists = [&id](const auto& ids) { return std::ranges::find(ids, id) != ids.end(); };
         return lists(query.excluded) || (query.only && !lists(*query.only))
-            || (query.origins && !mayStreamAt(*query.origins, query.softwareVersion, target));
+            || (query.origins && !mayStreamAt(*query.origins, query.softwareVersions, target));
     }
 
     /// Whether a request that names a model needs a target of @p service that runs the model. Plain services ignore
@@ -407,7 +407,7 @@
 
 bool isVersionGone(const ChoiceQuery& query)
 {
-    if (!query.softwareVersion)
+    if (!query.softwareVersions)
         return false;
     bool hasTargets = false;
     for (const auto& service : serviceOrder(query.route, query.random)) {
@@ -416,7 +416,7 @@
             if (isLeaving || target->isReplaced)
                 continue;
             hasTargets = true;
-            if (target->registration.softwareVersion == *query.softwareVersion)
+            if (query.softwareVersions->contains(target->registration.softwareVersion))
                 return false;
         }
     }
@@ -425,7 +425,7 @@
 
 bool isAwaitingVersion(const ChoiceQuery& query)
 {
-    if (!query.origins || query.softwareVersion)
+    if (!query.origins || query.softwareVersions)
         return false;
     const auto services = serviceOrder(query.route, query.random);
     return std::ranges::any_of(services, [&](const std::string& service) {
--- a/src/forward/TargetChooser.h
+++ b/src/forward/TargetChooser.h
@@ -27,7 +27,7 @@
     BootClock::time_point bootNow; ///< the same moment; ages of weights include suspensions of the machine
     /// Of a resumable stream: where it may begin; null for any other request.
     const streams::StreamOrigins* origins = nullptr;
-    const std::string* softwareVersion = nullptr; ///< if set, the only one at which the stream may go on
+    const std::set<std::string>* softwareVersions = nullptr; ///< if set, the only ones at which the stream may go on
     bool isLate = false; ///< also targets that drain may be selected, as the stream can go on at no other
     const std::vector<std::string>* only = nullptr; ///< if set, the ids of the only targets that may be selected
 };
@@ -62,7 +62,7 @@
 /// has loaded newer ones.
 bool isAwaitingWeights(const ChoiceQuery& query);
 
-/// Whether the route has targets, but none of the software version that the stream is bound to.
+/// Whether the route has targets, but none of the software versions at which the stream may go on.
 bool isVersionGone(const ChoiceQuery& query);
 
 /// Whether a target that may be selected is usable, but streams may not begin at its software version yet.
--- a/src/streams/StartRecorder.cpp
+++ b/src/streams/StartRecorder.cpp
@@ -24,14 +24,17 @@
 {
     this->timer.setSingleShot(true);
     connect(&this->timer, &QTimer::timeout, this, &StartRecorder::write);
-    this->publisher.onDone = [this](const std::string&, bool) {
+    this->publisher.onDone = [this](const std::string&, bool isWritten) {
         this->isWriting = false;
+        if (isWritten)
+            this->written = this->addedAtWrite;
         this->write();
     };
 }
 
-void StartRecorder::add(const std::vector<StreamStart>& starts, Clock::time_point now)
+uint64_t StartRecorder::add(const std::vector<StreamStart>& starts, Clock::time_point now)
 {
+    this->added += starts.size();
     if (this->current.empty())
         this->begunAt = now;
     this->current.insert(this->current.end(), starts.begin(), starts.end());
@@ -41,6 +44,7 @@
         this->writtenStarts -= std::min(this->writtenStarts, excess);
     }
     this->write();
+    return this->added;
 }
 
 void StartRecorder::write()
@@ -64,6 +68,7 @@
     this->publisher.setLeaseTtl(std::chrono::ceil<std::chrono::seconds>(this->retention() * leasePerRetention));
     this->nextWriteAt = now + this->writeInterval();
     this->writtenStarts = this->current.size();
+    this->addedAtWrite = this->added;
     this->publisher.write(this->ownPrefix + std::to_string(this->number), encodeStarts(this->current));
 }
 
--- a/src/streams/StartRecorder.h
+++ b/src/streams/StartRecorder.h
@@ -20,8 +20,13 @@
 
     StartRecorder(const std::string& instance, store::WatchableStore& store, observe::Metrics& metrics);
 
-    /// Adds starts to the current record, which is written soon.
-    void add(const std::vector<StreamStart>& starts, Clock::time_point now);
+    /// Adds starts to the current record, which is written soon. Returns the number of starts added so far.
+    uint64_t add(const std::vector<StreamStart>& starts, Clock::time_point now);
+    /// Whether the first @p count starts that were added have been written.
+    bool areWritten(uint64_t count) const
+    {
+        return this->written >= count;
+    }
     /// To be called when the service has returned from an older copy, which may have granted the lease to others.
     void onStoreReturned()
     {
@@ -43,6 +48,9 @@
     uint64_t number = 0; ///< of the current record
     Clock::time_point begunAt; ///< when the current record got its first start
     std::vector<StreamStart> current; ///< the content of the current record
+    uint64_t added = 0; ///< starts so far
+    uint64_t addedAtWrite = 0; ///< added when the latest write began
+    uint64_t written = 0; ///< of these, those before which all are written
     size_t writtenStarts = 0; ///< those of current that the latest write contains
     bool isWriting = false;
     Clock::time_point nextWriteAt;
--- a/src/streams/StreamOrigins.cpp
+++ b/src/streams/StreamOrigins.cpp
@@ -87,26 +87,30 @@
     return key == VersionRegistry::key || key.starts_with(StartRecorder::keyPrefix);
 }
 
-std::optional<Origin> StreamOrigins::originOf(const directory::Route& route, std::optional<StreamId> stream) const
+std::optional<Origin> StreamOrigins::originOf(
+    const directory::Route& route, std::optional<StreamId> stream, BootClock::time_point arrivedAt) const
 {
-    if (const auto version = stream ? this->starts.versionOf(*stream) : std::nullopt)
-        return Origin { *version, OriginSource::Recorded };
+    if (const auto evidence = stream ? this->starts.evidenceOf(*stream) : std::nullopt) {
+        if (!evidence->isDecisive && !this->hasReadUpTo(arrivedAt))
+            return std::nullopt;
+        return Origin { evidence->version, OriginSource::Recorded };
+    }
     std::set<std::string> versions;
     for (const auto& share : route.shares) {
         if (share.weight)
             versions.merge(this->registry.versionsOf(share.service));
     }
-    if (versions.size() != 1)
+    // No stream that has begun elsewhere was resumed by then, as none begins at a version that was just opened.
+    if (versions.size() != 1 || !this->hasReadUpTo(arrivedAt - this->registry.openDelay()))
         return std::nullopt;
     return Origin { *versions.begin(), OriginSource::OnlyVersion };
 }
 
-void StreamOrigins::add(const std::string& service, const StreamStart& start)
+uint64_t StreamOrigins::add(const std::string& service, const StreamStart& start)
 {
     const auto now = Clock::now();
     this->starts.add(service, start, now);
-    if (this->registry.isMixed(service))
-        this->recorder.add({ start }, now);
+    return this->registry.isMixed(service) ? this->recorder.add({ start }, now) : 0;
 }
 
 }
--- a/src/streams/StreamOrigins.h
+++ b/src/streams/StreamOrigins.h
@@ -67,16 +67,24 @@
     {
         return target.isDoubted && this->registry.isMixed(target.registration.service);
     }
-    /// At which version @p stream of @p route began; nothing if that is not known.
+    /// At which version @p stream of @p route began; nothing if that is not known, or not yet.
     /// @param stream nothing if its caller names no stream
-    std::optional<Origin> originOf(const directory::Route& route, std::optional<StreamId> stream) const;
+    /// @param arrivedAt when its caller asked to resume it
+    std::optional<Origin> originOf(
+        const directory::Route& route, std::optional<StreamId> stream, BootClock::time_point arrivedAt) const;
     /// Whether all records that existed at @p moment have been read.
     bool hasReadUpTo(BootClock::time_point moment) const
     {
         return this->recordsAsOf && this->recordsAsOf() >= moment;
     }
     /// Keeps @p start of a stream at @p service, and records it while streams of the service began at several versions.
-    void add(const std::string& service, const StreamStart& start);
+    /// Returns a number for isRecorded().
+    uint64_t add(const std::string& service, const StreamStart& start);
+    /// Whether every instance can read the start for which add() returned @p number, or need not.
+    bool isRecorded(uint64_t number) const
+    {
+        return this->recorder.areWritten(number);
+    }
 
     std::function<size_t()> instanceCount; ///< known instances, this one included
     std::function<BootClock::time_point()> recordsAsOf; ///< a moment up to which all records have been read
--- a/src/streams/StreamStarts.cpp
+++ b/src/streams/StreamStarts.cpp
@@ -80,20 +80,25 @@
     this->records[key] = { std::move(starts), now };
 }
 
-std::optional<std::string> StreamStarts::versionOf(StreamId stream) const
+std::optional<Evidence> StreamStarts::evidenceOf(StreamId stream) const
 {
     std::set<std::string> sent;
     std::set<std::string> begun;
+    bool isOwn = false;
     const auto look = [&](const StreamStart& start) {
         if (start.stream == stream)
             (start.isBegun ? begun : sent).insert(start.version);
     };
-    for (const auto& each : this->own)
+    for (const auto& each : this->own) {
         look(each.start);
+        isOwn = isOwn || each.start.stream == stream;
+    }
     for (const auto& [key, record] : this->records)
         std::ranges::for_each(record.starts, look);
     const auto& decisive = begun.empty() ? sent : begun;
-    return decisive.size() == 1 ? std::optional(*decisive.begin()) : std::nullopt;
+    if (decisive.size() != 1)
+        return std::nullopt;
+    return Evidence { *decisive.begin(), isOwn || !begun.empty() };
 }
 
 void StreamStarts::expire(Clock::time_point now)
--- a/src/streams/StreamStarts.h
+++ b/src/streams/StreamStarts.h
@@ -26,6 +26,14 @@
     bool isBegun = false; ///< the stream's first event came from there; otherwise it was sent there and may begin there
 };
 
+/// What is known of where a stream began.
+struct Evidence {
+    std::string version;
+    /// No later record can say otherwise. A request that was sent to one version may have been sent to another one
+    /// since.
+    bool isDecisive = false;
+};
+
 /// The form in which instances store them.
 std::string encodeStarts(const std::vector<StreamStart>& starts);
 /// Nothing if @p bytes are no such record, or one that is larger than any instance writes.
@@ -44,8 +52,8 @@
     {
         this->records.erase(key);
     }
-    /// The version at which @p stream began; nothing if that is not known or the evidence disagrees.
-    std::optional<std::string> versionOf(StreamId stream) const;
+    /// Where @p stream began by the evidence; nothing if there is none or it disagrees.
+    std::optional<Evidence> evidenceOf(StreamId stream) const;
 
 private:
     struct OwnStart {
--- a/src/streams/VersionRegistry.cpp
+++ b/src/streams/VersionRegistry.cpp
@@ -79,7 +79,10 @@
     if (phases == this->versions.end())
         return false;
     const auto phase = phases->second.find(version);
-    return phase != phases->second.end() && phase->second == VersionPhase::Open;
+    if (phase == phases->second.end() || phase->second != VersionPhase::Open)
+        return false;
+    const auto from = this->usableFrom.find({ service, version });
+    return from == this->usableFrom.end() || from->second <= Clock::now();
 }
 
 bool VersionRegistry::isMixed(const std::string& service) const
@@ -207,6 +210,18 @@
             this->onMixed(service);
     }
     const auto now = Clock::now();
+    std::erase_if(this->usableFrom, [now](const auto& entry) { return entry.second <= now; });
+    for (const auto& [service, phases] : this->versions) {
+        const auto before = former.find(service);
+        if (before == former.end())
+            continue;
+        for (const auto& [version, phase] : phases) {
+            const auto formerPhase = before->second.find(version);
+            const bool wasOpen = formerPhase != before->second.end() && formerPhase->second == VersionPhase::Open;
+            if (phase == VersionPhase::Open && !wasOpen)
+                this->usableFrom[{ service, version }] = now + this->timings.openDelay;
+        }
+    }
     VersionTimes closed;
     for (const auto& [service, phases] : this->versions) {
         for (const auto& [version, phase] : phases) {
--- a/src/streams/VersionRegistry.h
+++ b/src/streams/VersionRegistry.h
@@ -13,6 +13,9 @@
 namespace dragonfly::streams {
 
 struct VersionTimings {
+    /// Streams begin at a version so long after this instance learned that it was opened beside others. All instances
+    /// that can take up one of these streams know it by then: two watches of 300 ms by way of a peer, and a margin.
+    std::chrono::milliseconds openDelay { 1200 };
     /// A version without a target for so long is closed. Longer than a target takes to register again.
     std::chrono::milliseconds closeDelay { 3000 };
     /// A closed version is removed after so long, or longer if routes allow streams more time (retention()).
@@ -45,6 +48,10 @@
     /// Those versions; none if they are not known.
     std::set<std::string> versionsOf(const std::string& service) const;
 
+    std::chrono::milliseconds openDelay() const
+    {
+        return this->timings.openDelay;
+    }
     /// How long after its start a stream may be resumed: until the end of its caller's time, which may exceed that of
     /// the route, later by the age of the record by which an instance may still begin streams.
     std::chrono::milliseconds retention() const;
@@ -70,6 +77,7 @@
     int64_t revision = 0; ///< of the record; 0: none exists
     bool isRead = false;
     VersionTimes lastRegistered; ///< when each version last had a target that takes requests
+    VersionTimes usableFrom; ///< when streams may begin at a version that was opened beside others
     VersionTimes closedSince; ///< when this instance learned that a version is closed
     bool isCallInFlight = false;
     std::optional<Clock::time_point> writeAt; ///< earliest time of the next write; unset while none is needed
--- a/tests/StreamVersionTest.cpp
+++ b/tests/StreamVersionTest.cpp
@@ -239,6 +239,24 @@
     }
 }
 
+Test(streamVersion, streamThatWasFirstSentToAnotherVersionIsNotTakenUpThere, .timeout = 120)
+{
+    for (int round = 0; round < 3; ++round) {
+        const Application application;
+        ForwardSite site({ "v1", "v2" });
+        letStreamsLast(site, 300);
+        site.startEntry();
+        site.startEntry();
+        control(site.engines[0]->address(), { { "answer", "silent" } });
+        const auto streams = beginStreams(site, 6);
+        site.entries[0]->kill();
+        require(waitForAll(streams, 5s), "no end of the streams");
+        control(site.engines[0]->address(), { { "answer", "good" } });
+        letStreamsLast(site, 20);
+        expectNotJoined(streams, takeUpAll(site, streams, 1));
+    }
+}
+
 Test(streamVersion, takeUpThatNamesNoKnownStreamIsRefusedWhileTwoVersionsServe, .timeout = 60)
 {
     const Application application;
