--- a/src/streams/ServiceVersions.cpp
+++ b/src/streams/ServiceVersions.cpp
@@ -11,10 +11,24 @@
     /// Room for 2,000 versions with names of 64 bytes; bounds the memory that another writer's record could take.
     constexpr size_t maxRecordBytes = 256u << 10;
 
-    bool contains(const VersionObservations::Versions& versions, const std::string& service, const std::string& version)
+    std::set<std::string> versionsAt(const VersionObservations::Versions& versions, const std::string& service)
     {
         const auto found = versions.find(service);
-        return found != versions.end() && found->second.contains(version);
+        return found == versions.end() ? std::set<std::string>() : found->second;
+    }
+
+    void planPhases(VersionPhases& phases, const std::set<std::string>& abandoned, const std::set<std::string>& expired)
+    {
+        const auto isOver
+            = [&](const auto& entry) { return entry.second == VersionPhase::Closed && expired.contains(entry.first); };
+        if (!std::ranges::all_of(phases, isOver))
+            std::erase_if(phases, isOver);
+        if (phases.size() < 2)
+            return;
+        for (auto& [version, phase] : phases) {
+            if (abandoned.contains(version))
+                phase = VersionPhase::Closed;
+        }
     }
 
 }
@@ -54,19 +68,8 @@
         for (const auto& version : versions)
             next[service][version] = VersionPhase::Open;
     }
-    for (auto& [service, phases] : next) {
-        const auto isExpired = [&](const auto& entry) {
-            return entry.second == VersionPhase::Closed && contains(observed.expired, service, entry.first);
-        };
-        if (!std::ranges::all_of(phases, isExpired))
-            std::erase_if(phases, isExpired);
-        if (phases.size() < 2)
-            continue;
-        for (auto& [version, phase] : phases) {
-            if (contains(observed.abandoned, service, version))
-                phase = VersionPhase::Closed;
-        }
-    }
+    for (auto& [service, phases] : next)
+        planPhases(phases, versionsAt(observed.abandoned, service), versionsAt(observed.expired, service));
     return next;
 }
 
