Reach targets through other instances while the own links are lost

Cause: the only way to a target was the instance's own, and a lost path looked like targets that fail one by one, each to be waited for.

Change: src/paths. A target to which no connection can be opened is reached through another instance, which opens a connection to it (CONNECT, registered targets only) and passes bytes on unread. Gates, budgets, the promise of at most one run and identities stay with the instance that took the request; a close stays a close and a reset a reset. If nothing is heard of any target for 0.6 s while three or more are silent or have failed, all own paths count as lost. One connection each 0.3 s tries them, and the first that opens ends it. Orders to engines never take another way.

Ruled out: only saying "not ready", since the platform uses all instances of a zone of which most are not; passing requests on, which doubles limits, retries and at-most-once on both sides.

--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -5,6 +5,7 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
+#include <QRandomGenerator>
 #include <QTcpServer>
 #include <iostream>
 
@@ -122,8 +123,8 @@
     const auto listened = this->server.listenShared(this->settings.listen);
     if (const auto* error = errorOf(listened))
         return *error;
-    for (const auto& step :
-        { &ForwardingDaemon::startAdmin, &ForwardingDaemon::startMetrics, &ForwardingDaemon::startPeers }) {
+    for (const auto& step : { &ForwardingDaemon::startAdmin, &ForwardingDaemon::startMetrics,
+             &ForwardingDaemon::startPeers, &ForwardingDaemon::startTunnels }) {
         if (auto status = (this->*step)(); errorOf(status))
             return status;
     }
@@ -175,6 +176,22 @@
     return Success {};
 }
 
+Status ForwardingDaemon::startTunnels()
+{
+    this->forwarding.paths.peers = [this] { return this->ranking.tunnels(QRandomGenerator::global()->generate64()); };
+    this->tunnels.mayOpen = [this](const Endpoint& target) {
+        if (this->phase != Phase::Serving || this->forwarding.paths.isPartitioned())
+            return paths::TunnelAnswer::NoPath;
+        const bool isReachable = this->forwarder.isTargetAt(target) && !this->forwarding.paths.isLost(target);
+        return isReachable ? paths::TunnelAnswer::Open : paths::TunnelAnswer::NoTarget;
+    };
+    const auto bound = this->tunnels.listenOn(this->settings.tunnels);
+    if (const auto* error = errorOf(bound))
+        return *error;
+    this->ranking.setOwnTunnels(std::get<Endpoint>(bound).toString());
+    return Success {};
+}
+
 void ForwardingDaemon::onPeerMessage(const pb::PeerMessage& message)
 {
     if (message.has_follow_records())
@@ -374,7 +391,8 @@
 
 bool ForwardingDaemon::isIdle() const
 {
-    return !this->forwarding.activeRequests && !this->server.connectionCount();
+    return !this->forwarding.activeRequests && !this->server.connectionCount()
+        && !this->tunnels.isAnyBusy(Clock::now());
 }
 
 void ForwardingDaemon::logOpenRequests() const
--- a/src/daemon/ForwardingDaemon.h
+++ b/src/daemon/ForwardingDaemon.h
@@ -11,6 +11,7 @@
 #include "directory/DirectorySync.h"
 #include "forward/Forward.h"
 #include "membership/ZmqTransport.h"
+#include "paths/TunnelServer.h"
 #include "platform/Platform.h"
 #include "quarantine/Quarantine.h"
 #include "relay/Relay.h"
@@ -49,6 +50,7 @@
     Status startAdmin();
     Status startMetrics();
     Status startPeers();
+    Status startTunnels();
     void onPeerMessage(const pb::PeerMessage& message);
     void onOwnRecord(const store::KeyValue& record, bool exists);
     void onStoreReturned();
@@ -89,6 +91,7 @@
     streams::StreamOrigins origins;
     forward::ForwardContext forwarding;
     forward::Forwarder forwarder;
+    paths::TunnelServer tunnels;
     http::Server server;
     QHttpServer admin;
     QTimer settingsTimer;
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -138,6 +138,7 @@
         settings.admin = reader.endpoint("admin", loopbackAnyPort);
         settings.metrics = reader.endpoint("metrics", loopbackAnyPort);
         settings.peers = reader.endpoint("peers", loopbackAnyPort);
+        settings.tunnels = reader.endpoint("tunnels", loopbackAnyPort);
         if (reader.child("peersAdvertised"))
             settings.peersAdvertised = reader.remoteEndpoint("peersAdvertised");
         settings.capacity = static_cast<uint32_t>(reader.fraction("processorShare", 0) * 1000);
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -36,6 +36,7 @@
     Endpoint admin; ///< for operators: /ready, /status, /explain/ID
     Endpoint metrics;
     Endpoint peers;
+    Endpoint tunnels; ///< where peers ask for tunnels to targets
     std::optional<Endpoint> peersAdvertised; ///< where peers reach this instance, if it differs from `peers`
     uint32_t capacity = 0; ///< processor time available to the instance, in thousandths of a core; 0 if unknown
     std::vector<Endpoint> seeds;
--- a/src/forward/Attempt.h
+++ b/src/forward/Attempt.h
@@ -20,6 +20,7 @@
     Deadline progressDeadline; ///< without progress by then, another target is asked too
     /// Of a backup that resumes a stream: when it becomes the only attempt, unless it has ended by then.
     Deadline takeoverDeadline = Deadline::max();
+    std::optional<Endpoint> via; ///< the instance through which it leads; nothing for the own path
     std::string softwareVersion; ///< of the target when the attempt was made
     std::string weights; ///< description of the requested weights for the log line of the request
     backoff::SendPermit permit;
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -583,6 +583,16 @@
     });
 }
 
+void ForwardCall::addSilentTargets(std::set<std::string>& silent, Clock::time_point now) const
+{
+    if (this->readingPaused)
+        return;
+    for (const auto* slot : { &this->attempt, &this->backup }) {
+        if (*slot && !(*slot)->via && (*slot)->isSent && (*slot)->waitingSince + paths::silenceTime <= now)
+            silent.insert((*slot)->choice.target->registration.endpoint.toString());
+    }
+}
+
 Awaited ForwardCall::awaited(const Slot& slot) const
 {
     if (!slot) {
@@ -628,6 +638,8 @@
 void ForwardCall::recordProgress(Attempt& attempt)
 {
     attempt.waitingSince = Clock::now();
+    if (!attempt.via)
+        this->context.paths.onHeard(attempt.choice.target->registration.endpoint, attempt.waitingSince);
     const bool isOwnAnswer = !this->isMismatched(attempt) && !attempt.answerMetadata.notRun;
     auto& quarantine = this->context.quarantine;
     if (isOwnAnswer && attempt.progress.onBytes(attempt.waitingSince))
@@ -687,6 +699,8 @@
         options.minIdleSince = now - (this->isStream() ? maxIdleTimeForStreams : maxIdleTime);
     options.reuseConnection = this->canIdentifyAnswerFrom(endpoint);
     this->triedEndpoints.push_back(endpoint);
+    options.via = this->context.paths.viaFor(endpoint, now);
+    attempt.via = options.via;
     const auto self = this->shared_from_this();
     const auto number = attempt.number;
     http::CallEvents events;
@@ -1166,9 +1180,9 @@
         this->discountRun(*slot);
     if (isWithdrawn)
         this->allowAgain(*slot);
-    if (failure.kind == http::CallFailureKind::ConnectFailed && Clock::now() < slot->connectDeadline)
+    if (failure.isUnreached && !slot->via && Clock::now() < slot->connectDeadline)
         slot->choice.target->isDoubted = true;
-    if (this->mayBeReachedLater(*slot, failure)) {
+    if (this->hasOtherPath(*slot, failure) || this->mayBeReachedLater(*slot, failure)) {
         std::erase(this->excludedTargets, slot->choice.target->registration.id);
         std::erase(this->triedTargets, slot->choice.target->registration.id);
     }
@@ -1184,6 +1198,21 @@
     this->attemptFailed(slot, detail + ownPart, { kind, detail, this->execution(), retryAfterRefusal });
 }
 
+/// Reports the failure to the paths. Returns whether the target may be reached on another one.
+bool ForwardCall::hasOtherPath(const Attempt& attempt, const http::CallFailure& failure)
+{
+    auto& paths = this->context.paths;
+    const auto& endpoint = attempt.choice.target->registration.endpoint;
+    const auto now = Clock::now();
+    if (failure.kind == http::CallFailureKind::Closed && !attempt.head.status && !attempt.via)
+        paths.onBroken(endpoint, now);
+    if (!failure.isUnreached || this->attemptCount >= maxAttempts)
+        return false;
+    const auto status = failure.tunnelStatus;
+    return paths.onUnreached(
+        endpoint, attempt.via, status ? std::optional(paths::answerOf(*status)) : std::nullopt, now);
+}
+
 /// Whether a target to which no connection was opened in time may receive a further attempt: connections open slowly
 /// while a target's queue of connections is full, or its machine or link loses packets.
 bool ForwardCall::mayBeReachedLater(const Attempt& attempt, const http::CallFailure& failure) const
@@ -1249,7 +1278,8 @@
         + std::to_string(choice.policyChoice.cachedTokens) + "/" + std::to_string(this->request.metadata.promptTokens)
         + (choice.fetchCacheFrom ? ", fetched" : "") + ", "
         + (firstEvent ? "first event after " + std::to_string(firstEvent->count()) + " of " : "")
-        + std::to_string(took.count()) + " ms, " + (slot->isSent ? "sent" : "not sent") + "): " + outcome);
+        + std::to_string(took.count()) + " ms, " + (slot->via ? "through " + slot->via->toString() + ", " : "")
+        + (slot->isSent ? "sent" : "not sent") + "): " + outcome);
     slot.reset();
     if (&slot == &this->attempt)
         this->readingPaused = false;
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -72,6 +72,9 @@
     void endForStop();
     /// Whether the request was sent to the process @p incarnation before @p since and its answer is still read.
     bool hasOpenAttempt(const quarantine::Incarnation& incarnation, Clock::time_point since) const;
+    /// Adds the addresses of targets that were sent the request on the own path and of which nothing was heard for
+    /// paths::silenceTime.
+    void addSilentTargets(std::set<std::string>& silent, Clock::time_point now) const;
     /// nullopt once the request has ended.
     std::optional<OpenRequest> openRequest() const;
 
@@ -148,6 +151,7 @@
     void endOverlap(Clock::time_point now);
     void allowAgain(const Attempt& attempt);
     void discountRun(const Attempt& attempt);
+    bool hasOtherPath(const Attempt& attempt, const http::CallFailure& failure);
     bool mayBeReachedLater(const Attempt& attempt, const http::CallFailure& failure) const;
     void beginRelay();
 
--- a/src/forward/ForwardContext.h
+++ b/src/forward/ForwardContext.h
@@ -9,6 +9,7 @@
 #include "forward/StopTimes.h"
 #include "http/Http.h"
 #include "observe/Observe.h"
+#include "paths/TargetPaths.h"
 #include "quarantine/Quarantine.h"
 #include "routing/Routing.h"
 #include "streams/StreamOrigins.h"
@@ -66,6 +67,7 @@
     streams::StreamOrigins& origins;
     routing::PrefixIndex prefixIndex;
     http::ClientPool targets;
+    paths::TargetPaths paths;
     QObject loop; ///< context object of deferred calls, which are dropped when it is destroyed
     int activeRequests = 0;
     std::optional<StopTimes> stop; ///< set once a planned stop was ordered
--- a/src/forward/Forwarder.cpp
+++ b/src/forward/Forwarder.cpp
@@ -23,6 +23,7 @@
         return std::ranges::any_of(
             this->context.calls, [&](const auto* call) { return call->hasOpenAttempt(incarnation, since); });
     };
+    this->observePaths();
     context.quarantine.isRegistered = [this](const quarantine::Incarnation& incarnation) {
         const auto& directory = this->context.directory;
         const auto found = directory.targets().find(incarnation.target);
@@ -32,6 +33,25 @@
     };
 }
 
+void Forwarder::observePaths()
+{
+    auto& paths = this->context.paths;
+    paths.silentTargets = [this](Clock::time_point now) {
+        std::set<std::string> silent;
+        for (const auto* call : this->context.calls)
+            call->addSilentTargets(silent, now);
+        return silent;
+    };
+    paths.knownTargets = [this] { return this->context.directory.targets().size(); };
+    paths.isKnown = [this](const Endpoint& endpoint) { return this->isTargetAt(endpoint); };
+}
+
+bool Forwarder::isTargetAt(const Endpoint& endpoint) const
+{
+    return std::ranges::any_of(this->context.directory.targets(),
+        [&](const auto& each) { return each.second->registration.endpoint == endpoint; });
+}
+
 Status Forwarder::authenticate(ForwardRequest& request, BootClock::time_point now) const
 {
     if (request.route->isAnonymous || !request.routes->needsKeys())
--- a/src/forward/Forwarder.h
+++ b/src/forward/Forwarder.h
@@ -18,7 +18,11 @@
     /// The requests that have not ended, the one that has waited longest first.
     std::vector<OpenRequest> openRequests() const;
 
+    /// Whether a registered target has the address @p endpoint.
+    bool isTargetAt(const Endpoint& endpoint) const;
+
 private:
+    void observePaths();
     /// Withdraws the calls that wait at an engine with a prompt part that has just been quarantined.
     void onPromptsQuarantined();
     /// Sets the organisation of @p request from its API key; an error when the key is unknown or cannot be verified.
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -68,17 +68,18 @@
 
 Call ClientPool::send(const Endpoint& endpoint, const Request& request, const CallOptions& options, CallEvents events)
 {
-    auto* connection = options.reuseConnection ? this->acquireIdle(endpoint, options.minIdleSince) : nullptr;
+    const auto key = ClientConnection::keyOf(endpoint, options.via);
+    auto* connection = options.reuseConnection ? this->acquireIdle(key, options.minIdleSince) : nullptr;
     if (!connection)
-        connection = new ClientConnection(this, endpoint);
+        connection = new ClientConnection(this, endpoint, options.via);
     const auto number = ++this->lastCallNumber;
     connection->start(number, request, options, std::move(events));
     return Call(connection, number);
 }
 
-ClientConnection* ClientPool::acquireIdle(const Endpoint& endpoint, Clock::time_point minIdleSince)
+ClientConnection* ClientPool::acquireIdle(const std::string& key, Clock::time_point minIdleSince)
 {
-    auto found = this->idle.find(endpoint.toString());
+    auto found = this->idle.find(key);
     if (found == this->idle.end())
         return nullptr;
     auto& connections = found->second;
@@ -95,7 +96,7 @@
 
 void ClientPool::addIdle(ClientConnection* connection)
 {
-    auto& connections = this->idle[connection->remote().toString()];
+    auto& connections = this->idle[connection->key()];
     if (connections.size() >= maxIdleConnectionsPerEndpoint) {
         connection->cancel();
         return;
@@ -105,7 +106,7 @@
 
 void ClientPool::removeIdle(ClientConnection* connection)
 {
-    auto found = this->idle.find(connection->remote().toString());
+    auto found = this->idle.find(connection->key());
     if (found != this->idle.end())
         std::erase(found->second, connection);
 }
--- a/src/http/Client.h
+++ b/src/http/Client.h
@@ -29,6 +29,8 @@
     CallFailureKind kind;
     bool requestSent; ///< whether any byte of the request was written to the socket
     std::string detail;
+    bool isUnreached = false; ///< no connection was opened for the call
+    std::optional<int> tunnelStatus = {}; ///< with which CallOptions::via refused the tunnel
 };
 
 /// Callbacks of a call. The last one is either onComplete or onFailure; after Call::cancel() none is called.
@@ -50,6 +52,7 @@
     bool reuseConnection = true; ///< false opens a new connection, which cannot be stale
     /// Connections that became idle before this are not reused: the target may have closed them.
     Clock::time_point minIdleSince = Clock::time_point::min();
+    std::optional<Endpoint> via = {}; ///< opens tunnels to the endpoint by CONNECT; nothing connects to it directly
 };
 
 class ClientConnection;
@@ -88,11 +91,11 @@
 
 private:
     friend class ClientConnection;
-    ClientConnection* acquireIdle(const Endpoint& endpoint, Clock::time_point minIdleSince);
+    ClientConnection* acquireIdle(const std::string& key, Clock::time_point minIdleSince);
     void addIdle(ClientConnection* connection);
     void removeIdle(ClientConnection* connection);
 
-    std::unordered_map<std::string, std::vector<QPointer<ClientConnection>>> idle;
+    std::unordered_map<std::string, std::vector<QPointer<ClientConnection>>> idle; ///< by ClientConnection::key()
     uint64_t lastCallNumber = 0;
 };
 
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -16,6 +16,7 @@
 namespace {
 
     constexpr qint64 readBufferBytes = 128 << 10;
+    constexpr size_t maxTunnelHeadBytes = 256;
     constexpr uint32_t maxResponseHeaderBytes = 32 << 10;
 
     /// Interim answers (1xx) accepted before the final answer.
@@ -77,16 +78,17 @@
 
 }
 
-ClientConnection::ClientConnection(ClientPool* pool, Endpoint endpoint)
+ClientConnection::ClientConnection(ClientPool* pool, Endpoint endpoint, std::optional<Endpoint> via)
     : QObject(pool)
     , pool(pool)
     , endpoint(std::move(endpoint))
+    , via(std::move(via))
 {
     this->socket.setReadBufferSize(readBufferBytes);
     this->timer.setSingleShot(true);
     connect(&this->timer, &QTimer::timeout, this, &ClientConnection::checkDeadline);
     connect(&this->socket, &QTcpSocket::connected, this, &ClientConnection::watchForReset);
-    connect(&this->socket, &QTcpSocket::connected, this, &ClientConnection::writeRequest);
+    connect(&this->socket, &QTcpSocket::connected, this, &ClientConnection::onConnected);
     connect(&this->socket, &QTcpSocket::readyRead, this, &ClientConnection::readMore);
     connect(&this->socket, &QTcpSocket::disconnected, this, &ClientConnection::onDisconnected);
     connect(&this->socket, &QTcpSocket::errorOccurred, this, [this](QAbstractSocket::SocketError) {
@@ -124,7 +126,8 @@
     if (this->socket.state() == QAbstractSocket::ConnectedState) {
         QMetaObject::invokeMethod(this, &ClientConnection::writeRequest, Qt::QueuedConnection);
     } else {
-        this->socket.connectToHost(QHostAddress(QString::fromStdString(this->endpoint.host)), this->endpoint.port);
+        const auto& next = this->via.value_or(this->endpoint);
+        this->socket.connectToHost(QHostAddress(QString::fromStdString(next.host)), next.port);
     }
     this->armTimer();
 }
@@ -150,6 +153,40 @@
     return true;
 }
 
+void ClientConnection::onConnected()
+{
+    if (!this->via) {
+        this->writeRequest();
+        return;
+    }
+    this->socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    const auto head = "CONNECT " + this->endpoint.toString() + " HTTP/1.1\r\n\r\n";
+    this->socket.write(head.data(), static_cast<qint64>(head.size()));
+    this->socket.flush();
+}
+
+void ClientConnection::readTunnelAnswer()
+{
+    constexpr std::string_view version = "HTTP/1.1 ";
+    constexpr size_t statusDigits = 3;
+    constexpr int statusOpen = 200;
+    const auto bytes = this->socket.readAll();
+    this->tunnelHead.append(bytes.constData(), static_cast<size_t>(bytes.size()));
+    if (!this->tunnelHead.ends_with("\r\n\r\n") && this->tunnelHead.size() < maxTunnelHeadBytes)
+        return;
+    int status = 0;
+    if (this->tunnelHead.starts_with(version))
+        std::from_chars(this->tunnelHead.data() + version.size(),
+            this->tunnelHead.data() + std::min(version.size() + statusDigits, this->tunnelHead.size()), status);
+    if (status != statusOpen) {
+        this->tunnelStatus = status;
+        this->fail(CallFailureKind::ConnectFailed, "no path through " + this->via->toString());
+        return;
+    }
+    this->isTunnelOpen = true;
+    this->writeRequest();
+}
+
 void ClientConnection::writeRequest()
 {
     if (!this->number || this->sent)
@@ -191,6 +228,10 @@
         this->close();
         return;
     }
+    if (this->via && !this->isTunnelOpen) {
+        this->readTunnelAnswer();
+        return;
+    }
     if (!this->sent) {
         this->fail(CallFailureKind::ConnectFailed, "the connection received bytes before the request was sent");
         return;
@@ -380,7 +421,8 @@
 void ClientConnection::fail(CallFailureKind kind, std::string detail)
 {
     const auto failed = std::exchange(this->events, nullptr);
-    const CallFailure failure { kind, this->sent, std::move(detail) };
+    const bool isUnreached = kind == CallFailureKind::ConnectFailed && !this->requestsWritten;
+    const CallFailure failure { kind, this->sent, std::move(detail), isUnreached, this->tunnelStatus };
     this->close();
     if (failed->onFailure)
         failed->onFailure(failure);
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -64,7 +64,8 @@
 class ClientConnection : public QObject {
     Q_OBJECT
 public:
-    ClientConnection(ClientPool* pool, Endpoint endpoint);
+    /// @param via opens tunnels to @p endpoint; nothing connects to it directly
+    ClientConnection(ClientPool* pool, Endpoint endpoint, std::optional<Endpoint> via);
     ~ClientConnection() override;
 
     void start(uint64_t number, const Request& request, const CallOptions& options, CallEvents events);
@@ -92,12 +93,19 @@
     {
         return this->number;
     }
-    const Endpoint& remote() const
+    /// Connections with the same key are interchangeable.
+    static std::string keyOf(const Endpoint& endpoint, const std::optional<Endpoint>& via)
     {
-        return this->endpoint;
+        return via ? endpoint.toString() + " via " + via->toString() : endpoint.toString();
+    }
+    std::string key() const
+    {
+        return keyOf(this->endpoint, this->via);
     }
 
 private:
+    void onConnected();
+    void readTunnelAnswer();
     void writeRequest();
     void prepareParser();
     bool skipInterimAnswer();
@@ -117,6 +125,10 @@
 
     ClientPool* pool;
     Endpoint endpoint;
+    std::optional<Endpoint> via;
+    bool isTunnelOpen = false; ///< the instance on the way has connected to the endpoint
+    std::string tunnelHead; ///< received of its answer
+    std::optional<int> tunnelStatus; ///< with which it refused
     QTcpSocket socket;
     QTimer timer;
     Deadline deadline;
--- a/src/relay/PeerRanking.cpp
+++ b/src/relay/PeerRanking.cpp
@@ -1,5 +1,6 @@
 #include "relay/PeerRanking.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace dragonfly::relay {
@@ -79,6 +80,21 @@
     return standing;
 }
 
+std::vector<Endpoint> PeerRanking::tunnels(uint64_t random) const
+{
+    std::vector<std::tuple<int, uint64_t, Endpoint>> ordered;
+    for (const auto& [instance, peer] : this->peers) {
+        if (const auto endpoint = parseRemoteEndpoint(peer.tunnels))
+            ordered.emplace_back(distance(this->self.place, peer.place), fastHash(instance, random), *endpoint);
+    }
+    std::ranges::sort(
+        ordered, {}, [](const auto& each) { return std::make_pair(std::get<0>(each), std::get<1>(each)); });
+    std::vector<Endpoint> endpoints;
+    for (const auto& each : ordered)
+        endpoints.push_back(std::get<2>(each));
+    return endpoints;
+}
+
 std::optional<std::string> PeerRanking::findAddress(const std::string& instance) const
 {
     const auto found = this->peers.find(instance);
--- a/src/relay/PeerRanking.h
+++ b/src/relay/PeerRanking.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace dragonfly::relay {
 
@@ -21,6 +22,7 @@
     std::string address; ///< host:port of the instance's peer socket
     routing::Place place;
     uint32_t capacity = 0; ///< processor time available to the instance, in thousandths of a core
+    std::string tunnels = {}; ///< host:port at which the instance opens tunnels to targets; empty: nowhere
 };
 
 /// Why a peer is excluded from the choice.
@@ -45,6 +47,14 @@
     {
         this->self.address = address;
     }
+    /// Sets where this instance opens tunnels to targets.
+    void setOwnTunnels(const std::string& address)
+    {
+        this->self.tunnels = address;
+    }
+    /// Where other instances open tunnels to targets: the nearest first, equally near ones in an order that @p random
+    /// selects.
+    std::vector<Endpoint> tunnels(uint64_t random) const;
     /// Adds or replaces a registered peer. A record of this instance itself is ignored.
     void add(const Peer& peer);
     /// Adds a peer that has sent a query and is not registered yet as far as this instance knows. It is removed when it
--- a/src/relay/PeerRecord.cpp
+++ b/src/relay/PeerRecord.cpp
@@ -10,6 +10,7 @@
     record.set_region(peer.place.region);
     record.set_data_centre(peer.place.dataCentre);
     record.set_capacity(peer.capacity);
+    record.set_tunnels(peer.tunnels);
     return record;
 }
 
@@ -17,7 +18,8 @@
 {
     if (record.instance().empty() || !parseRemoteEndpoint(record.address()))
         return std::nullopt;
-    return Peer { record.instance(), record.address(), { record.region(), record.data_centre() }, record.capacity() };
+    return Peer { record.instance(), record.address(), { record.region(), record.data_centre() }, record.capacity(),
+        record.tunnels() };
 }
 
 }
--- /dev/null
+++ b/tests/TargetPathsTest.cpp
@@ -0,0 +1,193 @@
+// The path on which an instance reaches each target, and the tunnels through other instances.
+
+#include "paths/TargetPaths.h"
+#include "http/Http.h"
+#include "tests/support/Process.h"
+#include "tests/support/RawServer.h"
+#include "tests/support/Site.h"
+
+#include <QTcpSocket>
+#include <criterion/criterion.h>
+
+using namespace testing;
+using namespace dragonfly;
+using namespace dragonfly::paths;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Endpoint first { "10.0.0.1", 80 };
+const Endpoint second { "10.0.0.2", 80 };
+const Endpoint nearPeer { "10.1.0.1", 7000 };
+const Endpoint farPeer { "10.1.0.2", 7000 };
+
+struct Paths {
+    Application application;
+    TargetPaths paths;
+    std::set<std::string> silent;
+    size_t known = 5;
+
+    Paths()
+    {
+        this->paths.silentTargets = [this](Clock::time_point) { return this->silent; };
+        this->paths.knownTargets = [this] { return this->known; };
+        this->paths.peers = [] { return std::vector { nearPeer, farPeer }; };
+    }
+};
+
+/// What a call through a tunnel ended with.
+struct Outcome {
+    bool isEnded = false;
+    std::optional<http::CallFailure> failure;
+    std::string body;
+};
+
+/// Sends a request through a tunnel at @p via and waits for its end.
+Outcome callThrough(const Endpoint& target, const Endpoint& via)
+{
+    http::ClientPool pool;
+    Outcome outcome;
+    http::CallOptions options { Clock::now() + 2s, Clock::now() + 5s };
+    options.via = via;
+    http::CallEvents events;
+    events.onBody = [&](std::string_view bytes) { outcome.body += bytes; };
+    events.onComplete = [&] { outcome.isEnded = true; };
+    events.onFailure = [&](const http::CallFailure& failure) {
+        outcome.isEnded = true;
+        outcome.failure = failure;
+    };
+    pool.send(target, { "GET", "/", {}, "" }, options, std::move(events));
+    require(waitUntil([&] { return outcome.isEnded; }, 8s), "no end of the call");
+    return outcome;
+}
+
+struct TunnelSite {
+    Application application;
+    TunnelServer tunnels;
+    Endpoint via;
+    TunnelAnswer answer = TunnelAnswer::Open;
+
+    TunnelSite()
+    {
+        this->tunnels.mayOpen = [this](const Endpoint&) { return this->answer; };
+        this->via = std::get<Endpoint>(this->tunnels.listenOn({ "127.0.0.1", 0 }));
+    }
+};
+
+}
+
+Test(targetPaths, silenceOfAllTargetsIsAPartition)
+{
+    cr_expect(arePathsLost({ 3, 12, 600ms }));
+    cr_expect(!arePathsLost({ 2, 12, 5000ms }), "two of many");
+    cr_expect(arePathsLost({ 2, 2, 600ms }), "all there are");
+    cr_expect(!arePathsLost({ 1, 1, 5000ms }), "one target says nothing of the paths");
+    cr_expect(!arePathsLost({ 12, 12, 599ms }), "one of them was just heard");
+    cr_expect(!arePathsLost({ 0, 0, 5000ms }));
+}
+
+Test(targetPaths, unreachedTargetIsAskedThroughOtherInstances)
+{
+    Paths site;
+    const auto now = Clock::now();
+    cr_expect(!site.paths.viaFor(first, now));
+    cr_expect(site.paths.onUnreached(first, std::nullopt, std::nullopt, now));
+    cr_expect(site.paths.viaFor(first, now) == nearPeer);
+    cr_expect(!site.paths.viaFor(second, now), "another target");
+    cr_expect(site.paths.onUnreached(first, nearPeer, TunnelAnswer::NoPath, now));
+    cr_expect(site.paths.viaFor(first, now) == farPeer);
+    cr_expect(!site.paths.onUnreached(first, farPeer, std::nullopt, now), "no other instance is left");
+    cr_expect(!site.paths.viaFor(first, now));
+    cr_expect(site.paths.viaFor(first, now + 1001ms) == nearPeer, "asked again later");
+}
+
+Test(targetPaths, targetThatOthersDoNotReachEitherIsNotAskedThroughThem)
+{
+    Paths site;
+    const auto now = Clock::now();
+    site.paths.onUnreached(first, std::nullopt, std::nullopt, now);
+    cr_expect(!site.paths.onUnreached(first, nearPeer, TunnelAnswer::NoTarget, now));
+    cr_expect(!site.paths.viaFor(first, now));
+    cr_expect(!site.paths.onUnreached(first, std::nullopt, std::nullopt, now), "it has ended");
+}
+
+Test(targetPaths, lostPathsToAllAreTakenBackByOneThatWorks, .timeout = 20)
+{
+    RawServer target({ { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" } });
+    Paths site;
+    site.silent = { first.toString(), second.toString(), target.address().toString() };
+    cr_assert(waitUntil([&] { return site.paths.isPartitioned(); }, 2s));
+    site.silent.clear();
+    cr_expect(site.paths.viaFor({ "10.0.0.9", 80 }, Clock::now()), "all paths, also those that were not used");
+    cr_expect(waitUntil([&] { return !site.paths.isPartitioned(); }, 3s), "the own path to one works");
+    cr_expect(!site.paths.viaFor(first, Clock::now()));
+}
+
+Test(targetPaths, targetThatIsHeardKeepsItsPaths, .timeout = 20)
+{
+    Paths site;
+    site.silent = { "a:1", "b:1", "c:1", "d:1" };
+    for (int i = 0; i < 15; ++i) {
+        site.paths.onHeard(first, Clock::now());
+        runFor(100ms);
+    }
+    cr_expect(!site.paths.isPartitioned());
+}
+
+Test(tunnel, passesAnswersOnUnchanged, .timeout = 20)
+{
+    TunnelSite site;
+    const std::string body(3u << 20, 'x');
+    RawServer target({ { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body } });
+    const auto outcome = callThrough(target.address(), site.via);
+    cr_expect(!outcome.failure);
+    cr_expect(outcome.body == body);
+}
+
+Test(tunnel, closeStaysACloseAndResetAReset, .timeout = 20)
+{
+    for (const auto ending : { Ending::Close, Ending::Reset }) {
+        TunnelSite site;
+        RawServer target({ { "HTTP/1.1 200 OK\r\n\r\npart", ending, 100ms } });
+        const auto outcome = callThrough(target.address(), site.via);
+        cr_expect_eq(outcome.failure.has_value(), ending == Ending::Reset,
+            "an answer without a length is complete after a close only");
+    }
+}
+
+Test(tunnel, refusalsSendNothing, .timeout = 20)
+{
+    for (const auto answer : { TunnelAnswer::NoTarget, TunnelAnswer::NoPath }) {
+        TunnelSite site;
+        site.answer = answer;
+        const auto outcome = callThrough(first, site.via);
+        cr_assert(outcome.failure.has_value());
+        cr_expect(!outcome.failure->requestSent);
+        cr_expect(outcome.failure->isUnreached);
+        cr_expect(answerOf(outcome.failure->tunnelStatus.value_or(0)) == answer);
+    }
+    TunnelSite site;
+    const auto outcome = callThrough({ "127.0.0.1", 1 }, site.via);
+    cr_assert(outcome.failure.has_value());
+    cr_expect(!outcome.failure->requestSent, "nobody listens there");
+    cr_expect(answerOf(outcome.failure->tunnelStatus.value_or(0)) == TunnelAnswer::NoTarget);
+}
+
+Test(tunnel, bytesThatAskForNoTunnelAreRefused, .timeout = 20)
+{
+    for (const auto& bytes : { std::string("GET / HTTP/1.1\r\n\r\n"), std::string("CONNECT nowhere HTTP/1.1\r\n\r\n"),
+             std::string(5000, 'x'), std::string("\r\n\r\n") }) {
+        TunnelSite site;
+        QTcpSocket socket;
+        socket.connectToHost(QString::fromStdString(site.via.host), site.via.port);
+        socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
+        QByteArray received;
+        cr_expect(waitUntil(
+            [&] {
+                received += socket.readAll();
+                return socket.state() == QAbstractSocket::UnconnectedState;
+            },
+            3s));
+        cr_expect(!received.startsWith("HTTP/1.1 200"), "%s", received.constData());
+    }
+}
