Try the own paths to all targets in turn while all are lost

Read through: if all engines end at once, all own paths count as lost, and the probes went to the engines that were silent then. Once those were removed, nothing was probed and nothing ended the verdict, so that requests were refused by other instances first until the process restarted.

Each registered target is probed in turn, and bytes of any target on an own connection end the verdict too. Two tests; with no instance that has a path, the own one is used.

--- a/src/forward/Forwarder.cpp
+++ b/src/forward/Forwarder.cpp
@@ -42,8 +42,12 @@
             call->addSilentTargets(silent, now);
         return silent;
     };
-    paths.knownTargets = [this] { return this->context.directory.targets().size(); };
-    paths.isKnown = [this](const Endpoint& endpoint) { return this->isTargetAt(endpoint); };
+    paths.targets = [this] {
+        std::vector<Endpoint> endpoints;
+        for (const auto& [id, target] : this->context.directory.targets())
+            endpoints.push_back(target->registration.endpoint);
+        return endpoints;
+    };
 }
 
 bool Forwarder::isTargetAt(const Endpoint& endpoint) const
--- a/src/paths/TargetPaths.cpp
+++ b/src/paths/TargetPaths.cpp
@@ -22,6 +22,8 @@
     constexpr milliseconds failureRetention { 2000 };
     /// Between two probes of lost paths. A connection that is opened is priced like 1 ms of the target's time.
     constexpr milliseconds probeInterval { 300 };
+    /// The same while all own paths are lost, when each target is tried in turn.
+    constexpr milliseconds probeIntervalWhileCut { 150 };
     constexpr milliseconds probeTimeout { 250 };
     constexpr size_t maxProbes = 2;
     /// An instance that has no path of its own, or that does not answer, is not asked for this time.
@@ -64,6 +66,8 @@
     this->heardAt = now;
     if (!this->failedAt.empty())
         this->failedAt.erase(target.toString());
+    if (this->isCut)
+        this->onOwnPath(target);
 }
 
 bool TargetPaths::onUnreached(const Endpoint& target, const std::optional<Endpoint>& via,
@@ -107,37 +111,49 @@
 void TargetPaths::decide(Clock::time_point now)
 {
     std::erase_if(this->failedAt, [now](const auto& each) { return each.second + failureRetention <= now; });
-    if (this->isCut || !this->silentTargets || !this->knownTargets)
+    if (this->isCut || !this->silentTargets || !this->targets)
         return;
     auto silent = this->silentTargets(now);
     for (const auto& [name, at] : this->failedAt)
         silent.insert(name);
     const auto heardAgo = std::chrono::duration_cast<milliseconds>(now - this->heardAt);
-    if (!arePathsLost({ silent.size(), this->knownTargets(), heardAgo }))
+    if (!arePathsLost({ silent.size(), this->targets().size(), heardAgo }))
         return;
     this->isCut = true;
     this->deadUntil.clear();
-    for (const auto& name : silent) {
-        if (const auto target = parseEndpoint(name))
-            this->lost.emplace(name, LostTarget { *target, now });
-    }
     logChange(LogLevel::Warning, "own paths to all targets lost",
         { { "silent_targets", std::to_string(silent.size()) }, { "heard_ms_ago", std::to_string(heardAgo.count()) } });
 }
 
-/// Tries lost paths in turn, each with a connection that is closed again.
+/// The target whose path is to be tried next: any while all paths are lost, as some targets may have ended.
+std::optional<Endpoint> TargetPaths::nextProbe(Clock::time_point now)
+{
+    const auto known = this->targets ? this->targets() : std::vector<Endpoint>();
+    std::erase_if(
+        this->lost, [&](const auto& each) { return std::ranges::find(known, each.second.target) == known.end(); });
+    if (this->isCut && !known.empty())
+        return known[this->probedTargets++ % known.size()];
+    if (this->lost.empty())
+        return std::nullopt;
+    auto& next
+        = std::ranges::min_element(this->lost, {}, [](const auto& each) { return each.second.nextProbeAt; })->second;
+    next.nextProbeAt = now + probeInterval;
+    return next.target;
+}
+
+/// Tries a lost path with a connection that is closed again.
 void TargetPaths::probe(Clock::time_point now)
 {
     std::erase_if(this->deadUntil, [now](const auto& each) { return each.second <= now; });
     std::erase_if(this->avoided, [now](const auto& each) { return each.second <= now; });
-    std::erase_if(this->lost, [this](const auto& each) { return this->isKnown && !this->isKnown(each.second.target); });
-    if (this->lost.empty() || now < this->nextProbeAt || this->probes >= maxProbes)
+    const bool isNeeded = this->isCut || !this->lost.empty();
+    if (!isNeeded || now < this->nextProbeAt || this->probes >= maxProbes)
         return;
-    this->nextProbeAt = now + probeInterval;
-    auto& next
-        = std::ranges::min_element(this->lost, {}, [](const auto& each) { return each.second.nextProbeAt; })->second;
-    next.nextProbeAt = now + probeInterval;
-    const auto target = next.target;
+    this->nextProbeAt = now + (this->isCut ? probeIntervalWhileCut : probeInterval);
+    const auto next = this->nextProbe(now);
+    if (!next)
+        return;
+    const auto target = *next;
     ++this->probes;
     auto* socket = new QTcpSocket(this);
     connect(socket, &QObject::destroyed, this, [this] { --this->probes; });
--- a/src/paths/TargetPaths.h
+++ b/src/paths/TargetPaths.h
@@ -65,8 +65,7 @@
 
     /// Targets with a request on the own path that has been open for silenceTime and without an answer.
     std::function<std::set<std::string>(Clock::time_point now)> silentTargets;
-    std::function<size_t()> knownTargets;
-    std::function<bool(const Endpoint& target)> isKnown;
+    std::function<std::vector<Endpoint>()> targets; ///< all registered ones
     std::function<std::vector<Endpoint>()> peers; ///< where other instances open tunnels, the preferred first
 
 private:
@@ -78,6 +77,7 @@
     void check();
     void decide(Clock::time_point now);
     void probe(Clock::time_point now);
+    std::optional<Endpoint> nextProbe(Clock::time_point now);
     void onOwnPath(const Endpoint& target);
 
     bool isCut = false; ///< all own paths are taken to be lost
@@ -90,6 +90,7 @@
     std::map<std::string, Clock::time_point> avoided;
     Clock::time_point nextProbeAt;
     size_t probes = 0; ///< in progress
+    size_t probedTargets = 0; ///< since the start, while all own paths were taken to be lost
     QTimer timer;
 };
 
--- a/tests/TargetPathsTest.cpp
+++ b/tests/TargetPathsTest.cpp
@@ -25,12 +25,12 @@
     Application application;
     TargetPaths paths;
     std::set<std::string> silent;
-    size_t known = 5;
+    std::vector<Endpoint> known { first, second, { "10.0.0.3", 80 }, { "10.0.0.4", 80 }, { "10.0.0.5", 80 } };
 
     Paths()
     {
         this->paths.silentTargets = [this](Clock::time_point) { return this->silent; };
-        this->paths.knownTargets = [this] { return this->known; };
+        this->paths.targets = [this] { return this->known; };
         this->paths.peers = [] { return std::vector { nearPeer, farPeer }; };
     }
 };
@@ -115,14 +115,36 @@
 {
     RawServer target({ { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" } });
     Paths site;
-    site.silent = { first.toString(), second.toString(), target.address().toString() };
+    site.silent = { first.toString(), second.toString(), "10.0.0.3:80" };
     cr_assert(waitUntil([&] { return site.paths.isPartitioned(); }, 2s));
     site.silent.clear();
+    site.known.push_back(target.address());
     cr_expect(site.paths.viaFor({ "10.0.0.9", 80 }, Clock::now()), "all paths, also those that were not used");
     cr_expect(waitUntil([&] { return !site.paths.isPartitioned(); }, 3s), "the own path to one works");
     cr_expect(!site.paths.viaFor(first, Clock::now()));
 }
 
+Test(targetPaths, lostPathsToAllAreTakenBackWhenATargetIsHeard, .timeout = 20)
+{
+    Paths site;
+    site.silent = { "a:1", "b:1", "c:1" };
+    cr_assert(waitUntil([&] { return site.paths.isPartitioned(); }, 2s));
+    site.silent.clear();
+    site.paths.onHeard(second, Clock::now());
+    cr_expect(!site.paths.isPartitioned());
+}
+
+Test(targetPaths, instancesWithoutPathsLeaveTheOwnOne, .timeout = 20)
+{
+    Paths site;
+    site.silent = { "a:1", "b:1", "c:1" };
+    cr_assert(waitUntil([&] { return site.paths.isPartitioned(); }, 2s));
+    const auto now = Clock::now();
+    cr_expect(site.paths.onUnreached(first, nearPeer, TunnelAnswer::NoPath, now));
+    cr_expect(!site.paths.onUnreached(first, farPeer, TunnelAnswer::NoPath, now));
+    cr_expect(!site.paths.viaFor(first, now), "asked directly, in case that all targets were silent");
+}
+
 Test(targetPaths, targetThatIsHeardKeepsItsPaths, .timeout = 20)
 {
     Paths site;
