--- a/src/paths/TargetPaths.cpp
+++ b/src/paths/TargetPaths.cpp
@@ -153,7 +153,7 @@
     const auto next = this->nextProbe(now);
     if (!next)
         return;
-    const auto target = *next;
+    const auto& target = *next;
     ++this->probes;
     auto* socket = new QTcpSocket(this);
     connect(socket, &QObject::destroyed, this, [this] { --this->probes; });
