--- a/src/paths/TargetPaths.cpp
+++ b/src/paths/TargetPaths.cpp
@@ -119,7 +119,7 @@
     const auto known = this->targets();
     if (known.empty())
         return;
-    const auto target = known[this->probedTargets++ % known.size()];
+    const auto& target = known[this->probedTargets++ % known.size()];
     ++this->probes;
     auto* socket = new QTcpSocket(this);
     connect(socket, &QObject::destroyed, this, [this] { --this->probes; });
