Kill the instance that helps in a test of lost paths, and reword comments

Two faults at once were not shown on the new path: an instance without links to the targets loses the one that carries its connections.

No code changes.

--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -72,7 +72,7 @@
     void endForStop();
     /// Whether the request was sent to the process @p incarnation before @p since and its answer is still read.
     bool hasOpenAttempt(const quarantine::Incarnation& incarnation, Clock::time_point since) const;
-    /// Adds the addresses of targets that were sent the request on the own path and of which nothing was heard for
+    /// Adds the addresses of targets that received the request on the own path and have sent nothing for
     /// paths::silenceTime.
     void addSilentTargets(std::set<std::string>& silent, Clock::time_point now) const;
     /// nullopt once the request has ended.
--- a/src/paths/TargetPaths.h
+++ b/src/paths/TargetPaths.h
@@ -1,9 +1,9 @@
 #pragma once
 // The path on which this instance reaches each target: its own, or through another instance.
 //
-// An instance may lose its links to the targets while callers and other instances still reach it. If nothing is heard
-// of any target, while requests and connections to several are silent or have failed, all targets are reached through
-// other instances. A single target that fails is taken for one that has ended.
+// An instance may be partitioned from the targets while callers and other instances still reach it. If no target sends
+// any bytes, while requests or connections to several are open or have failed, all targets are reached through other
+// instances. A single target that fails is taken for one that has ended.
 
 #include "base/Base.h"
 #include "paths/TunnelServer.h"
@@ -18,15 +18,15 @@
 
 namespace dragonfly::paths {
 
-/// What this instance has seen of its own paths since it last heard of a target on one.
+/// Observations of this instance's own paths since it last received bytes of a target on one.
 struct PathEvidence {
     size_t silentTargets = 0; ///< those with a request that has been open for silenceTime, or that failed
     size_t knownTargets = 0;
     std::chrono::milliseconds heardAgo { 0 }; ///< since bytes or an established connection of any target
 };
 
-/// How long an open request counts as silent, and how long nothing must have been heard. Targets together are not
-/// silent for so long: one may be for a second.
+/// A request without an answer counts as silent after this time, and no target may have sent any bytes for as long. A
+/// single target may pause for a second; several do not pause at the same time.
 inline constexpr std::chrono::milliseconds silenceTime { 600 };
 
 /// Whether this instance has lost its own paths to all targets.
--- a/src/paths/Tunnel.h
+++ b/src/paths/Tunnel.h
@@ -1,6 +1,6 @@
 #pragma once
 // One connection that is carried to a target. Works on the sockets themselves, because a reset must stay a reset: it
-// tells that an answer without a length is cut off.
+// marks an answer without a length as incomplete.
 
 #include "paths/TunnelServer.h"
 
--- a/tests/PartitionedInstanceTest.cpp
+++ b/tests/PartitionedInstanceTest.cpp
@@ -128,3 +128,15 @@
 {
     expectServedThroughPartition("new");
 }
+
+Test(partitionedInstance, callersAreServedAfterTheInstanceThatHelpedWasKilled, .timeout = 60)
+{
+    PartitionSite site;
+    site.site.startEntry();
+    runFor(2s); // until the instances know each other
+    site.partition("hang");
+    site.sendFor(contactTime);
+    site.site.entries[1]->kill();
+    site.sendFor(contactTime);
+    expectServed(site.sendFor(2s), "after the kill");
+}
