Do not discard the request that follows an answer on a kept connection

What callers saw: an answer said that the connection is kept, the caller sent its next request as soon as it had that answer, and got neither an answer nor a reset for two seconds; then the connection ended.

Cause: a connection that was to close while it was idle (its idle time had ended, a configuration allowed no idle time, or the instance drained) was closed in order if bytes of its last answer were unacknowledged: the sending side ended, and whatever arrived was read and discarded until the caller closed. That is right behind an answer that says "close", but here the caller had been told the contrary. A stream that began before a stop, or before a configuration without idle time, always ends this way, because its last bytes are on their way when the close is decided.

Fix: such a connection stays readable until its caller has acknowledged the answer, or nothing was acknowledged for the send timeout; a request that arrives until then is answered, and says that the connection closes. Then it is closed as any idle one: what crosses the close is reset unread, so the caller may send it elsewhere.

--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -22,6 +22,9 @@
     constexpr std::chrono::milliseconds closeCheckInterval { 100 };
     /// From accepting a connection; some round trips, within which a caller that has just connected sends its request.
     constexpr std::chrono::milliseconds firstRequestTimeout { 500 };
+    /// How often the delivery of the last answer is looked for on an idle connection that is to close. A fraction of
+    /// the time within which a caller has to learn that its next request is not read.
+    constexpr std::chrono::milliseconds deliveryCheckInterval { 50 };
     /// Bytes received from a caller after its last answer; bounds the work that a caller causes which never stops.
     constexpr size_t maxDiscardedBytes = 64u << 20;
 
@@ -144,6 +147,7 @@
             this->parser->body_limit(this->server->limits.bodyBytes);
             this->state = State::Headers;
             this->firstRequestDeadline = {};
+            this->deliveryDeadline.reset();
             this->setDeadline(this->server->limits.headerTimeout);
         }
         if (!this->feedParser())
@@ -364,12 +368,26 @@
         this->setDeadline(this->server->limits.headerTimeout); // the event loop has yet to read it
     else if (now < this->firstRequestDeadline)
         this->setDeadline(remaining(this->firstRequestDeadline, now));
-    else if (this->unacknowledgedBytes())
-        this->closeInOrder();
-    else
+    else if (!this->awaitsDelivery(now))
         this->drop(); // a request that crosses the close is reset, so that its caller knows that it was not read
 }
 
+/// Whether the caller still receives its last answer, which said that the connection is kept. The next request may be
+/// on its way and is read until then.
+bool ServerConnection::awaitsDelivery(Clock::time_point now)
+{
+    const auto unsent = this->unacknowledgedBytes();
+    if (!unsent)
+        return false;
+    if (!this->deliveryDeadline || unsent < this->unsentAtCheck)
+        this->deliveryDeadline = now + this->server->limits.sendTimeout;
+    this->unsentAtCheck = unsent;
+    if (now >= *this->deliveryDeadline)
+        return false;
+    this->setDeadline(deliveryCheckInterval);
+    return true;
+}
+
 bool ServerConnection::hasCallerClosed() const
 {
     pollfd descriptor { static_cast<int>(this->socket.socketDescriptor()), POLLRDHUP, 0 };
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -56,6 +56,7 @@
     void onAnswerSent();
     bool hasWaitingInput() const;
     bool mayKeep() const;
+    bool awaitsDelivery(Clock::time_point now);
     void closeInOrder();
     void endSending();
     void checkSendProgress();
@@ -79,7 +80,9 @@
     std::weak_ptr<Exchange> exchange;
     bool keepAlive = true; ///< false once the caller or the head of the current answer has said "close"
     bool sendingEnded = false; ///< in Closing: everything queued is with the system, and the end of the stream too
-    int64_t unsentAtCheck = 0; ///< unacknowledgedBytes() when the deadline of Closing was set
+    /// In Idle, once the connection is to close: without progress of what is unacknowledged, it closes then.
+    std::optional<Deadline> deliveryDeadline;
+    int64_t unsentAtCheck = 0; ///< unacknowledgedBytes() when that deadline or the one of Closing was set
     size_t discardedBytes = 0;
 };
 
--- a/tests/ServerCloseTest.cpp
+++ b/tests/ServerCloseTest.cpp
@@ -180,6 +180,83 @@
     cr_assert_eq(tested.requests, 2);
 }
 
+namespace {
+
+/// Receives an answer of @p bytes that ends with "end" slowly, and sends a request as soon as it has arrived whole.
+void receiveThenSend(RawCaller& caller, size_t bytes)
+{
+    const auto readSome = [&] {
+        caller.receive(8 << 10);
+        return caller.ended || (caller.received.size() > bytes && caller.received.find("end") != std::string::npos);
+    };
+    cr_assert(waitUntil(readSome, 20s));
+    caller.received.clear();
+    caller.send(get("/now"));
+}
+
+/// Whether the caller gets an answer to the request that it has sent last, or learns that it was not read.
+bool isAnsweredOrReset(RawCaller& caller)
+{
+    constexpr auto lossSlack = 200ms;
+    return waitUntil(
+        [&] {
+            caller.receive();
+            return caller.received.find("answer to /now") != std::string::npos || caller.isReset();
+        },
+        lossSlack);
+}
+
+}
+
+Test(serverClose, requestAfterASlowlyReceivedAnswerIsNotDiscardedWhenTheIdleTimeHasEnded, .timeout = 60)
+{
+    constexpr size_t answerBytes = 4 << 20;
+    http::ServerLimits limits;
+    limits.idleTimeout = 200ms;
+    TestedServer tested(limits);
+    RawCaller caller(tested.endpoint, 4 << 10);
+    caller.send(get("/held"));
+    cr_assert(tested.waitForRequest());
+    tested.held[0]->respond(200, {}, std::string(answerBytes, 'x') + "end");
+    runFor(500ms);
+    receiveThenSend(caller, answerBytes);
+    cr_assert(isAnsweredOrReset(caller), "discarded in silence");
+}
+
+Test(serverClose, requestAfterAKeptStreamIsNotDiscardedInTheDrain, .timeout = 60)
+{
+    constexpr size_t answerBytes = 4 << 20;
+    TestedServer tested;
+    RawCaller caller(tested.endpoint, 4 << 10);
+    caller.send(get("/stream"));
+    cr_assert(tested.waitForRequest());
+    tested.held[0]->beginStream(200, {});
+    tested.drain();
+    tested.held[0]->write(std::string(answerBytes, 'x') + "end");
+    tested.held[0]->finish();
+    runFor(200ms);
+    receiveThenSend(caller, answerBytes);
+    cr_assert(isAnsweredOrReset(caller), "discarded in silence");
+}
+
+Test(serverClose, requestAfterAKeptStreamIsNotDiscardedWhenConnectionsMayNoLongerBeIdle, .timeout = 60)
+{
+    constexpr size_t answerBytes = 4 << 20;
+    TestedServer tested;
+    RawCaller caller(tested.endpoint, 4 << 10);
+    caller.send(get("/stream"));
+    cr_assert(tested.waitForRequest());
+    tested.held[0]->beginStream(200, {});
+    http::ServerLimits limits;
+    limits.idleTimeout = 0ms;
+    tested.server.setLimits(limits);
+    tested.held[0]->write(std::string(answerBytes, 'x') + "end");
+    tested.held[0]->finish();
+    runFor(200ms);
+    receiveThenSend(caller, answerBytes);
+    cr_assert(isAnsweredOrReset(caller), "discarded in silence");
+}
+
 Test(serverClose, connectionThatIsIdleWhenTheIdleTimeGrowsIsKeptForTheLongerTime, .timeout = 30)
 {
     http::ServerLimits limits;
