Answer requests that wait behind an answer when an instance stops

What callers saw: two requests sent behind an open one on the same connection, both received whole, were discarded when the instance announced that it stops before the open one was answered: its answer said "close" and the others got nothing.

Cause: whether a connection is kept looked at the bytes that wait only where the configuration allows no idle time, not where the instance stops.

Fix: in both cases the answer closes the connection only if nothing waits behind it, in the process or in the system.

--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -271,8 +271,8 @@
 /// Whether the connection may carry another request: one that waits behind this answer, or one that comes later.
 bool ServerConnection::mayKeep() const
 {
-    const bool mayBeIdle = this->server->limits.idleTimeout.count() > 0;
-    return !this->server->closing && (mayBeIdle || !this->unparsed.empty());
+    const bool mayBeIdle = this->server->limits.idleTimeout.count() > 0 && !this->server->closing;
+    return mayBeIdle || !this->unparsed.empty() || this->hasWaitingInput();
 }
 
 std::string ServerConnection::headText(int status, const Headers& headers, std::string_view framing) const
--- a/tests/ServerCloseTest.cpp
+++ b/tests/ServerCloseTest.cpp
@@ -340,6 +340,21 @@
         caller.received.c_str());
 }
 
+Test(serverClose, requestsThatWaitBehindAnAnswerAreAnsweredAfterTheAnnouncement, .timeout = 30)
+{
+    TestedServer tested;
+    RawCaller caller(tested.endpoint);
+    caller.send(get("/held"));
+    cr_assert(tested.waitForRequest());
+    caller.send(get("/now") + get("/now"));
+    runFor(50ms);
+    tested.server.announceClosing();
+    tested.held[0]->respond(200, {}, "late");
+    cr_assert(caller.receiveToEnd());
+    cr_assert_eq(caller.answers(), 3, "%s", caller.received.c_str());
+    cr_assert(caller.received.ends_with("Connection: close\r\n\r\nanswer to /now"), "%s", caller.received.c_str());
+}
+
 Test(serverClose, answersThatBeginAfterTheAnnouncementSayThatTheConnectionCloses, .timeout = 30)
 {
     TestedServer tested;
