Record that a version is opening until all instances know it

Callers of an instance that had just started could get a stream at a version that other instances did not know yet. If it broke, an instance whose records were older than the opening by less than the open delay took it up at the only version that it knew: one answer with events of two versions.

The cause: how long a version had been open was kept by each instance from the moment at which it saw the record change. The first record that an instance reads is no change, so all its versions were open at once.

A version that joins others is now recorded as opening. An instance that has known it as that for the open delay records it as open. Streams begin at an open version, and at an opening one that the instance itself has known for that long, so that a store that takes no writes holds up no version. An instance that has just started waits only while the version is new; after a restart of all, nobody waits at a settled record.

In a return of the store to an older copy, a version that is known to be open is not opening again. A version that was closed opens at once when it comes back: it was in the record for longer than the open delay, which is why the time until it is closed now counts from its record at the earliest.

Changed test: planOpensClosesAndRemovesVersions expected a version beside others to be open in the plan at once, which is the fault. It now expects that it is opening, opens only when it is known to all, and may be closed before that.

--- a/src/streams/ServiceVersions.h
+++ b/src/streams/ServiceVersions.h
@@ -1,9 +1,10 @@
 #pragma once
 // The software versions at which the resumable streams of each service may have begun.
 //
-// One record in the platform's service holds them for all instances. A stream begins only at an open version, and a
-// version is removed only once every stream that began there is too old to be resumed. So a stream of a service with
-// one version in the record began at that version, also for an instance that has just started.
+// One record in the platform's service holds them for all instances. A stream begins only at an open version; one
+// that joins others is opening first, until all instances know it. A version is removed only once every stream that
+// began there is too old to be resumed. So a stream of a service with one version in the record began at that version,
+// also for an instance that has just started.
 
 #include <map>
 #include <optional>
@@ -13,6 +14,7 @@
 namespace dragonfly::streams {
 
 enum class VersionPhase {
+    Opening, ///< streams begin there once all instances know the version; some may have begun
     Open, ///< streams begin there
     Closed, ///< streams that began there may still be resumed
 };
@@ -29,6 +31,7 @@
     using Versions = std::map<std::string, std::set<std::string>>; ///< by service
 
     Versions registered; ///< those of targets that take requests
+    Versions settled; ///< those that have been opening for so long that all instances know them
     Versions abandoned; ///< those without such a target for long enough to be closed
     Versions expired; ///< those closed for so long that no stream that began there is resumed any more
 };
--- a/src/streams/VersionRegistry.cpp
+++ b/src/streams/VersionRegistry.cpp
@@ -20,11 +20,24 @@
     /// Callers' own time limits exceed that of the route by less than this factor.
     constexpr int retentionFactor = 2;
 
+    const char* toString(VersionPhase phase)
+    {
+        switch (phase) {
+        case VersionPhase::Opening:
+            return ":opening";
+        case VersionPhase::Open:
+            return ":open";
+        case VersionPhase::Closed:
+            break;
+        }
+        return ":closed";
+    }
+
     std::string describe(const VersionPhases& phases)
     {
         std::string text;
         for (const auto& [version, phase] : phases)
-            text += (text.empty() ? "" : ",") + version + (phase == VersionPhase::Open ? ":open" : ":closed");
+            text += (text.empty() ? "" : ",") + version + toString(phase);
         return text;
     }
 
@@ -58,9 +71,14 @@
     }
     this->stored = *read;
     if (isReturned) {
-        // The copy to which the service returned may lack versions that were recorded later.
-        for (const auto& [service, phases] : this->versions)
-            (*read)[service].insert(phases.begin(), phases.end());
+        // The copy to which the service returned may lack versions and changes that were recorded later.
+        for (const auto& [service, phases] : this->versions) {
+            for (const auto& [version, phase] : phases) {
+                auto& returned = (*read)[service].try_emplace(version, phase).first->second;
+                if (returned == VersionPhase::Opening)
+                    returned = phase;
+            }
+        }
     }
     this->apply(std::move(*read));
 }
@@ -79,10 +97,10 @@
     if (phases == this->versions.end())
         return false;
     const auto phase = phases->second.find(version);
-    if (phase == phases->second.end() || phase->second != VersionPhase::Open)
+    if (phase == phases->second.end() || phase->second == VersionPhase::Closed)
         return false;
-    const auto from = this->usableFrom.find({ service, version });
-    return from == this->usableFrom.end() || from->second <= Clock::now();
+    // Waits for no write, which the store may refuse for long.
+    return phase->second == VersionPhase::Open || this->settledFrom.at({ service, version }) <= Clock::now();
 }
 
 bool VersionRegistry::isMixed(const std::string& service) const
@@ -137,6 +155,9 @@
             // A version that had no target when this instance started counts from now on.
             if (this->lastRegistered.emplace(name, now).first->second + this->timings.closeDelay <= now)
                 observed.abandoned[service].insert(version);
+            const auto settled = this->settledFrom.find(name);
+            if (settled != this->settledFrom.end() && settled->second <= now)
+                observed.settled[service].insert(version);
             const auto since = this->closedSince.find(name);
             if (since != this->closedSince.end() && since->second + this->retention() <= now)
                 observed.expired[service].insert(version);
@@ -210,29 +231,23 @@
             this->onMixed(service);
     }
     const auto now = Clock::now();
-    std::erase_if(this->usableFrom, [now](const auto& entry) { return entry.second <= now; });
+    const auto opening = std::exchange(this->settledFrom, {});
+    const auto closed = std::exchange(this->closedSince, {});
     for (const auto& [service, phases] : this->versions) {
         const auto before = former.find(service);
-        if (before == former.end())
-            continue;
         for (const auto& [version, phase] : phases) {
-            const auto formerPhase = before->second.find(version);
-            const bool wasOpen = formerPhase != before->second.end() && formerPhase->second == VersionPhase::Open;
-            if (phase == VersionPhase::Open && !wasOpen)
-                this->usableFrom[{ service, version }] = now + this->timings.openDelay;
-        }
-    }
-    VersionTimes closed;
-    for (const auto& [service, phases] : this->versions) {
-        for (const auto& [version, phase] : phases) {
-            if (phase != VersionPhase::Closed)
-                continue;
             const std::pair name { service, version };
-            const auto since = this->closedSince.find(name);
-            closed[name] = since == this->closedSince.end() ? now : since->second;
+            if (before == former.end() || !before->second.contains(version))
+                this->lastRegistered[name] = now;
+            if (phase == VersionPhase::Opening) {
+                const auto from = opening.find(name);
+                this->settledFrom[name] = from == opening.end() ? now + this->timings.openDelay : from->second;
+            } else if (phase == VersionPhase::Closed) {
+                const auto since = closed.find(name);
+                this->closedSince[name] = since == closed.end() ? now : since->second;
+            }
         }
     }
-    this->closedSince = std::move(closed);
 }
 
 }
--- a/src/streams/VersionRegistry.h
+++ b/src/streams/VersionRegistry.h
@@ -13,10 +13,11 @@
 namespace dragonfly::streams {
 
 struct VersionTimings {
-    /// Streams begin at a version so long after this instance learned that it was opened beside others. All instances
+    /// Streams begin at a version so long after an instance learned that it was recorded beside others. All instances
     /// that can take up one of these streams know it by then: two watches of 300 ms by way of a peer, and a margin.
     std::chrono::milliseconds openDelay { 1200 };
-    /// A version without a target for so long is closed. Longer than a target takes to register again.
+    /// A version without a target for so long is closed. Longer than a target takes to register again, and than
+    /// openDelay, so that all instances know a version that was closed.
     std::chrono::milliseconds closeDelay { 3000 };
     /// A closed version is removed after so long, or longer if routes allow streams more time (retention()).
     std::chrono::milliseconds minRetention { 20000 };
@@ -76,8 +77,8 @@
     ServiceVersions stored; ///< the content of the record
     int64_t revision = 0; ///< of the record; 0: none exists
     bool isRead = false;
-    VersionTimes lastRegistered; ///< when each version last had a target that takes requests
-    VersionTimes usableFrom; ///< when streams may begin at a version that was opened beside others
+    VersionTimes lastRegistered; ///< when each version last had a target that takes requests, or was first recorded
+    VersionTimes settledFrom; ///< of each opening version of `versions`: when all instances know it
     VersionTimes closedSince; ///< when this instance learned that a version is closed
     bool isCallInFlight = false;
     std::optional<Clock::time_point> writeAt; ///< earliest time of the next write; unset while none is needed
--- a/tests/StreamOriginPartsTest.cpp
+++ b/tests/StreamOriginPartsTest.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr auto open = VersionPhase::Open;
+constexpr auto opening = VersionPhase::Opening;
 constexpr auto closed = VersionPhase::Closed;
 
 ServiceVersions ofService(const VersionPhases& phases)
@@ -77,7 +78,11 @@
     /// Puts a record of versions that another instance wrote in force.
     void applyVersions(const VersionPhases& phases)
     {
-        this->origins.applyRecord({ VersionRegistry::key, encodeVersions(ofService(phases)), ++this->revision }, true);
+        this->applyRecord(encodeVersions(ofService(phases)));
+    }
+    void applyRecord(const std::string& bytes)
+    {
+        this->origins.applyRecord({ VersionRegistry::key, bytes, ++this->revision }, true);
     }
     bool waitForSwap(size_t number) const
     {
@@ -103,6 +108,32 @@
     }
 };
 
+constexpr VersionTimings openingTimings { 300ms, 1s, 1s, 0ms, 10ms, 20ms };
+
+/// What an instance writes while a second version joins.
+struct OpeningRecords {
+    std::string opened; ///< as soon as the second version is seen
+    std::optional<std::string> settled; ///< once all instances know it; nothing if it is not written
+};
+
+OpeningRecords recordsOfAnOpening()
+{
+    OriginSite site(openingTimings);
+    site.origins.onWholeRead();
+    site.applyVersions({ { "v1", open } });
+    site.add("i-1", "v1");
+    site.add("i-2", "v2");
+    require(site.waitForSwap(0), "the second version is not recorded");
+    OpeningRecords records { site.store.swaps[0].value, std::nullopt };
+    const auto writtenAt = Clock::now();
+    site.answerSwap(0);
+    if (site.waitForSwap(1)) {
+        records.settled = site.store.swaps[1].value;
+        require(Clock::now() - writtenAt >= openingTimings.openDelay, "recorded as known to all too early");
+    }
+    return records;
+}
+
 StreamStart startOf(const std::string& request, const std::string& version, bool isBegun = false)
 {
     return { streamIdOf("org", request), version, isBegun };
@@ -112,28 +143,36 @@
 
 Test(streamVersions, planOpensClosesAndRemovesVersions)
 {
-    expectPlan({}, { names({ "v1" }), {}, {} }, { { "v1", open } });
-    expectPlan({ { "v1", open } }, { names({ "v1", "v2" }), {}, {} }, { { "v1", open }, { "v2", open } });
-    expectPlan({ { "v1", open }, { "v2", open } }, { names({ "v2" }), {}, {} }, { { "v1", open }, { "v2", open } });
-    expectPlan({ { "v1", open }, { "v2", open } }, { names({ "v2" }), names({ "v1" }), {} },
+    expectPlan({}, { names({ "v1" }), {}, {}, {} }, { { "v1", open } });
+    expectPlan({}, { names({ "v1", "v2" }), {}, {}, {} }, { { "v1", open }, { "v2", open } });
+    expectPlan({ { "v1", open } }, { names({ "v1", "v2" }), {}, {}, {} }, { { "v1", open }, { "v2", opening } });
+    expectPlan({ { "v1", open }, { "v2", opening } }, { names({ "v1", "v2" }), {}, {}, {} },
+        { { "v1", open }, { "v2", opening } });
+    expectPlan({ { "v1", open }, { "v2", opening } }, { names({ "v1", "v2" }), names({ "v2" }), {}, {} },
+        { { "v1", open }, { "v2", open } });
+    expectPlan({ { "v1", open }, { "v2", opening } }, { names({ "v1" }), names({ "v2" }), names({ "v2" }), {} },
+        { { "v1", open }, { "v2", closed } });
+    expectPlan({ { "v1", open }, { "v2", open } }, { names({ "v2" }), {}, {}, {} }, { { "v1", open }, { "v2", open } });
+    expectPlan({ { "v1", open }, { "v2", open } }, { names({ "v2" }), {}, names({ "v1" }), {} },
         { { "v1", closed }, { "v2", open } });
-    expectPlan({ { "v1", closed }, { "v2", open } }, { names({ "v2" }), names({ "v1" }), names({ "v1" }) },
+    expectPlan({ { "v1", closed }, { "v2", open } }, { names({ "v2" }), {}, names({ "v1" }), names({ "v1" }) },
         { { "v2", open } });
-    expectPlan({ { "v1", closed }, { "v2", open } }, { names({ "v1", "v2" }), {}, names({ "v1" }) },
+    expectPlan({ { "v1", closed }, { "v2", open } }, { names({ "v1", "v2" }), {}, {}, names({ "v1" }) },
         { { "v1", open }, { "v2", open } });
 }
 
 Test(streamVersions, onlyVersionIsNeitherClosedNorRemoved)
 {
-    expectPlan({ { "v1", open } }, { {}, names({ "v1" }), {} }, { { "v1", open } });
-    expectPlan({ { "v1", closed } }, { {}, names({ "v1" }), names({ "v1" }) }, { { "v1", closed } });
-    expectPlan({ { "v1", closed }, { "v2", closed } }, { {}, names({ "v1", "v2" }), names({ "v1", "v2" }) },
+    expectPlan({ { "v1", open } }, { {}, {}, names({ "v1" }), {} }, { { "v1", open } });
+    expectPlan({ { "v1", closed } }, { {}, {}, names({ "v1" }), names({ "v1" }) }, { { "v1", closed } });
+    expectPlan({ { "v1", closed }, { "v2", closed } }, { {}, {}, names({ "v1", "v2" }), names({ "v1", "v2" }) },
         { { "v1", closed }, { "v2", closed } });
 }
 
 Test(streamVersions, recordsAreReadAsTheyWereWritten)
 {
-    const ServiceVersions versions { { "s", { { "v1", open }, { "v2", closed } } }, { "t", { { "", open } } } };
+    const ServiceVersions versions { { "s", { { "v1", open }, { "v2", closed }, { "v3", opening } } },
+        { "t", { { "", open } } } };
     cr_expect(decodeVersions(encodeVersions(versions)) == versions);
     const auto starts = decodeStarts(encodeStarts({ startOf("a", "v1"), startOf("b", "v2", true) }));
     cr_assert(starts.has_value());
@@ -171,6 +210,64 @@
     cr_expect(waitUntil([&] { return site.origins.mayBeginAt(second); }, 1s));
 }
 
+Test(streamOrigins, startedInstanceBeginsNoStreamAtAVersionThatWasJustOpened, .timeout = 20)
+{
+    const auto records = recordsOfAnOpening();
+    OriginSite started(openingTimings);
+    const auto readAt = Clock::now();
+    started.applyRecord(records.opened);
+    started.origins.onWholeRead();
+    const auto& former = started.add("i-1", "v1");
+    const auto& target = started.add("i-2", "v2");
+    cr_expect(started.origins.mayBeginAt(former));
+    cr_expect(!started.origins.mayBeginAt(target), "other instances may not know it yet");
+    cr_assert(waitUntil([&] { return started.origins.mayBeginAt(target); }, 2s));
+    cr_expect_geq((Clock::now() - readAt).count(), std::chrono::nanoseconds(openingTimings.openDelay).count());
+}
+
+Test(streamOrigins, startedInstanceWaitsForNoVersionThatAllInstancesKnow, .timeout = 20)
+{
+    const auto records = recordsOfAnOpening();
+    cr_assert(records.settled, "no instance has recorded that all know it");
+    OriginSite started(openingTimings);
+    started.applyRecord(*records.settled);
+    started.origins.onWholeRead();
+    started.add("i-1", "v1");
+    cr_expect(started.origins.mayBeginAt(started.add("i-2", "v2")));
+    cr_expect(!started.waitForSwap(0), "written without need");
+}
+
+Test(streamOrigins, openedVersionTakesStreamsWhileTheStoreTakesNoWrites, .timeout = 20)
+{
+    const auto records = recordsOfAnOpening();
+    OriginSite site(openingTimings);
+    site.applyRecord(records.opened);
+    site.origins.onWholeRead();
+    site.add("i-1", "v1");
+    const auto& target = site.add("i-2", "v2");
+    for (size_t i = 0; i < 2; ++i) {
+        cr_assert(site.waitForSwap(i), "nothing is written");
+        cr_expect(site.origins.mayBeginAt(target));
+        site.store.swaps[i].done(store::StoreFailure::Unknown);
+    }
+}
+
+Test(streamOrigins, versionIsNotOpeningAgainAfterAReturnToAnOlderCopy, .timeout = 20)
+{
+    const auto records = recordsOfAnOpening();
+    cr_assert(records.settled, "no instance has recorded that all know it");
+    OriginSite site(openingTimings);
+    site.applyRecord(*records.settled);
+    site.origins.onWholeRead();
+    site.add("i-1", "v1");
+    const auto& target = site.add("i-2", "v2");
+    site.revision = store::revisionInEra(1, 5);
+    site.applyRecord(records.opened);
+    cr_expect(site.origins.mayBeginAt(target));
+    cr_assert(site.waitForSwap(0), "the copy is not corrected");
+    cr_expect(site.swapped(0) == *decodeVersions(*records.settled));
+}
+
 Test(streamOrigins, versionThatHasLeftIsRemembered, .timeout = 20)
 {
     OriginSite site;
