Keep a longer idle time from holding up a drain

What callers and operators saw: a configuration that lengthened the idle time while an instance drained kept the connections that the drain was about to close for that time, and with them the process, until the end of its grace period.

Cause: a connection that waits in a drain for its first request, or for the delivery of its last answer, is idle with a short deadline. A longer idle time replaced it, though the close had been decided since.

Evidence: longerIdleTimeDoesNotHoldUpADrain failed before on both kinds of connection: neither was closed within 2 s of the drain, nor within 2 s of its delivered answer.

Fix: idle connections of a draining server are not kept for a longer idle time.

--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -396,7 +396,7 @@
 
 void ServerConnection::extendIdleTime()
 {
-    if (this->state == State::Idle) // the timer fires early once and is armed again
+    if (this->state == State::Idle && !this->server->draining) // the timer fires early once and is armed again
         this->deadline = std::max(this->deadline, this->idleSince + this->server->limits.idleTimeout);
 }
 
--- a/tests/ServerCloseTest.cpp
+++ b/tests/ServerCloseTest.cpp
@@ -453,6 +453,27 @@
         cr_assert(caller->receiveToEnd());
 }
 
+Test(serverClose, longerIdleTimeDoesNotHoldUpADrain, .timeout = 60)
+{
+    constexpr size_t answerBytes = 4 << 20;
+    http::ServerLimits limits;
+    limits.idleTimeout = 1s;
+    TestedServer tested(limits);
+    RawCaller receiving(tested.endpoint, 4 << 10);
+    receiving.send(get("/held"));
+    cr_assert(tested.waitForRequest());
+    tested.held[0]->respond(200, {}, std::string(answerBytes, 'x') + "end");
+    runFor(50ms);
+    const RawCaller silent(tested.endpoint);
+    runFor(50ms);
+    tested.drain();
+    cr_assert_eq(tested.server.connectionCount(), 2);
+    tested.server.setLimits({});
+    cr_expect(waitUntil([&] { return tested.server.connectionCount() == 1; }, 2s), "a caller that sends nothing");
+    cr_expect(receiving.receiveUntil("end", 20s));
+    cr_expect(tested.waitUntilClosed(2s), "a caller that has received its answer");
+}
+
 Test(serverClose, abortedStreamKeepsItsQueuedEventsAndLooksIncomplete, .timeout = 30)
 {
     constexpr int receiveBuffer = 4 << 10;
