Reset tunnels when the instance that carries them ends

What callers saw: an answer without a length, received through another instance, was delivered as whole although it was cut where that instance stopped or was killed.

Cause: such an answer is complete when its connection is closed, and incomplete when it is reset. A tunnel passes both on, but its own process ended an open tunnel with a close, whatever the target was still to send.

Evidence: answerWithoutALengthIsIncompleteWhenTheInstanceThatCarriesIt{Stops,IsKilled} failed before: in both, the first part of the answer was taken for the whole.

Fix: the connection to the instance is reset on close from the moment the tunnel opens, so the system resets it too when the process is killed. Only a tunnel whose target or instance has closed, with everything passed on, is closed in order. Bytes that are unacknowledged when the process ends are discarded; their call was cut or was answered within the last round trip.

--- a/src/paths/Tunnel.cpp
+++ b/src/paths/Tunnel.cpp
@@ -31,10 +31,10 @@
         return parseRemoteEndpoint(request.substr(method.size(), end - method.size()));
     }
 
-    void resetOnClose(int descriptor)
+    void setResetOnClose(int descriptor, bool isReset)
     {
-        const linger immediately { 1, 0 };
-        ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+        const linger setting { isReset, 0 };
+        ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &setting, sizeof(setting));
     }
 
     bool isRetryable()
@@ -140,6 +140,7 @@
         return;
     }
     this->isOpen = true;
+    setResetOnClose(this->instance.descriptor, true); // the end of this process does not complete an answer
     this->timer.stop();
     this->target.writable->setEnabled(false);
     this->instance.readable->disconnect(this);
@@ -200,6 +201,7 @@
         side.unsent.erase(0, static_cast<size_t>(count));
     }
     if (this->isEnding && this->instance.unsent.empty() && this->target.unsent.empty()) {
+        setResetOnClose(this->instance.descriptor, false);
         this->end();
         return;
     }
@@ -213,7 +215,7 @@
 {
     for (auto* side : { &this->instance, &this->target }) {
         if (side->descriptor >= 0)
-            resetOnClose(side->descriptor);
+            setResetOnClose(side->descriptor, true);
     }
     this->end();
 }
--- a/tests/TargetPathsTest.cpp
+++ b/tests/TargetPathsTest.cpp
@@ -7,7 +7,12 @@
 #include "tests/support/Site.h"
 
 #include <QTcpSocket>
+#include <QTimer>
 #include <criterion/criterion.h>
+#include <csignal>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
 
 using namespace testing;
 using namespace dragonfly;
@@ -179,6 +184,44 @@
     }
 }
 
+Test(tunnel, answerWithoutALengthIsIncompleteWhenTheInstanceThatCarriesItIsKilled, .timeout = 20)
+{
+    int portPipe[2];
+    cr_assert_eq(pipe(portPipe), 0);
+    const auto carrier = fork();
+    if (!carrier) {
+        TunnelSite site;
+        require(write(portPipe[1], &site.via.port, sizeof(site.via.port)) == sizeof(site.via.port), "no pipe");
+        runFor(15s);
+        _exit(0);
+    }
+    Endpoint via { "127.0.0.1", 0 };
+    cr_assert_eq(read(portPipe[0], &via.port, sizeof(via.port)), sizeof(via.port));
+    const Application application;
+    RawServer target({ { "HTTP/1.1 200 OK\r\n\r\npart", Ending::Close, 2s } });
+    std::jthread killer([carrier] {
+        std::this_thread::sleep_for(500ms);
+        kill(carrier, SIGKILL);
+        waitpid(carrier, nullptr, 0);
+    });
+    const auto outcome = callThrough(target.address(), via);
+    cr_assert_eq(outcome.body, "part");
+    cr_assert(outcome.failure.has_value(), "a part of the answer was taken for the whole");
+}
+
+Test(tunnel, answerWithoutALengthIsIncompleteWhenTheInstanceThatCarriesItStops, .timeout = 20)
+{
+    const Application application;
+    auto tunnels = std::make_unique<TunnelServer>();
+    tunnels->mayOpen = [](const Endpoint&) { return TunnelAnswer::Open; };
+    const auto via = std::get<Endpoint>(tunnels->listenOn({ "127.0.0.1", 0 }));
+    RawServer target({ { "HTTP/1.1 200 OK\r\n\r\npart", Ending::Close, 2s } });
+    QTimer::singleShot(500ms, tunnels.get(), [&] { tunnels.reset(); });
+    const auto outcome = callThrough(target.address(), via);
+    cr_assert_eq(outcome.body, "part");
+    cr_assert(outcome.failure.has_value(), "a part of the answer was taken for the whole");
+}
+
 Test(tunnel, refusalsSendNothing, .timeout = 20)
 {
     for (const auto answer : { TunnelAnswer::NoTarget, TunnelAnswer::NoPath }) {
