Bound chunk headers and trailers of requests

A caller, without a key, that sent a chunk extension, the digits of a chunk's size, or trailers without end made an instance keep all of it until the body time: 20 callers of 10 MiB each made it grow by 183 MB.

Cause: the parser bounds heads only. In a chunk header or trailers it consumes nothing and asks for more, and the connection appends what arrives to what is not parsed yet; only the state of the head compared that with a limit.

Now the part that is not parsed is held to the limit of headers in every state, and refused with 400 and "not-run".

--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -166,8 +166,13 @@
     const auto used = this->parser->put(boost::asio::buffer(this->unparsed), failure);
     this->unparsed.erase(0, used);
     if (failure == beast::error::need_more) {
-        if (this->state == State::Headers && this->unparsed.size() > this->server->limits.headerBytes)
+        if (this->unparsed.size() <= this->server->limits.headerBytes)
+            return false;
+        // The parser has a limit of its own for heads, but none for what it does not consume of a chunked body.
+        if (this->state == State::Headers)
             this->refuse(ErrorKind::HeadersTooLarge, "the headers are larger than allowed");
+        else
+            this->refuse(ErrorKind::BadRequest, "a chunk header or the trailers are larger than allowed");
         return false;
     }
     if (failure) {
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -75,7 +75,8 @@
     Deadline firstRequestDeadline; ///< a drain does not close a connection without a request before
     State state = State::Idle;
     std::optional<Parser> parser;
-    /// Received bytes that are not parsed yet; a pipelined request stays here until the current answer has ended.
+    /// Received bytes that are not parsed yet. Before Answering, at most a read more than ServerLimits::headerBytes; a
+    /// pipelined request stays here until the current answer has ended.
     std::string unparsed;
     std::weak_ptr<Exchange> exchange;
     bool keepAlive = true; ///< false once the caller or the head of the current answer has said "close"
--- a/tests/BadInputTest.cpp
+++ b/tests/BadInputTest.cpp
@@ -1,9 +1,11 @@
 // Invalid, oversized and slow requests receive the right error and use bounded memory and connections.
 
+#include "tests/support/RawCaller.h"
 #include "tests/support/Site.h"
 
 #include <QTcpSocket>
 #include <criterion/criterion.h>
+#include <thread>
 
 using namespace testing;
 using namespace std::chrono_literals;
@@ -80,6 +82,34 @@
     cr_assert_leq(site.entries[0]->residentBytes(), before + (48u << 20));
 }
 
+Test(badInput, chunkExtensionsWithoutEndDoNotFillMemory, .timeout = 60)
+{
+    constexpr int callers = 20;
+    constexpr size_t block = 64 << 10;
+    constexpr size_t most = 10 << 20;
+    const Application application;
+    Site site;
+    site.startEntry();
+    const auto before = site.entries[0]->residentBytes();
+    std::vector<std::unique_ptr<RawCaller>> open;
+    for (int i = 0; i < callers; ++i)
+        open.push_back(std::make_unique<RawCaller>(site.entry(0)));
+    {
+        std::vector<std::jthread> senders;
+        for (const auto& caller : open)
+            senders.emplace_back([&caller] {
+                caller->send("POST /v1/completions HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4;");
+                const std::string bytes(block, 'x');
+                for (size_t sent = 0; sent < most && caller->send(bytes); sent += block)
+                    continue;
+            });
+    }
+    const auto after = site.entries[0]->residentBytes();
+    cr_expect_leq(after, before + (48u << 20), "grew by %zu MB", (after - std::min(before, after)) >> 20);
+    for (const auto& caller : open)
+        cr_expect(caller->receiveUntil("HTTP/1.1 400"));
+}
+
 Test(badInput, oversizedHeadersAreRefused, .timeout = 60)
 {
     const Application application;
