Bound chunk headers and trailers of answers

Cause: the parser bounds heads only. In a chunk header or trailers it consumes nothing and asks for more, and the connection appends what arrives to what is not parsed yet.

Now a part of a chunk header or of trailers that is longer than a head may be fails the call as malformed.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -18,6 +18,8 @@
     constexpr qint64 readBufferBytes = 128 << 10;
     constexpr size_t maxTunnelHeadBytes = 256;
     constexpr uint32_t maxResponseHeaderBytes = 32 << 10;
+    /// Limit on the received part of a chunk header or of trailers, for which the parser has none: that of a head.
+    constexpr size_t maxUnparsedBytes = maxResponseHeaderBytes;
 
     /// Interim answers (1xx) accepted before the final answer.
     constexpr int maxInterimAnswers = 8;
@@ -254,7 +256,13 @@
             this->fail(CallFailureKind::Malformed, "too many interim answers");
             return;
         }
-        if (!this->deliverParsed() || failure == beast::error::need_more || !used)
+        if (!this->deliverParsed())
+            return;
+        if (this->unparsed.size() > maxUnparsedBytes && failure == beast::error::need_more) {
+            this->fail(CallFailureKind::Malformed, "a chunk header or trailers without end");
+            return;
+        }
+        if (failure == beast::error::need_more || !used)
             return;
     }
 }
