Do not take trailers of a request for its headers

A caller could name a key, a deadline or a second Host in the trailers of a chunked body: the handler saw them among the headers of the request, as a target would that it is forwarded to, and "Connection: close" there closed a connection whose head had said that it is kept.

Cause: the parser adds trailers to the same fields as the head, and these were read when the body was complete, after the checks of the head.

Evidence: serverInput/trailersAreNoHeadersOfTheRequest failed on the code before in five expectations: Authorization, a deadline and Connection were found, Host was there twice, and the answer said that the connection closes.

Now fields are copied when the head is complete, and trailers are ignored, which a recipient that knows none may do.

--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -184,6 +184,9 @@
             this->refuse(ErrorKind::BadRequest, *problem);
             return false;
         }
+        // Trailers, which the parser adds to the fields later, are unchecked and must not select a key or a deadline.
+        this->headFields = toHeaders(this->parser->get().base());
+        this->keepAlive = this->parser->get().keep_alive();
         this->state = State::Body;
         this->setDeadline(this->server->limits.bodyTimeout);
         if (this->parser->get()[beast::field::expect] == "100-continue")
@@ -200,11 +203,10 @@
     auto message = this->parser->release();
     this->parser.reset();
     this->state = State::Answering;
-    this->keepAlive = message.keep_alive();
     Request request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
-    request.headers = toHeaders(message.base());
+    request.headers = std::exchange(this->headFields, {});
     request.body = std::move(message.body());
     auto current = std::make_shared<Exchange>(this, std::move(request));
     this->exchange = current;
@@ -235,6 +237,7 @@
     this->state = State::Closing;
     this->exchange.reset();
     this->parser.reset();
+    this->headFields = {};
     this->unparsed.clear();
     this->unsentAtCheck = unsent;
     this->setDeadline(this->server->limits.sendTimeout);
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -75,6 +75,7 @@
     Deadline firstRequestDeadline; ///< a drain does not close a connection without a request before
     State state = State::Idle;
     std::optional<Parser> parser;
+    Headers headFields; ///< without trailers; valid in Body
     /// Received bytes that are not parsed yet. Before Answering, at most a read more than ServerLimits::headerBytes; a
     /// pipelined request stays here until the current answer has ended.
     std::string unparsed;
--- a/tests/ServerInputTest.cpp
+++ b/tests/ServerInputTest.cpp
@@ -1,4 +1,4 @@
-// What a server keeps of a request that is not complete is bounded.
+// What a server keeps of a request that is not complete is bounded, and only the head of a request describes it.
 
 #include "tests/support/TestedServer.h"
 
@@ -97,3 +97,20 @@
     cr_assert(tested.waitForRequest());
     cr_assert(tested.held[0]->request().body == "body");
 }
+
+Test(serverInput, trailersAreNoHeadersOfTheRequest, .timeout = 30)
+{
+    TestedServer tested;
+    RawCaller caller(tested.endpoint);
+    cr_assert(caller.send(chunkedHead("/held")
+        + "4\r\nbody\r\n0\r\nAuthorization: Bearer x\r\nDeadline: 1\r\nHost: other\r\nConnection: close\r\n\r\n"));
+    cr_assert(tested.waitForRequest());
+    const auto& headers = tested.held[0]->request().headers;
+    cr_expect_not(headers.find("Authorization"));
+    cr_expect_not(headers.find("Deadline"));
+    cr_expect_not(headers.find("Connection"));
+    cr_expect_eq(std::ranges::count_if(headers, [](const auto& field) { return field.name == "Host"; }), 1);
+    tested.held[0]->respond(200, {}, "first");
+    cr_assert(caller.receiveUntil("first"));
+    cr_expect_eq(caller.received.find("Connection: close"), std::string::npos);
+}
