Report requests that are released or discarded without an answer

What callers saw: nothing yet; this makes visible, and ends, what the logs could not tell apart: a request that was dispatched and whose handler released it (its caller waited for ever), and one that a closing connection read and discarded.

Cause: a request has a line at its end only if its handler writes one, and the connection neither counted requests nor what it discards.

Fix: an exchange that is destroyed before its answer has ended, while its caller is connected, is answered with 502 (may have run, since the connection cannot know), or its stream is broken off; a metric and a line name it. Requests received whole and their ends are counted, so the difference is those whose callers wait. A connection that closes says how much it discarded, why it closed and whether the end of a head was among it. The lines are limited to 10 a second.

--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -120,6 +120,11 @@
             { { "outcome", std::string(answerFor(kind).name) }, { "status", std::to_string(answerFor(kind).status) },
                 { "execution", "not-run" } });
     };
+    this->server.observer = observe::requestObserver(this->metrics, [this](const http::Request& request) {
+        const auto parsed = this->headers.parseRequest(request);
+        const auto* metadata = std::get_if<forward::RequestMetadata>(&parsed);
+        return metadata ? metadata->requestId : std::string();
+    });
     const auto listened = this->server.listenShared(this->settings.listen);
     if (const auto* error = errorOf(listened))
         return *error;
--- a/src/entry/Worker.cpp
+++ b/src/entry/Worker.cpp
@@ -79,6 +79,8 @@
     http::Server server(
         this->limits, [this, &scope](const http::ExchangePointer& exchange) { this->handle(scope, exchange); });
     server.onRefusal = [this](ErrorKind kind) { this->shared.metrics.failed(kind).Increment(); };
+    server.observer = observe::requestObserver(this->shared.metrics,
+        [](const http::Request& request) { return std::string(request.headers.valueOr("X-Request-Id", "")); });
     this->loop = &loop;
     this->server = &server;
     this->scope = &scope;
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -140,8 +140,15 @@
 {
 }
 
+Exchange::~Exchange()
+{
+    if (!this->isEnded && this->connection)
+        this->connection->endUnanswered(this->received);
+}
+
 void Exchange::respond(int status, const Headers& headers, std::string_view body)
 {
+    this->isEnded = true;
     if (this->connection)
         this->connection->sendResponse(status, headers, body);
 }
@@ -160,12 +167,14 @@
 
 void Exchange::finish()
 {
+    this->isEnded = true;
     if (this->connection)
         this->connection->sendLastChunk();
 }
 
 void Exchange::abort()
 {
+    this->isEnded = true;
     if (this->connection)
         this->connection->abort();
 }
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -39,10 +39,14 @@
 /// One request and the answer to it.
 ///
 /// Answer with either respond(), or beginStream(), write() and finish(). All methods must be called in the
-/// thread of the connection. After the caller has disconnected they do nothing.
+/// thread of the connection. After the caller has disconnected they do nothing. An exchange that is destroyed before
+/// its answer has ended is answered as a request that may have run, or its stream is aborted.
 class Exchange {
 public:
     Exchange(ServerConnection* connection, Request request);
+    ~Exchange();
+    Exchange(const Exchange&) = delete;
+    Exchange& operator=(const Exchange&) = delete;
 
     const Request& request() const
     {
@@ -75,6 +79,7 @@
     QPointer<ServerConnection> connection;
     Request received;
     std::string address;
+    bool isEnded = false; ///< by respond(), finish() or abort()
 };
 
 using ExchangePointer = std::shared_ptr<Exchange>;
@@ -82,6 +87,23 @@
 /// Called with the error kind when a request or connection is refused before it reaches the handler.
 using RefusalObserver = std::function<void(ErrorKind)>;
 
+/// What was received on a connection after it had been decided to close it, and was not read as requests.
+struct DiscardedInput {
+    std::string_view reason; ///< why the connection closed
+    std::string address; ///< of the caller
+    size_t bytes = 0;
+    bool hasWholeHead = false; ///< the bytes may contain a request; the rest of a refused one may look like that too
+};
+
+/// What an operator has to see of a server's requests. All are optional.
+struct RequestObserver {
+    std::function<void()> onBegun; ///< a request was received whole
+    std::function<void()> onEnded; ///< its answer has ended, or its caller has left
+    /// A request's exchange was destroyed unanswered while its caller was connected.
+    std::function<void(const Request&)> onUnanswered;
+    std::function<void(const DiscardedInput&)> onInputDiscarded;
+};
+
 /// Accepts connections on one socket, in the event loop of the thread that created it.
 class Server : public QTcpServer {
     Q_OBJECT
@@ -93,6 +115,7 @@
     Result<Endpoint> listenShared(const Endpoint& endpoint);
 
     RefusalObserver onRefusal;
+    RequestObserver observer;
     /// Sets the limits for later connections and requests. Connections that are idle are kept for the longer of the
     /// previous and the new idle time, since callers may know either.
     void setLimits(const ServerLimits& limits);
--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -28,6 +28,8 @@
     /// Bytes received from a caller after its last answer; bounds the work that a caller causes which never stops.
     constexpr size_t maxDiscardedBytes = 64u << 20;
 
+    constexpr std::string_view headEnd = "\r\n\r\n";
+
     ErrorKind errorKindOf(const boost::beast::error_code& failure)
     {
         if (failure == beast::error::body_limit)
@@ -68,6 +70,7 @@
     connect(&this->socket, &QTcpSocket::disconnected, this, [this] {
         this->state = State::Closed;
         auto current = this->exchange.lock();
+        this->endRequest();
         this->deleteLater();
         if (current && current->onCallerGone)
             current->onCallerGone();
@@ -78,6 +81,8 @@
 ServerConnection::~ServerConnection()
 {
     this->socket.disconnect(this);
+    this->endRequest();
+    this->reportDiscarded();
     this->server->release(this->address);
 }
 
@@ -128,7 +133,7 @@
     }
     const auto bytes = this->socket.readAll();
     if (this->state == State::Closing) {
-        this->discardedBytes += static_cast<size_t>(bytes.size());
+        this->discard({ bytes.constData(), static_cast<size_t>(bytes.size()) });
         if (this->discardedBytes > maxDiscardedBytes)
             this->drop();
         return;
@@ -137,6 +142,47 @@
     this->parse();
 }
 
+void ServerConnection::discard(std::string_view bytes)
+{
+    this->discardedBytes += bytes.size();
+    if (this->hasDiscardedHead)
+        return;
+    const auto begin = this->lastDiscarded + std::string(bytes.substr(0, headEnd.size() - 1));
+    this->hasDiscardedHead = bytes.find(headEnd) != std::string_view::npos || begin.find(headEnd) != std::string::npos;
+    const auto& tail = bytes.size() < headEnd.size() ? std::string_view(begin) : bytes;
+    this->lastDiscarded = std::string(tail.substr(tail.size() - std::min(tail.size(), headEnd.size() - 1)));
+}
+
+void ServerConnection::reportDiscarded()
+{
+    const auto& report = this->server->observer.onInputDiscarded;
+    if (const auto bytes = std::exchange(this->discardedBytes, 0); bytes && report)
+        report({ toString(this->closeReason), this->addressText(), bytes, this->hasDiscardedHead });
+}
+
+std::string_view ServerConnection::toString(CloseReason reason)
+{
+    switch (reason) {
+    case CloseReason::CallerCloses:
+        return "the caller asked to close";
+    case CloseReason::AnswerCloses:
+        return "the answer said so";
+    case CloseReason::Refused:
+        return "a request was refused while it was read";
+    case CloseReason::Aborted:
+        break;
+    }
+    return "the answer was broken off";
+}
+
+/// The caller waits for no answer any more.
+void ServerConnection::endRequest()
+{
+    this->exchange.reset();
+    if (std::exchange(this->isRequestOpen, false) && this->server->observer.onEnded)
+        this->server->observer.onEnded();
+}
+
 void ServerConnection::parse()
 {
     const auto isReading = [this] { return this->state <= State::Body; };
@@ -196,6 +242,11 @@
     this->parser.reset();
     this->state = State::Answering;
     this->keepAlive = message.keep_alive();
+    this->hasCallerAskedToClose = !this->keepAlive;
+    this->isHeadSent = false;
+    this->isRequestOpen = true;
+    if (this->server->observer.onBegun)
+        this->server->observer.onBegun();
     Request request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
@@ -219,17 +270,19 @@
         "Content-Length: " + std::to_string(body.size()));
     text.append(body);
     this->socket.write(text.data(), static_cast<qint64>(text.size()));
-    this->closeInOrder();
+    this->closeInOrder(CloseReason::Refused);
 }
 
 /// Sends what is queued and the end of the connection, then reads and discards until the caller closes: closing with
 /// unread bytes resets the connection, which discards what the caller has not received yet.
-void ServerConnection::closeInOrder()
+void ServerConnection::closeInOrder(CloseReason reason)
 {
     const auto unsent = this->unacknowledgedBytes();
     this->state = State::Closing;
-    this->exchange.reset();
+    this->closeReason = reason;
+    this->endRequest();
     this->parser.reset();
+    this->discard(this->unparsed);
     this->unparsed.clear();
     this->unsentAtCheck = unsent;
     this->setDeadline(this->server->limits.sendTimeout);
@@ -302,6 +355,7 @@
     if (this->state != State::Answering)
         return;
     this->keepAlive = this->keepAlive && this->mayKeep();
+    this->isHeadSent = true;
     const auto text = this->headText(status, headers, "Transfer-Encoding: chunked");
     this->socket.write(text.data(), static_cast<qint64>(text.size()));
 }
@@ -325,9 +379,9 @@
 
 void ServerConnection::onAnswerSent()
 {
-    this->exchange.reset();
+    this->endRequest();
     if (!this->keepAlive) {
-        this->closeInOrder();
+        this->closeInOrder(this->hasCallerAskedToClose ? CloseReason::CallerCloses : CloseReason::AnswerCloses);
         return;
     }
     this->state = State::Idle;
@@ -347,14 +401,31 @@
 void ServerConnection::abort()
 {
     if (this->state == State::Answering)
-        this->closeInOrder();
+        this->closeInOrder(CloseReason::Aborted);
+}
+
+void ServerConnection::endUnanswered(const Request& request)
+{
+    if (this->state != State::Answering || this->hasCallerClosed())
+        return;
+    if (this->server->observer.onUnanswered)
+        this->server->observer.onUnanswered(request);
+    if (this->isHeadSent) {
+        this->closeInOrder(CloseReason::Aborted);
+        return;
+    }
+    const Error error { ErrorKind::TargetFailed, "the request was released without an answer", Execution::Unknown, {} };
+    this->sendResponse(answerFor(error.kind).status,
+        { { "Content-Type", "application/json" },
+            { "Dragonfly-Execution", std::string(dragonfly::toString(error.execution)) } },
+        errorBody(error, ""));
 }
 
 /// Closes at once, without what is not sent yet.
 void ServerConnection::drop()
 {
     this->state = State::Closed;
-    this->exchange.reset();
+    this->endRequest();
     this->socket.abort();
     this->deleteLater();
 }
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -21,6 +21,8 @@
     void sendChunk(std::string_view chunk);
     void sendLastChunk();
     void abort();
+    /// Ends the answer to @p request, whose handler has released it without an answer.
+    void endUnanswered(const Request& request);
     void closeWhenIdle();
     /// Whether the caller has closed, or ended its sending side, also if the event loop has not handled that yet.
     bool hasCallerClosed() const;
@@ -48,7 +50,18 @@
         Closed,
     };
 
+    enum class CloseReason {
+        CallerCloses, ///< the head of its request said "close"
+        AnswerCloses, ///< the head of the last answer said "close"
+        Refused, ///< a request could not be read
+        Aborted, ///< an answer was broken off
+    };
+    static std::string_view toString(CloseReason reason);
+
     void readMore();
+    void discard(std::string_view bytes);
+    void reportDiscarded();
+    void endRequest();
     void parse();
     bool feedParser();
     void dispatch();
@@ -57,7 +70,7 @@
     bool hasWaitingInput() const;
     bool mayKeep() const;
     bool awaitsDelivery(Clock::time_point now);
-    void closeInOrder();
+    void closeInOrder(CloseReason reason);
     void endSending();
     void checkSendProgress();
     void drop();
@@ -78,12 +91,18 @@
     /// Received bytes that are not parsed yet; a pipelined request stays here until the current answer has ended.
     std::string unparsed;
     std::weak_ptr<Exchange> exchange;
+    bool isRequestOpen = false; ///< from a request received whole to the end of its answer, or of its connection
+    bool isHeadSent = false; ///< in Answering: of a stream
+    bool hasCallerAskedToClose = false; ///< with its last request
     bool keepAlive = true; ///< false once the caller or the head of the current answer has said "close"
     bool sendingEnded = false; ///< in Closing: everything queued is with the system, and the end of the stream too
     /// In Idle, once the connection is to close: without progress of what is unacknowledged, it closes then.
     std::optional<Deadline> deliveryDeadline;
     int64_t unsentAtCheck = 0; ///< unacknowledgedBytes() when that deadline or the one of Closing was set
+    CloseReason closeReason = CloseReason::AnswerCloses; ///< valid in Closing
     size_t discardedBytes = 0;
+    bool hasDiscardedHead = false; ///< among the discarded bytes is the end of a head
+    std::string lastDiscarded; ///< the last discarded bytes, as many as may be part of a head's end
 };
 
 }
--- a/src/observe/Log.cpp
+++ b/src/observe/Log.cpp
@@ -32,6 +32,10 @@
     constexpr double recordLinesPerSecond = 10;
     constexpr double recordLineBurst = 100;
 
+    /// Limits for lines about callers' connections: a few odd ones are all named, a flood of them stays bounded.
+    constexpr double connectionLinesPerSecond = 10;
+    constexpr double connectionLineBurst = 100;
+
     std::atomic<uint64_t> dropped { 0 };
 
     /// Lines of one kind, of which only some are written.
@@ -63,6 +67,9 @@
     LimitedLines recordLines { "refused record log lines dropped", { recordLinesPerSecond, recordLineBurst, 0 }, {},
         {} };
 
+    LimitedLines connectionLines { "connection log lines dropped", { connectionLinesPerSecond, connectionLineBurst, 0 },
+        {}, {} };
+
     /// Writes lines to standard output without blocking; a line is dropped while the pipe is full.
     class StandardOutputBackend
         : public logging::sinks::basic_formatted_sink_backend<char, logging::sinks::synchronized_feeding> {
@@ -174,6 +181,14 @@
     logChange(level, event, fields);
 }
 
+void logConnection(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (!connectionLines.tryAcquire(true))
+        return;
+    connectionLines.logDropped();
+    logChange(level, event, fields);
+}
+
 uint64_t droppedLogLines()
 {
     return dropped.load(std::memory_order_relaxed);
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -33,7 +33,14 @@
 }
 
 Metrics::Metrics(std::shared_ptr<prometheus::Registry> registry)
-    : answered(counter(*registry, "dragonfly_requests_answered_total", "Requests answered in full"))
+    : requestsBegun(counter(*registry, "dragonfly_requests_begun_total", "Requests received whole"))
+    , requestsEnded(counter(*registry, "dragonfly_requests_ended_total",
+          "Requests received whole whose answer has ended, or whose caller has left"))
+    , requestsUnanswered(counter(*registry, "dragonfly_requests_unanswered_total",
+          "Requests that were released without an answer while their callers were connected"))
+    , discardedInputs(counter(*registry, "dragonfly_discarded_inputs_total",
+          "Connections on which the end of a head arrived after it was decided to close them"))
+    , answered(counter(*registry, "dragonfly_requests_answered_total", "Requests answered in full"))
     , attempts(counter(*registry, "dragonfly_attempts_total", "Attempts at targets, including retries"))
     , attemptsUnsent(counter(*registry, "dragonfly_attempts_unsent_total",
           "Attempts of forwarded requests that ended before a byte was sent"))
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -16,6 +16,10 @@
 public:
     Metrics();
 
+    prometheus::Counter& requestsBegun;
+    prometheus::Counter& requestsEnded;
+    prometheus::Counter& requestsUnanswered;
+    prometheus::Counter& discardedInputs;
     /// Requests that were answered completely.
     prometheus::Counter& answered;
     /// Requests that ended with an error of @p kind.
--- a/src/observe/Observe.h
+++ b/src/observe/Observe.h
@@ -3,4 +3,5 @@
 
 #include "observe/Log.h"
 #include "observe/Metrics.h"
+#include "observe/ServerMetrics.h"
 #include "observe/Trace.h"
--- a/tests/ServerCloseTest.cpp
+++ b/tests/ServerCloseTest.cpp
@@ -257,6 +257,126 @@
     cr_assert(isAnsweredOrReset(caller), "discarded in silence");
 }
 
+Test(serverClose, requestThatIsReleasedUnansweredGetsAnAnswerAndIsReported, .timeout = 30)
+{
+    TestedServer tested;
+    std::vector<std::string> unanswered;
+    tested.server.observer.onUnanswered = [&](const http::Request& request) { unanswered.push_back(request.target); };
+    RawCaller caller(tested.endpoint);
+    caller.send(get("/released"));
+    cr_assert(tested.waitForRequest());
+    tested.held.clear();
+    cr_assert(caller.receiveUntil("\r\n\r\n", patience), "no answer");
+    cr_expect(caller.received.starts_with("HTTP/1.1 502 "), "%s", caller.received.c_str());
+    cr_expect(caller.received.find("Dragonfly-Execution: unknown\r\n") != std::string::npos);
+    cr_assert_eq(unanswered.size(), 1);
+    cr_expect_str_eq(unanswered[0].c_str(), "/released");
+}
+
+Test(serverClose, streamThatIsReleasedBeforeItsEndLooksIncompleteAndIsReported, .timeout = 30)
+{
+    TestedServer tested;
+    int unanswered = 0;
+    tested.server.observer.onUnanswered = [&](const http::Request&) { ++unanswered; };
+    RawCaller caller(tested.endpoint);
+    caller.send(get("/stream"));
+    cr_assert(tested.waitForRequest());
+    tested.held[0]->beginStream(200, {});
+    tested.held[0]->write(eventOf(1, 10));
+    tested.held.clear();
+    cr_assert(caller.receiveToEnd(patience), "the stream does not end");
+    cr_expect(chunksOf(caller.received) == eventOf(1, 10), "%s", caller.received.c_str());
+    cr_expect(!caller.received.ends_with("0\r\n\r\n"));
+    cr_expect_eq(unanswered, 1);
+}
+
+Test(serverClose, requestWhoseCallerHasLeftIsNotReportedAsUnanswered, .timeout = 30)
+{
+    TestedServer tested;
+    int unanswered = 0;
+    tested.server.observer.onUnanswered = [&](const http::Request&) { ++unanswered; };
+    RawCaller leaving(tested.endpoint);
+    RawCaller ending(tested.endpoint);
+    leaving.send(get("/held"));
+    ending.send(get("/held"));
+    cr_assert(waitUntil([&] { return tested.held.size() == 2; }, patience));
+    leaving.close();
+    ending.endSending();
+    tested.held.clear(); // before the event loop has handled either
+    cr_assert(tested.waitUntilClosed(patience));
+    cr_expect_eq(unanswered, 0);
+}
+
+Test(serverClose, eachRequestThatBeginsIsCountedOnceAtItsEnd, .timeout = 30)
+{
+    TestedServer tested;
+    int begun = 0;
+    int ended = 0;
+    tested.server.observer.onBegun = [&] { ++begun; };
+    tested.server.observer.onEnded = [&] { ++ended; };
+    auto kept = tested.connectKept();
+    cr_expect_eq(begun, 1);
+    cr_expect_eq(ended, 1);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < 4; ++i) {
+        callers.push_back(std::make_unique<RawCaller>(tested.endpoint));
+        callers.back()->send(get("/held"));
+    }
+    cr_assert(waitUntil([&] { return tested.held.size() == 4; }, patience));
+    cr_expect_eq(begun, 5);
+    cr_expect_eq(ended, 1);
+    tested.held[0]->respond(200, {}, "answer");
+    tested.held[1]->beginStream(200, {});
+    tested.held[1]->finish();
+    tested.held[2]->abort();
+    callers[3]->reset();
+    kept->send("no request\r\n\r\n"); // refused while it is read
+    cr_assert(kept->receiveUntil("400", patience));
+    cr_expect(waitUntil([&] { return ended == 5; }, patience), "%d ended", ended);
+    tested.held.clear();
+    callers.clear();
+    kept->close();
+    cr_assert(tested.waitUntilClosed(patience));
+    cr_expect_eq(begun, 5);
+    cr_expect_eq(ended, 5);
+}
+
+Test(serverClose, inputThatAClosingConnectionDiscardsIsReported, .timeout = 30)
+{
+    TestedServer tested;
+    std::vector<http::DiscardedInput> discarded;
+    tested.server.observer.onInputDiscarded = [&](const http::DiscardedInput& input) { discarded.push_back(input); };
+    const auto discardedBy = [&](const std::vector<std::string>& sent) {
+        discarded.clear();
+        RawCaller caller(tested.endpoint);
+        caller.send(get("/now", "Connection: close\r\n"));
+        cr_assert(caller.receiveToEnd(patience));
+        for (const auto& part : sent) {
+            cr_assert(caller.send(part));
+            runFor(50ms);
+        }
+        caller.close();
+        cr_assert(tested.waitUntilClosed(patience));
+    };
+    const auto second = get("/second");
+    discardedBy({ second });
+    cr_assert_eq(discarded.size(), 1);
+    cr_expect_eq(discarded[0].bytes, second.size());
+    cr_expect(discarded[0].hasWholeHead);
+    cr_expect(discarded[0].reason == "the caller asked to close");
+    cr_expect(discarded[0].address.find("127.0.0.1") != std::string::npos);
+    const auto split = second.size() - 2;
+    discardedBy({ second.substr(0, split), second.substr(split, 1), second.substr(split + 1) });
+    cr_assert_eq(discarded.size(), 1);
+    cr_expect_eq(discarded[0].bytes, second.size());
+    cr_expect(discarded[0].hasWholeHead, "a head in parts");
+    discardedBy({ second.substr(0, second.size() - 1) });
+    cr_assert_eq(discarded.size(), 1);
+    cr_expect_not(discarded[0].hasWholeHead, "a head without its end");
+    discardedBy({});
+    cr_expect(discarded.empty());
+}
+
 Test(serverClose, connectionThatIsIdleWhenTheIdleTimeGrowsIsKeptForTheLongerTime, .timeout = 30)
 {
     http::ServerLimits limits;
