--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -212,8 +212,13 @@
     const auto used = this->parser->put(boost::asio::buffer(this->unparsed), failure);
     this->unparsed.erase(0, used);
     if (failure == beast::error::need_more) {
-        if (this->state == State::Headers && this->unparsed.size() > this->server->limits.headerBytes)
+        if (this->unparsed.size() <= this->server->limits.headerBytes)
+            return false;
+        // The parser has a limit of its own for heads, but none for what it does not consume of a chunked body.
+        if (this->state == State::Headers)
             this->refuse(ErrorKind::HeadersTooLarge, "the headers are larger than allowed");
+        else
+            this->refuse(ErrorKind::BadRequest, "a chunk header or the trailers are larger than allowed");
         return false;
     }
     if (failure) {
@@ -225,6 +230,9 @@
             this->refuse(ErrorKind::BadRequest, *problem);
             return false;
         }
+        // Trailers, which the parser adds to the fields later, are unchecked and must not select a key or a deadline.
+        this->headFields = toHeaders(this->parser->get().base());
+        this->keepAlive = this->parser->get().keep_alive();
         this->state = State::Body;
         this->setDeadline(this->server->limits.bodyTimeout);
         if (this->parser->get()[beast::field::expect] == "100-continue")
@@ -241,7 +249,6 @@
     auto message = this->parser->release();
     this->parser.reset();
     this->state = State::Answering;
-    this->keepAlive = message.keep_alive();
     this->hasCallerAskedToClose = !this->keepAlive;
     this->isHeadSent = false;
     this->isRequestOpen = true;
@@ -250,7 +257,7 @@
     Request request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
-    request.headers = toHeaders(message.base());
+    request.headers = std::exchange(this->headFields, {});
     request.body = std::move(message.body());
     auto current = std::make_shared<Exchange>(this, std::move(request));
     this->exchange = current;
@@ -282,6 +289,7 @@
     this->closeReason = reason;
     this->endRequest();
     this->parser.reset();
+    this->headFields = {};
     this->discard(this->unparsed);
     this->unparsed.clear();
     this->unsentAtCheck = unsent;
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -88,7 +88,9 @@
     Deadline firstRequestDeadline; ///< a drain does not close a connection without a request before
     State state = State::Idle;
     std::optional<Parser> parser;
-    /// Received bytes that are not parsed yet; a pipelined request stays here until the current answer has ended.
+    Headers headFields; ///< without trailers; valid in Body
+    /// Received bytes that are not parsed yet. Before Answering, at most a read more than ServerLimits::headerBytes; a
+    /// pipelined request stays here until the current answer has ended.
     std::string unparsed;
     std::weak_ptr<Exchange> exchange;
     bool isRequestOpen = false; ///< from a request received whole to the end of its answer, or of its connection
