Bound what all callers together make a server keep

Callers, without a key, that sent large bodies and never ended them made an instance keep them all until the body time: 40 of 8 MB made it grow by 318 MB, where instances have 88 to 260 MB. Requests behind an open answer added up to 576 KiB for each of 2000 connections, and a kept connection held a read buffer that it no longer used: 200 that had each sent one body of 1 MiB, 65 MB.

Cause: each body and each connection has its bound, but callers choose how many there are, and nothing bounds their sum.

Now each connection counts what it has received and not handed on in a budget of its server, 16 MiB by default (`http.received`), with room for two of the largest bodies in any case. When the sum passes it, the connection that holds most is refused with 503, "not-run" and Retry-After, or reset if an answer is open on it; those that hold little are not affected. Unused capacity is released when a request has been handed on.

Bodies that were received whole are not part of the sum while they are answered.

--- a/src/base/BufferBudget.h
+++ b/src/base/BufferBudget.h
@@ -35,6 +35,11 @@
     {
         return this->limitBytes;
     }
+    /// A lower limit is enforced when a buffer grows next.
+    void setLimit(size_t limit)
+    {
+        this->limitBytes = limit;
+    }
 
 private:
     friend class BufferShare;
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -27,6 +27,7 @@
         limits.headerTimeout = reader.duration("headerTime", limits.headerTimeout);
         limits.bodyTimeout = reader.duration("bodyTime", limits.bodyTimeout);
         limits.idleTimeout = reader.duration("idleTime", limits.idleTimeout);
+        limits.receivedBytes = reader.bytes("received", limits.receivedBytes);
         limits.connections = static_cast<int>(reader.number("connections", 4096, 1, 1000000));
         limits.connectionsPerAddress = static_cast<int>(reader.number("connectionsPerAddress", 2048, 1, 1000000));
         reader.reportUnknownFields();
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -5,6 +5,7 @@
 #include <QByteArray>
 #include <QJsonDocument>
 #include <QJsonObject>
+#include <algorithm>
 #include <cerrno>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -31,6 +32,12 @@
         return QByteArray::number(std::chrono::duration<double>(time).count()).toStdString();
     }
 
+    size_t receivedLimitOf(const ServerLimits& limits)
+    {
+        const auto twoBodies = 2 * std::min(limits.bodyBytes, SIZE_MAX / 2);
+        return std::max(limits.receivedBytes, twoBodies);
+    }
+
     /// A listening IPv4 socket on an address that other threads may listen on too (SO_REUSEPORT), or -1.
     int openListeningSocket(const Endpoint& endpoint)
     {
@@ -55,6 +62,7 @@
 Server::Server(const ServerLimits& limits, Handler handler, QObject* parent)
     : QTcpServer(parent)
     , limits(limits)
+    , received(receivedLimitOf(limits))
     , handler(std::move(handler))
 {
 }
@@ -77,6 +85,7 @@
 {
     const bool isIdleTimeLonger = limits.idleTimeout > this->limits.idleTimeout;
     this->limits = limits;
+    this->received.setLimit(receivedLimitOf(limits));
     if (!isIdleTimeLonger)
         return;
     for (auto* connection : this->findChildren<ServerConnection*>())
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -5,6 +5,7 @@
 // dispatched strictly one at a time, so that the answers to pipelined requests never interleave.
 
 #include "base/Base.h"
+#include "base/BufferBudget.h"
 #include "http/Message.h"
 
 #include <QHash>
@@ -30,6 +31,9 @@
     std::chrono::milliseconds sendTimeout { 10000 };
     /// From the end of sending to the caller's close; some round trips, so that nothing of the caller's is on its way.
     std::chrono::milliseconds lingerTimeout { 2000 };
+    /// What all connections may hold together of requests that are not complete or wait behind an answer. When it is
+    /// exceeded, those that hold most are refused. There is always room for two bodies of the largest size.
+    size_t receivedBytes = 16u << 20;
     int connections = 4096;
     int connectionsPerAddress = 2048;
 };
@@ -145,6 +149,7 @@
     void acceptWaiting();
 
     ServerLimits limits;
+    BufferBudget received;
     Handler handler;
     QHash<QString, int> connectionsByAddress;
     std::atomic<int> openConnections { 0 };
--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -28,6 +28,9 @@
     /// Bytes received from a caller after its last answer; bounds the work that a caller causes which never stops.
     constexpr size_t maxDiscardedBytes = 64u << 20;
 
+    /// Retry-After of a request that is refused while it is received; some of those that hold the memory end within it.
+    constexpr std::chrono::seconds overloadRetryAfter { 1 };
+
     constexpr std::string_view headEnd = "\r\n\r\n";
 
     ErrorKind errorKindOf(const boost::beast::error_code& failure)
@@ -55,6 +58,7 @@
     , server(server)
     , address(std::move(address))
     , firstRequestDeadline(Clock::now() + firstRequestTimeout)
+    , receivedShare(server->received, [this] { this->giveUpInput(); })
 {
     this->socket.setSocketDescriptor(descriptor);
     this->socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
@@ -126,6 +130,45 @@
 }
 
 void ServerConnection::readMore()
+{
+    this->readAvailable();
+    if (this->state != State::Headers && this->state != State::Body)
+        this->unparsed.shrink_to_fit(); // a connection may be kept for long
+    // A body has the capacity for its announced length, of which only what was received takes memory.
+    const auto bodyBytes = this->parser ? this->parser->get().body().size() : 0;
+    this->receivedShare.set(this->unparsed.capacity() + bodyBytes + static_cast<size_t>(this->socket.bytesAvailable()));
+}
+
+/// Called for the connection that holds most when all together hold more than allowed.
+void ServerConnection::giveUpInput()
+{
+    switch (this->state) {
+    case State::Headers:
+    case State::Body:
+        this->refuse(ErrorKind::Overloaded, "too much is being received", overloadRetryAfter);
+        break;
+    case State::Idle:
+    case State::Answering:
+        // Requests wait behind an answer. The reset tells the caller that they were not read.
+        if (this->server->onRefusal)
+            this->server->onRefusal(ErrorKind::Overloaded);
+        this->reset();
+        break;
+    case State::Closing:
+    case State::Closed:
+        break;
+    }
+}
+
+void ServerConnection::reset()
+{
+    const linger immediately { 1, 0 };
+    ::setsockopt(
+        static_cast<int>(this->socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+    this->socket.abort();
+}
+
+void ServerConnection::readAvailable()
 {
     if (this->state == State::Answering && this->unparsed.size() >= maxUnparsedBytes) {
         this->setDeadline(closeCheckInterval);
@@ -264,7 +307,7 @@
     this->server->handler(current);
 }
 
-void ServerConnection::refuse(ErrorKind kind, std::string detail)
+void ServerConnection::refuse(ErrorKind kind, std::string detail, std::chrono::seconds retryAfter)
 {
     if (this->server->onRefusal)
         this->server->onRefusal(kind);
@@ -272,9 +315,10 @@
     this->keepAlive = false;
     const Error error { kind, std::move(detail), Execution::NotRun, {} };
     const auto body = errorBody(error, "");
-    auto text = this->headText(answerFor(kind).status,
-        { { "Content-Type", "application/json" }, { "Dragonfly-Execution", "not-run" } },
-        "Content-Length: " + std::to_string(body.size()));
+    Headers headers { { "Content-Type", "application/json" }, { "Dragonfly-Execution", "not-run" } };
+    if (retryAfter.count() > 0)
+        headers.add("Retry-After", std::to_string(retryAfter.count()));
+    auto text = this->headText(answerFor(kind).status, headers, "Content-Length: " + std::to_string(body.size()));
     text.append(body);
     this->socket.write(text.data(), static_cast<qint64>(text.size()));
     this->closeInOrder(CloseReason::Refused);
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -59,13 +59,17 @@
     static std::string_view toString(CloseReason reason);
 
     void readMore();
+    void readAvailable();
+    void giveUpInput();
+    void reset();
     void discard(std::string_view bytes);
     void reportDiscarded();
     void endRequest();
     void parse();
     bool feedParser();
     void dispatch();
-    void refuse(ErrorKind kind, std::string detail);
+    /// @param retryAfter zero: no Retry-After header
+    void refuse(ErrorKind kind, std::string detail, std::chrono::seconds retryAfter = std::chrono::seconds(0));
     void onAnswerSent();
     bool hasWaitingInput() const;
     bool mayKeep() const;
@@ -92,6 +96,7 @@
     /// Received bytes that are not parsed yet. Before Answering, at most a read more than ServerLimits::headerBytes; a
     /// pipelined request stays here until the current answer has ended.
     std::string unparsed;
+    BufferShare receivedShare; ///< of what was received and is not handed on
     std::weak_ptr<Exchange> exchange;
     bool isRequestOpen = false; ///< from a request received whole to the end of its answer, or of its connection
     bool isHeadSent = false; ///< in Answering: of a stream
--- a/tests/ServerInputTest.cpp
+++ b/tests/ServerInputTest.cpp
@@ -1,5 +1,6 @@
 // What a server keeps of a request that is not complete is bounded, and only the head of a request describes it.
 
+#include "tests/support/Site.h"
 #include "tests/support/TestedServer.h"
 
 #include <atomic>
@@ -114,3 +115,135 @@
     cr_assert(caller.receiveUntil("first"));
     cr_expect_eq(caller.received.find("Connection: close"), std::string::npos);
 }
+
+namespace {
+
+constexpr size_t small = 10 << 10;
+
+/// Runs the event loop until @p bytes are sent or the connection has ended, and what was received is handled.
+void sendWhileRunning(const RawCaller& caller, const std::string& bytes)
+{
+    std::atomic<bool> hasSent = false;
+    const std::jthread sender([&] {
+        caller.send(bytes);
+        hasSent = true;
+    });
+    cr_assert(waitUntil([&] { return hasSent.load(); }, patience));
+    runFor(30ms);
+}
+
+/// A caller that has sent @p bytes of a body that is larger by one.
+std::unique_ptr<RawCaller> beginBody(const Endpoint& endpoint, const std::string& path, size_t bytes)
+{
+    auto caller = std::make_unique<RawCaller>(endpoint);
+    sendWhileRunning(*caller,
+        "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(bytes + 1) + "\r\n\r\n"
+            + std::string(bytes, 'x'));
+    return caller;
+}
+
+}
+
+Test(serverInput, largestBodiesAreRefusedWhenAllTogetherPassTheLimit, .timeout = 30)
+{
+    http::ServerLimits limits;
+    limits.bodyBytes = 1 << 20;
+    limits.receivedBytes = 2 << 20;
+    TestedServer tested(limits);
+    std::vector<std::unique_ptr<RawCaller>> large;
+    std::vector<std::unique_ptr<RawCaller>> others;
+    for (int i = 0; i < 6; ++i) {
+        others.push_back(beginBody(tested.endpoint, "/now", small));
+        large.push_back(beginBody(tested.endpoint, "/now", 900'000));
+    }
+    int refused = 0;
+    for (const auto& caller : large) {
+        caller->receive();
+        if (caller->received.empty())
+            continue;
+        ++refused;
+        cr_expect(caller->received.starts_with("HTTP/1.1 503"), "%s", caller->received.c_str());
+        cr_expect(caller->received.find("Dragonfly-Execution: not-run") != std::string::npos);
+        cr_expect(caller->received.find("Retry-After: ") != std::string::npos);
+    }
+    cr_expect_geq(refused, 4, "%d of 6 refused, of which two fit", refused);
+    for (const auto& caller : others) {
+        cr_assert(caller->send("x"));
+        cr_expect(caller->receiveUntil("answer to /now"), "%s", caller->received.c_str());
+    }
+    cr_expect_eq(tested.requests, 6);
+}
+
+Test(serverInput, bodyOfTheLargestSizeIsReceivedThoughItPassesTheLimitOfAll, .timeout = 30)
+{
+    http::ServerLimits limits;
+    limits.bodyBytes = 1 << 20;
+    limits.receivedBytes = 64 << 10;
+    TestedServer tested(limits);
+    const auto caller = beginBody(tested.endpoint, "/now", limits.bodyBytes - 1);
+    cr_assert(caller->send("x"));
+    cr_assert(caller->receiveUntil("answer to /now"), "%s", caller->received.c_str());
+}
+
+Test(serverInput, requestsBehindAnAnswerAreBoundedTogether, .timeout = 30)
+{
+    http::ServerLimits limits;
+    limits.bodyBytes = 100 << 10;
+    limits.receivedBytes = 1 << 20;
+    TestedServer tested(limits);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < 12; ++i) {
+        callers.push_back(std::make_unique<RawCaller>(tested.endpoint));
+        cr_assert(callers.back()->send(get("/held")));
+    }
+    cr_assert(waitUntil([&] { return tested.held.size() == callers.size(); }, patience));
+    const auto other = tested.connectKept();
+    for (const auto& caller : callers)
+        sendWhileRunning(*caller, std::string(250 << 10, 'x'));
+    const auto count = std::ranges::count_if(callers, [](const auto& caller) { return caller->isReset(); });
+    cr_expect_geq(count, 8, "%d of 12 reset, of which four fit", static_cast<int>(count));
+    cr_assert(other->send(get("/now")));
+    cr_assert(other->receiveUntil("answer to /now"));
+}
+
+Test(serverInput, connectionThatIsKeptHoldsNothingOfALargeRequest, .timeout = 60)
+{
+    constexpr int connections = 200;
+    constexpr size_t body = 1 << 20;
+    const Application application;
+    Site site;
+    site.startEntry();
+    const auto before = site.entries[0]->residentBytes();
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < connections; ++i) {
+        callers.push_back(std::make_unique<RawCaller>(site.entry(0)));
+        cr_assert(callers.back()->send("POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: "
+            + std::to_string(body) + "\r\n\r\n" + std::string(body, 'x')));
+        cr_assert(callers.back()->receiveUntil("HTTP/1.1 401"));
+    }
+    const auto after = site.entries[0]->residentBytes();
+    // What a connection itself takes is less than a read buffer by far.
+    cr_expect_leq(after, before + connections * (64u << 10), "grew by %zu kB", (after - std::min(before, after)) >> 10);
+}
+
+Test(serverInput, bodiesWithoutEndDoNotFillMemoryTogether, .timeout = 60)
+{
+    constexpr int count = 40;
+    constexpr size_t bytes = 8'000'000;
+    constexpr uint64_t allowedGrowth = 64u << 20; // two threads with two bodies of 8 MiB each, and as much again
+    const Application application;
+    Site site;
+    site.startEntry();
+    auto& entry = *site.entries[0];
+    const auto before = entry.residentBytes();
+    uint64_t most = before;
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < count; ++i) {
+        callers.push_back(beginBody(site.entry(0), "/v1/completions", bytes));
+        most = std::max(most, entry.residentBytes());
+    }
+    cr_expect_leq(most, before + allowedGrowth, "grew by %zu MB", static_cast<size_t>((most - before) >> 20));
+    RawCaller other(site.entry(0));
+    cr_assert(other.send(get("/v1/models")));
+    cr_expect(other.receiveUntil("HTTP/1.1 401"), "%s", other.received.c_str());
+}
