Take streams up only by a recent list of targets while versions are mixed

Callers whose stream had begun at a target of one version, and who took it up at an instance that had got no records for two seconds, got the rest from a target of another version: one that had restarted under its id and address meanwhile. The instance knew from the record of the stream at which version it began, and took that version's targets from its list, however old that was. X-Dragonflyarch-Expect-Instance holds, as the id is the same, and no connection was refused, as nothing had been sent meanwhile.

While a service has several versions, a recorded start is now used only once the records are known up to the open delay before the caller asked, which was the condition for the only version already. Until then the request waits, and it is refused as not run after the time for that. With one version nothing changes, so streams are taken up at their own instance while the store is away.

StreamOriginPartsTest/recordedStartIsNot UsedWhileTheListOfTargetsOfTwoVersionsMayBeOld fails without the condition.

--- a/src/streams/StreamOrigins.cpp
+++ b/src/streams/StreamOrigins.cpp
@@ -90,18 +90,22 @@
 std::optional<Origin> StreamOrigins::originOf(
     const directory::Route& route, std::optional<StreamId> stream, BootClock::time_point arrivedAt) const
 {
-    if (const auto evidence = stream ? this->starts.evidenceOf(*stream) : std::nullopt) {
-        if (!evidence->isDecisive && !this->hasReadUpTo(arrivedAt))
-            return std::nullopt;
-        return Origin { evidence->version, OriginSource::Recorded };
-    }
     std::set<std::string> versions;
     for (const auto& share : route.shares) {
         if (share.weight)
             versions.merge(this->registry.versionsOf(share.service));
     }
+    const bool isRecent = this->hasReadUpTo(arrivedAt - this->registry.openDelay());
+    if (const auto evidence = stream ? this->starts.evidenceOf(*stream) : std::nullopt) {
+        if (!evidence->isDecisive && !this->hasReadUpTo(arrivedAt))
+            return std::nullopt;
+        // A target of the version may have restarted as one of another since older records were written.
+        if (versions.size() > 1 && !isRecent)
+            return std::nullopt;
+        return Origin { evidence->version, OriginSource::Recorded };
+    }
     // No stream that has begun elsewhere was resumed by then, as none begins at a version that was just opened.
-    if (versions.size() != 1 || !this->hasReadUpTo(arrivedAt - this->registry.openDelay()))
+    if (versions.size() != 1 || !isRecent)
         return std::nullopt;
     return Origin { *versions.begin(), OriginSource::OnlyVersion };
 }
--- a/tests/StreamOriginPartsTest.cpp
+++ b/tests/StreamOriginPartsTest.cpp
@@ -388,6 +388,21 @@
     cr_expect_eq(site.originOf("a"), "v1");
 }
 
+Test(streamOrigins, recordedStartIsNotUsedWhileTheListOfTargetsOfTwoVersionsMayBeOld, .timeout = 20)
+{
+    for (const bool isMixed : { true, false }) {
+        OriginSite site;
+        site.origins.onWholeRead();
+        site.applyVersions(
+            isMixed ? VersionPhases { { "v1", open }, { "v2", open } } : VersionPhases { { "v1", open } });
+        site.recordOf("two/1", { startOf("a", "v1", true) });
+        site.readUpTo = site.arrived - 61ms;
+        cr_expect_eq(site.originOf("a"), isMixed ? "unknown" : "v1");
+        site.readUpTo = site.arrived - 60ms;
+        cr_expect_eq(site.originOf("a"), "v1");
+    }
+}
+
 Test(streamOrigins, onlyVersionIsNotTakenFromARecordThatMayBeOld, .timeout = 20)
 {
     OriginSite site;
--- a/tests/StreamVersionTest.cpp
+++ b/tests/StreamVersionTest.cpp
@@ -257,6 +257,26 @@
     }
 }
 
+Test(streamVersion, takeUpDoesNotGoOnAtATargetThatRestartedAsAnotherVersionWhileTheInstanceHeardNothing, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site({ "v1", "v2" });
+    letStreamsLast(site, 200);
+    site.startEntry();
+    Process proxy("standin-proxy", { "--to", QString::fromStdString(site.store->address().toString()) }, "control");
+    site.startEntry(true, "", proxy.address());
+    const auto streams = beginStreams(site, 8);
+    runFor(600ms); // until the starts are recorded and read
+    control(proxy.address("control"), { { "mode", "hold-answers" } });
+    site.entries[0]->kill();
+    require(waitForAll(streams, 5s), "no end of the streams");
+    site.restartEngine(0, "v2");
+    letStreamsLast(site, 20);
+    runFor(2s); // longer than an instance that hears of changes needs
+    const auto takenUp = takeUpAll(site, streams, 1);
+    expectNotJoined(streams, takenUp);
+}
+
 Test(streamVersion, takeUpThatNamesNoKnownStreamIsRefusedWhileTwoVersionsServe, .timeout = 60)
 {
     const Application application;
--- a/tests/support/ForwardSite.cpp
+++ b/tests/support/ForwardSite.cpp
@@ -47,7 +47,7 @@
 }
 
 std::unique_ptr<Process> ForwardSite::startTarget(const QString& id, const QString& service, const QString& model,
-    const QString& dataCentre, const QString& softwareVersion)
+    const QString& dataCentre, const QString& softwareVersion, uint16_t port)
 {
     QStringList arguments { "--id", id, "--store", text(this->store->address().toString()), "--service", service,
         "--data-centre", dataCentre };
@@ -55,6 +55,8 @@
         arguments += { "--model", model };
     if (!softwareVersion.isEmpty())
         arguments += { "--software", softwareVersion };
+    if (port)
+        arguments += { "--port", QString::number(port) };
     return std::make_unique<Process>("standin-target", arguments);
 }
 
@@ -127,6 +129,14 @@
     return *this->engines.back();
 }
 
+void ForwardSite::restartEngine(size_t engine, const QString& softwareVersion)
+{
+    auto& process = this->engines[engine];
+    const auto port = process->address().port;
+    process->kill();
+    process = this->startTarget("engine-" + QString::number(engine), "engines", "m", "north-a", softwareVersion, port);
+}
+
 void ForwardSite::waitUntilAllKnown() const
 {
     for (const auto& entry : this->entries)
--- a/tests/support/ForwardSite.h
+++ b/tests/support/ForwardSite.h
@@ -46,6 +46,8 @@
     void restartEntry(size_t entry);
     /// Starts another engine. Call before startEntry(), which waits for every target.
     Process& addEngine(const QString& softwareVersion = {});
+    /// Kills an engine and starts it again under its id, at its address and with another software version.
+    void restartEngine(size_t engine, const QString& softwareVersion);
     /// Whether each entry instance knows that the target drains.
     bool knowsAsDraining(const std::string& id) const;
     /// Waits until each entry instance knows all targets.
@@ -88,7 +90,7 @@
 private:
     void waitUntilReady(Process& entry) const;
     std::unique_ptr<Process> startTarget(const QString& id, const QString& service, const QString& model,
-        const QString& dataCentre = "north-a", const QString& softwareVersion = {});
+        const QString& dataCentre = "north-a", const QString& softwareVersion = {}, uint16_t port = 0);
 
     QTemporaryDir folder;
     size_t ownTargets = 0; ///< targets that the test runs itself
