Test that an instance that stood still resumes no stream at an old version

An instance is suspended before targets of a new version join. Streams begin there through another instance, which is killed; callers take them up at the first one, which goes on only after their requests have arrived. No answer may hold events of two versions.

This holds without a change: the instance uses the only version that it knows for nothing that was asked later than the open delay after its records.

--- a/tests/StreamVersionTest.cpp
+++ b/tests/StreamVersionTest.cpp
@@ -257,6 +257,36 @@
     }
 }
 
+Test(streamVersion, takeUpAtAnInstanceThatStoodStillDuringAReleaseDoesNotGoOnAtAnotherVersion, .timeout = 120)
+{
+    for (int round = 0; round < 2; ++round) {
+        const Application application;
+        ForwardSite site({ "v1" });
+        letStreamsLast(site, 200);
+        site.startEntry();
+        auto& stopped = site.startEntry();
+        stopped.freeze();
+        site.addEngine("v2");
+        letStreamsLast(site, 200);
+        require(waitUntil([&] { return site.entries[0]->printedLine("target registered\" target=engine-1"); }, 5s),
+            "the new version is not known");
+        control(site.engines[0]->address(), { { "draining", true } });
+        runFor(2s); // until streams begin at the new version
+        const auto streams = beginStreams(site, 6);
+        site.entries[0]->kill();
+        require(waitForAll(streams, 5s), "no end of the streams");
+        letStreamsLast(site, 20);
+        std::vector<AnswerPointer> takenUp;
+        for (size_t i = 0; i < streams.size(); ++i) {
+            cr_expect(versionsIn(streams[i]->body) == std::set<std::string> { "v2" });
+            takenUp.push_back(takeUp(site, "t" + std::to_string(i), streams[i], "s" + std::to_string(i), 1));
+        }
+        stopped.thaw();
+        require(waitForAll(takenUp, 10s), "no answer to a take-up");
+        expectNotJoined(streams, takenUp);
+    }
+}
+
 Test(streamVersion, takeUpDoesNotGoOnAtATargetThatRestartedAsAnotherVersionWhileTheInstanceHeardNothing, .timeout = 60)
 {
     const Application application;
