Test the line of a discarded request, and a busy loop on a kept connection

The first test asks a real instance: a request behind one that asked to close is named in the log with its reason and counted, and is not among the requests begun.

--- a/tests/ServerCloseTest.cpp
+++ b/tests/ServerCloseTest.cpp
@@ -257,6 +257,21 @@
     cr_assert(isAnsweredOrReset(caller), "discarded in silence");
 }
 
+Test(serverClose, requestThatIsCompletedWhileTheEventLoopIsBusyOnAKeptConnectionIsNotTimedOut, .timeout = 30)
+{
+    http::ServerLimits limits;
+    limits.headerTimeout = 200ms;
+    TestedServer tested(limits);
+    const auto caller = tested.connectKept();
+    const auto text = get("/now");
+    caller->send(text.substr(0, 10));
+    runFor(100ms);
+    caller->send(text.substr(10));
+    QThread::msleep(300);
+    cr_assert(caller->receiveUntil("\r\n\r\n", patience));
+    cr_expect_eq(caller->answers(), 1, "%s", caller->received.c_str());
+}
+
 Test(serverClose, requestThatIsReleasedUnansweredGetsAnAnswerAndIsReported, .timeout = 30)
 {
     TestedServer tested;
@@ -377,6 +392,28 @@
     cr_expect(discarded.empty());
 }
 
+Test(serverClose, instanceNamesARequestThatAClosingConnectionDiscardsAndCountsIt, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site;
+    auto& entry = site.startEntry();
+    RawCaller caller(entry.address());
+    const auto first = siteRequest("first");
+    caller.send(first.substr(0, first.find("Host:")) + "Connection: close\r\n" + first.substr(first.find("Host:")));
+    cr_assert(caller.receiveToEnd());
+    cr_assert_eq(caller.answers(), 1, "%s", caller.received.c_str());
+    caller.send(siteRequest("second"));
+    runFor(100ms);
+    caller.close();
+    const auto line = [&] { return entry.findLine("input of a closing connection discarded"); };
+    cr_assert(waitUntil([&] { return !line().empty(); }, patience));
+    cr_expect(line().find("whole_head=yes closed_because=\"the caller asked to close\"") != std::string::npos, "%s",
+        line().c_str());
+    cr_expect_eq(metricOf(entry, "dragonfly_discarded_inputs_total"), 1);
+    cr_expect_eq(metricOf(entry, "dragonfly_requests_begun_total"), 1);
+    cr_expect_eq(metricOf(entry, "dragonfly_requests_ended_total"), 1);
+}
+
 Test(serverClose, connectionThatIsIdleWhenTheIdleTimeGrowsIsKeptForTheLongerTime, .timeout = 30)
 {
     http::ServerLimits limits;
