Deliver answers through tunnels that end before their request is read

What callers saw: a target that ended its answer before it had read the whole request was answered for by a failure if the connection went through another instance: the connection was reset before the answer was complete. Directly it was whole.

Cause: the target's end closed both sides of the tunnel as soon as all bytes from it were passed on, while the instance was still sending. A close over bytes that are not read resets the connection and discards what is on its way to the instance.

Fix: the end of the target's answer is passed on as the end of sending only. The tunnel goes on carrying the request until the instance closes, or either side resets.

--- a/src/paths/Tunnel.cpp
+++ b/src/paths/Tunnel.cpp
@@ -179,9 +179,12 @@
             this->reset();
         return;
     }
-    (&from == &this->instance ? this->requestedAt : this->answeredAt) = Clock::now();
+    if (&from == &this->target)
+        this->answeredAt = Clock::now();
+    else if (!this->hasTargetEnded)
+        this->requestedAt = Clock::now();
     if (!count) {
-        this->isEnding = true;
+        (&from == &this->target ? this->hasTargetEnded : this->isEnding) = true;
         from.readable->setEnabled(false);
     }
     receiver.unsent.append(bytes.data(), static_cast<size_t>(count));
@@ -206,8 +209,13 @@
         return;
     }
     side.writable->setEnabled(!side.unsent.empty());
+    if (this->hasTargetEnded && &side == &this->instance && side.unsent.empty()) {
+        // The rest of a request may still arrive. A close over unread bytes would reset the end of the answer.
+        setResetOnClose(side.descriptor, false);
+        ::shutdown(side.descriptor, SHUT_WR);
+    }
     auto& other = &side == &this->target ? this->instance : this->target;
-    if (!this->isEnding)
+    if (!this->isEnding && !(this->hasTargetEnded && &other == &this->target))
         other.readable->setEnabled(side.unsent.size() < pauseThresholdBytes);
 }
 
--- a/src/paths/Tunnel.h
+++ b/src/paths/Tunnel.h
@@ -45,7 +45,8 @@
     Side target;
     std::string request; ///< received so far; empty once a target is being connected to
     bool isOpen = false;
-    bool isEnding = false; ///< one side has ended; the tunnel ends when the other has what was received
+    bool hasTargetEnded = false; ///< the instance gets that end after what was received, and may still send
+    bool isEnding = false; ///< the instance has ended; the tunnel ends when the target has what was received
     Clock::time_point requestedAt; ///< when bytes of the instance arrived last
     Clock::time_point answeredAt; ///< when bytes of the target arrived last
     QTimer timer; ///< until the tunnel is open
--- a/tests/TargetPathsTest.cpp
+++ b/tests/TargetPathsTest.cpp
@@ -2,14 +2,20 @@
 
 #include "paths/TargetPaths.h"
 #include "http/Http.h"
+#include "paths/Tunnel.h"
 #include "tests/support/Process.h"
 #include "tests/support/RawServer.h"
 #include "tests/support/Site.h"
 
 #include <QTcpSocket>
 #include <QTimer>
+#include <arpa/inet.h>
+#include <array>
+#include <atomic>
 #include <criterion/criterion.h>
 #include <csignal>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -48,7 +54,7 @@
 };
 
 /// Sends a request through a tunnel at @p via and waits for its end.
-Outcome callThrough(const Endpoint& target, const Endpoint& via)
+Outcome callThrough(const Endpoint& target, const Endpoint& via, const http::Request& request = { "GET", "/", {}, "" })
 {
     http::ClientPool pool;
     Outcome outcome;
@@ -61,11 +67,53 @@
         outcome.isEnded = true;
         outcome.failure = failure;
     };
-    pool.send(target, { "GET", "/", {}, "" }, options, std::move(events));
+    pool.send(target, request, options, std::move(events));
     require(waitUntil([&] { return outcome.isEnded; }, 8s), "no end of the call");
     return outcome;
 }
 
+/// A target that ends an answer without a length once the head of a request has arrived, and closes 2 s later.
+class EarlyTarget {
+public:
+    /// @param readsOn whether it reads the rest of the request
+    EarlyTarget(std::string body, bool readsOn)
+        : listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        const auto isListening = !bind(this->listener, reinterpret_cast<sockaddr*>(&address), length)
+            && !listen(this->listener, 1)
+            && !getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &length);
+        require(isListening, "the target cannot listen");
+        this->endpoint = { "127.0.0.1", ntohs(address.sin_port) };
+        this->thread = std::jthread([this, text = "HTTP/1.1 200 OK\r\n\r\n" + std::move(body), readsOn] {
+            const int connection = accept(this->listener, nullptr, nullptr);
+            std::array<char, 16 << 10> bytes {};
+            recv(connection, bytes.data(), bytes.size(), 0);
+            const auto sent = send(connection, text.data(), text.size(), MSG_NOSIGNAL);
+            this->isSent = sent == static_cast<ssize_t>(text.size());
+            shutdown(connection, SHUT_WR);
+            const auto end = Clock::now() + 2s;
+            while (Clock::now() < end) {
+                if (readsOn)
+                    recv(connection, bytes.data(), bytes.size(), MSG_DONTWAIT);
+                std::this_thread::sleep_for(1ms);
+            }
+            ::close(connection);
+            ::close(this->listener);
+        });
+    }
+
+    Endpoint endpoint;
+    std::atomic<bool> isSent = false;
+
+private:
+    int listener;
+    std::jthread thread;
+};
+
 struct TunnelSite {
     Application application;
     TunnelServer tunnels;
@@ -222,6 +270,23 @@
     cr_assert(outcome.failure.has_value(), "a part of the answer was taken for the whole");
 }
 
+Test(tunnel, answerThatEndsBeforeTheRequestIsReadIsWhole, .timeout = 40)
+{
+    for (const bool readsOn : { true, false }) {
+        for (const size_t bytes : { 2u, 8u << 20 }) {
+            TunnelSite site;
+            EarlyTarget target(std::string(bytes, 'x'), readsOn);
+            const auto outcome
+                = callThrough(target.endpoint, site.via, { "POST", "/", {}, std::string(32u << 20, 'x') });
+            cr_assert(target.isSent);
+            cr_expect_eq(outcome.body.size(), bytes);
+            cr_expect_not(outcome.failure.has_value(), "%zu bytes, %d: %s", bytes, readsOn,
+                outcome.failure ? outcome.failure->detail.c_str() : "");
+            cr_expect(waitUntil([&] { return site.tunnels.findChildren<Tunnel*>().isEmpty(); }, 5s));
+        }
+    }
+}
+
 Test(tunnel, refusalsSendNothing, .timeout = 20)
 {
     for (const auto answer : { TunnelAnswer::NoTarget, TunnelAnswer::NoPath }) {
