Bound the wait for the delivery of a kept answer in a drain

What operators saw: a caller that had stopped receiving held an instance up in its drain for the send timeout of 10 s, or until the end of the drain, though all of its answer was with the system.

Cause: the wait for the delivery used the send timeout, which is for bytes that only the process holds, also where the system delivers the answer without the process.

Fix: once nothing is queued in the process, the connection closes after the linger timeout without progress, and the caller still receives the whole answer.

--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -379,8 +379,11 @@
     const auto unsent = this->unacknowledgedBytes();
     if (!unsent)
         return false;
+    const auto& limits = this->server->limits;
+    // What is with the system is delivered after the close too.
+    const auto patience = this->socket.bytesToWrite() ? limits.sendTimeout : limits.lingerTimeout;
     if (!this->deliveryDeadline || unsent < this->unsentAtCheck)
-        this->deliveryDeadline = now + this->server->limits.sendTimeout;
+        this->deliveryDeadline = now + patience;
     this->unsentAtCheck = unsent;
     if (now >= *this->deliveryDeadline)
         return false;
--- a/tests/ServerCloseTest.cpp
+++ b/tests/ServerCloseTest.cpp
@@ -453,6 +453,24 @@
         cr_assert(caller->receiveToEnd());
 }
 
+Test(serverClose, callerThatStopsReceivingAKeptAnswerDoesNotHoldUpADrain, .timeout = 60)
+{
+    constexpr size_t answerBytes = 100 << 10; // the systems hold them
+    http::ServerLimits limits;
+    limits.lingerTimeout = 300ms;
+    TestedServer tested(limits);
+    RawCaller caller(tested.endpoint, 4 << 10);
+    caller.send(get("/held"));
+    cr_assert(tested.waitForRequest());
+    tested.held[0]->respond(200, {}, std::string(answerBytes, 'x') + "end");
+    runFor(200ms);
+    tested.drain();
+    cr_expect(tested.waitUntilClosed(limits.lingerTimeout + 2s));
+    cr_assert(caller.receiveToEnd());
+    cr_assert(caller.received.ends_with("end"), "%zu bytes", caller.received.size());
+    cr_expect_not(caller.wasReset);
+}
+
 Test(serverClose, longerIdleTimeDoesNotHoldUpADrain, .timeout = 60)
 {
     constexpr size_t answerBytes = 4 << 20;
