Add a failing test of an answer to a watch that is dated too late

An answer to a watch that brings no changes counts as complete up to the end of the wait if it is read after that, whenever the store composed it.

What follows from it: an instance may resume a stream at the only version that it knows by records that are older than it takes them to be, and takes a replacement of weights for later than it was. A store whose watches miss changes for a time has the same effect.

Not mended here: with the moment of the query in its place, records of a quiet store would be known up to two to four seconds ago, and a stream of a service with one version could not be taken up in time. The check of the configuration's revision, once a second, could date all records, if the revision in the answer to a transaction without writes is that of the whole store; that was not run.

--- a/tests/StoreClientTest.cpp
+++ b/tests/StoreClientTest.cpp
@@ -8,6 +8,7 @@
 #include <QJsonArray>
 #include <criterion/criterion.h>
 #include <sstream>
+#include <thread>
 
 using namespace testing;
 using namespace dragonfly;
@@ -25,6 +26,7 @@
     std::string era; ///< empty: no such header
     std::string lastTarget;
     std::string lastBody;
+    std::function<void()> onAnswered; ///< called after each answer
     http::Server server { {}, [this](const http::ExchangePointer& exchange) {
                              this->lastTarget = exchange->request().target;
                              this->lastBody = exchange->request().body;
@@ -32,6 +34,8 @@
                              if (!this->era.empty())
                                  headers.add("Store-Era", this->era);
                              exchange->respond(this->status, headers, standins::toJson(this->body));
+                             if (this->onAnswered)
+                                 this->onAnswered();
                          } };
     http::ClientPool pool;
     platform::StoreClient client { std::get<Endpoint>(this->server.listenShared({ "127.0.0.1", 0 })), &this->pool };
@@ -42,11 +46,11 @@
         this->body = answeredBody;
         this->status = answeredStatus;
     }
-    store::WatchResult watch(int64_t after)
+    store::WatchResult watch(int64_t after, std::chrono::milliseconds wait = 0ms)
     {
         std::optional<store::WatchResult> result;
-        this->client.watch(
-            "", after, Clock::now(), Clock::now() + 2s, [&](const store::WatchResult& received) { result = received; });
+        this->client.watch("", after, Clock::now() + wait, Clock::now() + 2s,
+            [&](const store::WatchResult& received) { result = received; });
         require(waitUntil([&] { return result.has_value(); }, 3s), "no result");
         return *result;
     }
@@ -96,6 +100,20 @@
     cr_assert(std::holds_alternative<store::StoreFailure>(store.watch(store::revisionInEra(4, 6))));
 }
 
+Test(storeClient, answerWithoutChangesThatIsReadLateIsNotDatedLaterThanItWasComposed, .timeout = 20)
+{
+    ScriptedStore store;
+    store.answer("1", { { "events", QJsonArray {} }, { "current_rev", 6 } });
+    BootClock::time_point composedAt;
+    store.onAnswered = [&] {
+        composedAt = BootClock::now();
+        std::this_thread::sleep_for(400ms); // the client reads the answer after the end of its wait
+    };
+    const auto changes = std::get<store::Changes>(store.watch(store::revisionInEra(1, 6), 200ms));
+    const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(changes.asOf - composedAt);
+    cr_expect_leq(late.count(), 0, "dated %lld ms after it was composed", static_cast<long long>(late.count()));
+}
+
 Test(storeClient, reusedRevisionIsNotTakenForUnchanged)
 {
     ScriptedStore store;
