Give up answers of the store that do not end

A store, or what answers in its place, that sent an answer without end made an instance keep all of it until the deadline of the call.

Cause: HttpTransport appends what arrives to the body of the reply; nothing bounds it.

Now a call is cancelled when its answer passes 8 MiB; a page is of about 1 MB and may end with a value of 1 MiB. The caller of the transport sees status 413, which its users take for a result that is unknown, except a watch, whose changes would never fit: it reports that the history is gone, so that all is read again as pages.

--- a/src/store/HttpTransport.h
+++ b/src/store/HttpTransport.h
@@ -13,6 +13,9 @@
     std::string body;
 };
 
+/// Status of the reply in place of an answer that is larger than is kept.
+inline constexpr int statusAnswerTooLarge = 413;
+
 using HttpOutcome = std::variant<HttpReply, StoreFailure>;
 
 class HttpTransport {
--- a/tests/StoreClientTest.cpp
+++ b/tests/StoreClientTest.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/StoreClient.h"
 #include "standins/Program.h"
+#include "tests/support/EndlessTarget.h"
 #include "tests/support/Process.h"
 #include "tests/support/RawServer.h"
 
@@ -271,3 +272,28 @@
         cr_expect(std::holds_alternative<store::StoreFailure>(*swapped));
     }
 }
+
+Test(storeClient, answerWithoutEndIsGivenUpAfterABoundedAmount, .timeout = 60)
+{
+    constexpr size_t most = 20u << 20; // a bound of 8 MiB, and what the sockets hold
+    const QCoreApplication application(argumentCount, nullptr);
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string hundredMiB = std::to_string(100 << 20);
+    const std::vector<EndlessAnswer> answers { { head + "\r\n{\"items\":[", "{}," },
+        { head + "Content-Length: " + hundredMiB + "\r\n\r\n{\"items\":[", "{}," },
+        { head + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + std::string(1024, ' ') + "\r\n" } };
+    for (const auto& answer : answers) {
+        EndlessTarget server([&answer](const std::string&) { return answer; });
+        http::ClientPool pool;
+        platform::StoreClient client(server.address(), &pool);
+        const auto deadline = Clock::now() + 20s;
+        std::optional<store::PageResult> page;
+        std::optional<store::WatchResult> watch;
+        client.readPage("", "", deadline, [&](const store::PageResult& result) { page = result; });
+        client.watch("", 1, Clock::now(), deadline, [&](const store::WatchResult& result) { watch = result; });
+        cr_assert(waitUntil([&] { return page && watch && server.arrivals() == 2 && !server.sending(); }, 10s));
+        cr_expect_lt(server.mostBytes(), most, "took %zu bytes", server.mostBytes());
+        cr_expect(std::holds_alternative<store::StoreFailure>(*page));
+        cr_expect(std::holds_alternative<store::HistoryGone>(*watch), "changes that never fit are asked for again");
+    }
+}
