Open a software version after the time for which watches may miss it

What callers could see: a stream that began at a version which had just joined was taken up, after it broke, at the only version that another instance knew.

Cause: the open delay covered two watches and a margin, 1.2 s. The service's watches may miss changes for a second, and an answer to them is dated as if it had not, so an instance whose watch missed the opening knows it up to 1.6 s later.

Evidence: noStreamBeginsAtAVersionThatWatchesOfOthersMayHaveMissedForASecond fails with the former delay, streams begin 1.6 s after the opening was learned.

A version that joins others takes streams 0.8 s later than before.

--- a/src/streams/VersionRegistry.h
+++ b/src/streams/VersionRegistry.h
@@ -14,8 +14,9 @@
 
 struct VersionTimings {
     /// Streams begin at a version so long after an instance learned that it was recorded beside others. All instances
-    /// that can take up one of these streams know it by then: two watches of 300 ms by way of a peer, and a margin.
-    std::chrono::milliseconds openDelay { 1200 };
+    /// that can take up one of these streams know it by then: a second for which the service's watches may miss
+    /// changes, two watches of 300 ms by way of a peer, and a margin.
+    std::chrono::milliseconds openDelay { 2000 };
     /// A version without a target for so long is closed. Longer than a target takes to register again, and than
     /// openDelay, so that all instances know a version that was closed.
     std::chrono::milliseconds closeDelay { 3000 };
--- a/tests/StreamOriginPartsTest.cpp
+++ b/tests/StreamOriginPartsTest.cpp
@@ -225,6 +225,21 @@
     cr_expect_geq((Clock::now() - readAt).count(), std::chrono::nanoseconds(openingTimings.openDelay).count());
 }
 
+Test(streamOrigins, noStreamBeginsAtAVersionThatWatchesOfOthersMayHaveMissedForASecond, .timeout = 20)
+{
+    constexpr auto missedByWatches = 1s;
+    constexpr auto twoWatches = 600ms;
+    OriginSite site { VersionTimings() };
+    site.origins.onWholeRead();
+    site.applyVersions({ { "v1", open } });
+    site.add("i-1", "v1");
+    site.applyVersions({ { "v1", open }, { "v2", opening } });
+    const auto& target = site.add("i-2", "v2");
+    runFor(missedByWatches + twoWatches);
+    cr_expect(!site.origins.mayBeginAt(target), "others may still take its streams up at the only version they know");
+    cr_expect(waitUntil([&] { return site.origins.mayBeginAt(target); }, 2s));
+}
+
 Test(streamOrigins, startedInstanceWaitsForNoVersionThatAllInstancesKnow, .timeout = 20)
 {
     const auto records = recordsOfAnOpening();
