Bound what all buffered answers hold together

Targets that sent bodies or events without end could make an instance run out of memory, which ended the requests of all its callers.

Cause: an answer and an event are bounded by 8 MiB each, but nothing bounds their sum. Sixty requests hold 480 MiB, and as much again with backups, where instances have 88 to 260 MB.

Now each attempt counts its buffer in the instance's budget: a quarter of the setting "memory", 64 MiB at most. When the sum passes it, the largest attempt ends like one whose answer is too large.

--- a/src/base/BufferBudget.h
+++ b/src/base/BufferBudget.h
@@ -35,11 +35,13 @@
     {
         return this->limitBytes;
     }
+    /// Gives buffers up now if the sum has passed the limit, which otherwise follows from the event loop. To be called
+    /// where any owner of a buffer may be ended.
+    void enforce();
 
 private:
     friend class BufferShare;
     void resize(internal::BufferHolder& holder, size_t bytes);
-    void enforce();
     internal::BufferHolder* largest() const;
 
     size_t limitBytes;
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -18,6 +18,14 @@
     /// Ten years; compared with the time of day, which no such time overflows.
     constexpr std::chrono::hours maxRetention { 10 * 365 * 24 };
     constexpr const char* loopbackAnyPort = "127.0.0.1:0";
+    constexpr uint64_t defaultMemory = 256u << 20;
+    /// An instance without requests uses about 30 MiB.
+    constexpr uint64_t minMemory = 48u << 20;
+    /// Part of the memory that buffers may hold; growth of a buffer and what is passed on need as much again for a
+    /// moment.
+    constexpr uint64_t bufferMemoryDivisor = 4;
+    /// Bounds what is freed and read again when faulty targets fill the buffers.
+    constexpr uint64_t maxBufferBytes = 64u << 20;
 
     void readServer(MapReader reader, http::ServerLimits& limits)
     {
@@ -122,6 +130,7 @@
         forwarding.requests.policy = settings.policy;
         forwarding.requests.regions = regions;
         forwarding.requests.prefixSlots = settings.prefixSlots;
+        forwarding.requests.bufferBytes = std::min(settings.memory / bufferMemoryDivisor, maxBufferBytes);
     }
 
     void readAll(const std::string& file, const YAML::Node& node, LoadedSettings& loaded)
@@ -142,6 +151,9 @@
         if (reader.child("peersAdvertised"))
             settings.peersAdvertised = reader.remoteEndpoint("peersAdvertised");
         settings.capacity = static_cast<uint32_t>(reader.fraction("processorShare", 0) * 1000);
+        settings.memory = reader.bytes("memory", defaultMemory);
+        if (settings.memory < minMemory)
+            reader.addProblem("memory", "expected at least 48MiB");
         settings.seeds = reader.remoteEndpoints("seeds");
         settings.platform = reader.remoteEndpoints("platform");
         if (settings.platform.empty())
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -38,6 +38,7 @@
     Endpoint peers;
     Endpoint tunnels; ///< where peers ask for tunnels to targets
     std::optional<Endpoint> peersAdvertised; ///< where peers reach this instance, if it differs from `peers`
+    uint64_t memory = 0; ///< bytes that the instance may use
     uint32_t capacity = 0; ///< processor time available to the instance, in thousandths of a core; 0 if unknown
     std::vector<Endpoint> seeds;
     std::vector<Endpoint> platform;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <google/protobuf/stubs/logging.h>
 #include <iostream>
+#include <malloc.h>
 
 namespace {
 
@@ -17,6 +18,8 @@
 constexpr const char* version = "dragonflyd 0.1.0";
 constexpr int exitFailure = 1;
 constexpr int exitUsage = 2;
+/// Larger buffers return to the system when they are freed, instead of leaving gaps between others.
+constexpr int maxHeapBufferBytes = 256 << 10;
 
 /// Runs a daemon until it has drained. @p signals is the descriptor of the signals that were
 /// blocked at @p signalsOpenedAt.
@@ -48,6 +51,7 @@
 
 int main(int argc, char** argv)
 {
+    mallopt(M_MMAP_THRESHOLD, maxHeapBufferBytes);
     std::string file;
     options::options_description description("dragonflyd --settings FILE");
     description.add_options()("settings", options::value(&file)->value_name("FILE"),
--- a/src/forward/Attempt.h
+++ b/src/forward/Attempt.h
@@ -1,6 +1,7 @@
 #pragma once
 // One attempt to have a request answered by a target: what was sent and what has arrived of the answer.
 
+#include "base/BufferBudget.h"
 #include "directory/Incarnation.h"
 #include "entry/TargetLoad.h"
 #include "forward/TargetChooser.h"
@@ -33,6 +34,7 @@
     /// checked when it is complete.
     bool isRelayed = false;
     std::string body; ///< buffered bytes
+    BufferShare bufferShare; ///< of the body, and of the partial event while its stream is relayed
     bool isConfirmed = false; ///< another instance confirmed that its replaced weights may still answer
     std::optional<BootClock::time_point> confirmationEndedAt;
     std::optional<std::chrono::milliseconds> firstEventAfter; ///< unset before a stream's first event
--- a/src/forward/EventCursor.cpp
+++ b/src/forward/EventCursor.cpp
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr size_t maxEndLength = 3; ///< of "\n\r\n", in bytes
+    /// Capacity that a buffer keeps after a large event, about one read.
+    constexpr size_t maxKeptCapacity = 128u << 10;
 
     /// Length in bytes of the complete events at the beginning of @p text, which end with its last empty line.
     size_t lengthOfCompleteEvents(std::string_view text)
@@ -115,6 +117,8 @@
     const auto length = searched + found;
     std::string complete = this->partial.substr(0, length);
     this->partial.erase(0, length);
+    if (this->partial.capacity() > maxKeptCapacity)
+        this->partial.shrink_to_fit();
     complete.resize(this->recordEvents(complete));
     return complete;
 }
@@ -122,6 +126,7 @@
 void EventCursor::dropPartial()
 {
     this->partial.clear();
+    this->partial.shrink_to_fit();
     this->foundFault.reset();
     this->mustContinue = isNumber(this->lastEventId);
 }
--- a/src/forward/EventCursor.h
+++ b/src/forward/EventCursor.h
@@ -44,6 +44,11 @@
     {
         return this->partial.size();
     }
+    /// The size of its buffer.
+    size_t bufferBytes() const
+    {
+        return this->partial.capacity();
+    }
     /// Why the current target's further events are not returned, if it sent one that cannot be relayed.
     std::optional<EventFault> fault() const
     {
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -60,7 +60,8 @@
     constexpr int unsentTimeDivisor = 2;
     /// Limit on attempts of which bytes were sent, also when the request did not run.
     constexpr uint32_t maxSends = 4;
-    /// Limit on an answer, or an event of a stream, that is buffered until it is complete.
+    /// Limit on an answer, or an event of a stream, that is buffered until it is complete. ForwardSettings::bufferBytes
+    /// limits their sum.
     constexpr size_t maxBufferedBytes = 8u << 20;
     /// Backpressure: while more bytes than this wait for a slow caller, the target's answer is not read.
     constexpr int64_t pauseThresholdBytes = 128 << 10;
@@ -703,6 +704,10 @@
     attempt.via = options.via;
     const auto self = this->shared_from_this();
     const auto number = attempt.number;
+    attempt.bufferShare = BufferShare(this->context.buffers, [weak = this->weak_from_this(), number] {
+        if (const auto call = weak.lock())
+            call->onBufferLimit(number);
+    });
     http::CallEvents events;
     events.mayWrite = [self, number] { return self->mayWrite(*self->slotOf(number)); };
     events.onSent = [self, number] { self->onSent(self->slotOf(number)); };
@@ -967,6 +972,12 @@
 }
 
 void ForwardCall::onBody(Slot& slot, std::string_view bytes)
+{
+    this->takeBody(slot, bytes);
+    this->context.buffers.enforce(); // may end this call too
+}
+
+void ForwardCall::takeBody(Slot& slot, std::string_view bytes)
 {
     auto& received = *slot;
     this->recordProgress(received);
@@ -975,24 +986,53 @@
         return;
     }
     received.body.append(bytes);
+    this->updateBufferShare(slot);
     if (received.isRelayed && endsEvent(received.body, bytes.size()))
         this->takeOverWithEvent();
     else if (received.body.size() > maxBufferedBytes)
         this->onTooLarge(slot, "answer");
 }
 
+void ForwardCall::updateBufferShare(Slot& slot)
+{
+    const auto eventBytes = &slot == &this->attempt && slot->isRelayed ? this->events.bufferBytes() : 0;
+    slot->bufferShare.set(slot->body.capacity() + eventBytes);
+}
+
+/// Abandons the attempt @p number, whose buffer is the largest when all buffers together pass their limit.
+void ForwardCall::onBufferLimit(uint32_t number)
+{
+    auto& slot = this->slotOf(number);
+    if (!slot || slot->number != number || this->ended)
+        return;
+    const auto now = Clock::now();
+    const auto bytes = std::to_string(slot->body.capacity() + this->events.bufferBytes());
+    this->context.metrics.attemptsOverBufferLimit.Increment();
+    if (this->context.bufferLines.tryAcquire(true, now))
+        observe::logChange(LogLevel::Warning, "attempt ended for the buffer limit",
+            { { "request", this->request.metadata.requestId }, { "target", slot->choice.target->registration.id },
+                { "bytes", bytes }, { "limit", std::to_string(this->context.buffers.limit()) } });
+    this->abandon(slot, "ended for the buffer limit with " + bytes + " bytes",
+        "the answer is larger than the buffers allow at present");
+}
+
 /// Abandons the attempt, since @p what does not end within the buffer's limit.
 void ForwardCall::onTooLarge(Slot& slot, const std::string& what)
+{
+    this->abandon(slot, what + " too large", "the " + what + " is larger than allowed");
+}
+
+void ForwardCall::abandon(Slot& slot, const std::string& outcome, const std::string& detail)
 {
     slot->call->cancel();
     this->mayHaveRun = true;
-    this->attemptFailed(slot, what + " too large",
-        { ErrorKind::TargetFailed, "the " + what + " is larger than allowed", Execution::Unknown, {} });
+    this->attemptFailed(slot, outcome, { ErrorKind::TargetFailed, detail, Execution::Unknown, {} });
 }
 
 void ForwardCall::relayEvents(std::string_view bytes)
 {
     const auto complete = this->events.feed(bytes);
+    this->updateBufferShare(this->attempt);
     if (!complete.empty())
         this->relayComplete(complete);
     if (const auto fault = this->events.fault())
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -137,6 +137,7 @@
     void onSent(Slot& slot);
     void onHead(Slot& slot, const http::ResponseHead& head);
     void onBody(Slot& slot, std::string_view bytes);
+    void takeBody(Slot& slot, std::string_view bytes);
     void onComplete(Slot& slot);
     void onFailure(Slot& slot, const http::CallFailure& failure);
     void onOverdue(Slot& slot);
@@ -155,7 +156,10 @@
     bool mayBeReachedLater(const Attempt& attempt, const http::CallFailure& failure) const;
     void beginRelay();
 
+    void updateBufferShare(Slot& slot);
+    void onBufferLimit(uint32_t number);
     void onTooLarge(Slot& slot, const std::string& what);
+    void abandon(Slot& slot, const std::string& outcome, const std::string& detail);
     void relayEvents(std::string_view bytes);
     void onUnusableStream(Slot& slot, EventFault fault);
     /// Makes the backup the only open attempt if it has brought an event that continues the stream.
--- a/src/forward/ForwardContext.h
+++ b/src/forward/ForwardContext.h
@@ -2,12 +2,14 @@
 // State shared by all forwarded requests of one instance. Used only from the thread of the event loop.
 
 #include "backoff/Backoff.h"
+#include "base/BufferBudget.h"
 #include "directory/Directory.h"
 #include "entry/TargetLoad.h"
 #include "forward/Dialect.h"
 #include "forward/RetryWindow.h"
 #include "forward/StopTimes.h"
 #include "http/Http.h"
+#include "observe/LogRateLimiter.h"
 #include "observe/Observe.h"
 #include "paths/TargetPaths.h"
 #include "quarantine/Quarantine.h"
@@ -27,6 +29,7 @@
     RetryBudgetLimits retryBudget;
     std::chrono::milliseconds replacedWeightsTtl { 15000 }; ///< how long replaced weights may still answer
     size_t prefixSlots = 1u << 14; ///< capacity of the prefix index
+    size_t bufferBytes = 64u << 20; ///< limit on what is buffered of all answers together
 };
 
 /// Retry-After of a request that an instance did not send because it stops. Short, because the retry reaches another
@@ -48,6 +51,7 @@
         , gate(gate)
         , origins(origins)
         , prefixIndex(settings.prefixSlots)
+        , buffers(settings.bufferBytes)
     {
     }
 
@@ -66,6 +70,8 @@
     backoff::SendGate& gate;
     streams::StreamOrigins& origins;
     routing::PrefixIndex prefixIndex;
+    BufferBudget buffers; ///< destroyed after the calls, which the callbacks of `targets` own
+    observe::LogRateLimiter bufferLines { 1, 1, 0 }; ///< of lines on attempts that were ended for the buffer limit
     http::ClientPool targets;
     paths::TargetPaths paths;
     QObject loop; ///< context object of deferred calls, which are dropped when it is destroyed
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -242,6 +242,13 @@
         return;
     const auto bytes = this->socket.readAll();
     this->unparsed.append(bytes.constData(), static_cast<size_t>(bytes.size()));
+    this->parse();
+    if (this->unparsed.empty())
+        this->unparsed.shrink_to_fit(); // its capacity is that of a read, for each of many connections
+}
+
+void ClientConnection::parse()
+{
     while (!this->unparsed.empty() && this->number) {
         boost::beast::error_code failure;
         const auto used = this->parser->put(boost::asio::buffer(this->unparsed), failure);
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -110,6 +110,7 @@
     void prepareParser();
     bool skipInterimAnswer();
     void readMore();
+    void parse();
     bool deliverParsed();
     void resumeReading();
     void onDisconnected();
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -87,6 +87,8 @@
     , backoffs(counter(*registry, "dragonfly_backoffs_total", "Times without requests that targets asked for"))
     , attemptsWithheld(counter(*registry, "dragonfly_attempts_withheld_total",
           "Attempts that were stopped before their first byte, because the target no longer took requests"))
+    , attemptsOverBufferLimit(counter(*registry, "dragonfly_attempts_over_buffer_limit_total",
+          "Attempts that were ended because all buffers together had reached their limit"))
     , eventLoopStalls(counter(
           *registry, "dragonfly_event_loop_stalls_total", "Times that the main event loop ran 250 ms late or later"))
     , sharedRegistry(std::move(registry))
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -63,6 +63,7 @@
     prometheus::Gauge& leavingTargets;
     prometheus::Counter& backoffs;
     prometheus::Counter& attemptsWithheld;
+    prometheus::Counter& attemptsOverBufferLimit;
     prometheus::Counter& eventLoopStalls;
 
     const std::shared_ptr<prometheus::Registry>& registry() const
--- a/tests/BufferBudgetTest.cpp
+++ b/tests/BufferBudgetTest.cpp
@@ -120,6 +120,17 @@
     cr_assert_eq(calls, 1);
 }
 
+Test(bufferBudget, limitIsEnforcedOnceWhenItIsEnforcedBeforeTheEventLoopRuns)
+{
+    Buffers buffers(100);
+    buffers.resize("a", 90);
+    buffers.resize("b", 80);
+    buffers.budget.enforce();
+    cr_assert_eq(buffers.givenUp, std::vector<std::string> { "a" });
+    runFor(20ms);
+    cr_assert_eq(buffers.givenUp.size(), 1u);
+}
+
 Test(bufferBudget, limitHoldsAgainAfterItWasEnforced)
 {
     Buffers buffers(100);
--- a/tests/support/Process.cpp
+++ b/tests/support/Process.cpp
@@ -152,6 +152,18 @@
     return pages * static_cast<uint64_t>(sysconf(_SC_PAGESIZE));
 }
 
+uint64_t Process::peakResidentBytes() const
+{
+    std::ifstream file("/proc/" + std::to_string(this->process.processId()) + "/status");
+    std::string field;
+    uint64_t kibibytes = 0;
+    while (file >> field) {
+        if (field == "VmHWM:" && file >> kibibytes)
+            break;
+    }
+    return kibibytes << 10;
+}
+
 double Process::processorSeconds() const
 {
     std::ifstream file("/proc/" + std::to_string(this->process.processId()) + "/stat");
--- a/tests/support/Process.h
+++ b/tests/support/Process.h
@@ -42,6 +42,8 @@
     int waitForExit(std::chrono::milliseconds timeout);
     /// Resident memory in bytes.
     uint64_t residentBytes() const;
+    /// The most resident memory that the process has had, in bytes.
+    uint64_t peakResidentBytes() const;
     /// Processor time used so far, user and system, in seconds.
     double processorSeconds() const;
     /// Standard error up to now.
