Avoid targets whose answers are too large

A target that sends without end got further requests at once, each of which read 8 MiB of it before it went elsewhere; one of them failed (why was not traced).

Cause: an attempt whose answer is too large, or that ends for the buffer limit, did not count as a failure of its target, unlike answers that are malformed or belong to another request.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -1026,6 +1026,7 @@
 {
     slot->call->cancel();
     this->mayHaveRun = true;
+    routing::recordFailure(*slot->choice.target->state, Clock::now());
     this->attemptFailed(slot, outcome, { ErrorKind::TargetFailed, detail, Execution::Unknown, {} });
 }
 
--- a/tests/BufferLimitTest.cpp
+++ b/tests/BufferLimitTest.cpp
@@ -169,6 +169,30 @@
     });
 }
 
+Test(bufferLimit, targetWhoseAnswerIsTooLargeIsAvoidedAndTheRequestGoesElsewhere, .timeout = 60)
+{
+    int argumentCount = 0;
+    const QCoreApplication application(argumentCount, nullptr);
+    ForwardSite site;
+    const EndlessTarget faulty([](const std::string& head) {
+        return EndlessAnswer { headOf(idOf(head), ""), filler };
+    });
+    site.registerTarget("faulty", "desk", "", faulty.address());
+    site.startEntry();
+    int failed = 0;
+    for (int i = 0; i < 50 && !faulty.arrivals(); ++i)
+        failed += site.sendAndWait({ "before-" + std::to_string(i), "/read/x" })->status != 200;
+    cr_assert_eq(faulty.arrivals(), 1);
+    std::vector<AnswerPointer> answers;
+    for (int i = 0; i < 10; ++i)
+        answers.push_back(site.send({ "after-" + std::to_string(i), "/read/x" }));
+    cr_assert(waitForAll(answers, 10s));
+    for (const auto& answer : answers)
+        failed += answer->status != 200;
+    cr_expect_eq(failed, 0, "%d requests failed", failed);
+    cr_expect_eq(faulty.arrivals(), 1, "%d requests reached the faulty target", faulty.arrivals());
+}
+
 Test(bufferLimit, memoryThatNoInstanceCanRunInIsRefused)
 {
     QTemporaryDir folder;
