Read chunks of single bytes in linear time

A caller, without a key, that sent a body in chunks of one byte each kept the event loop busy: 3 MB of them took 4.55 s of processor time, in which no other request of that thread was read.

Cause: the parser consumes one chunk at a time, and after each the rest of what had been read, up to 256 KiB, was moved to the front of the buffer.

Now the bytes that the parser has consumed are removed once for all chunks of a read.

--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -252,7 +252,14 @@
         return false;
     }
     boost::beast::error_code failure;
-    const auto used = this->parser->put(boost::asio::buffer(this->unparsed), failure);
+    size_t used = 0;
+    size_t consumed = 0;
+    // The parser consumes one chunk at a time, which may be as short as a byte.
+    do {
+        consumed = this->parser->put(boost::asio::buffer(this->unparsed) + used, failure);
+        used += consumed;
+    } while (
+        this->state == State::Body && consumed && !failure && !this->parser->is_done() && used < this->unparsed.size());
     this->unparsed.erase(0, used);
     if (failure == beast::error::need_more) {
         if (this->unparsed.size() <= this->server->limits.headerBytes)
--- a/tests/ServerInputTest.cpp
+++ b/tests/ServerInputTest.cpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <criterion/criterion.h>
+#include <ctime>
 #include <thread>
 
 using namespace testing;
@@ -247,3 +248,19 @@
     cr_assert(other.send(get("/v1/models")));
     cr_expect(other.receiveUntil("HTTP/1.1 401"), "%s", other.received.c_str());
 }
+
+Test(serverInput, chunksOfSingleBytesDoNotBlockTheEventLoop, .timeout = 60)
+{
+    constexpr int chunks = 500'000;
+    constexpr auto most = 1500ms; // six times the stall that the metrics count, for twelve full reads
+    TestedServer tested;
+    RawCaller caller(tested.endpoint);
+    std::string text = chunkedHead("/now");
+    for (int i = 0; i < chunks; ++i)
+        text += "1\r\nx\r\n";
+    const auto before = std::clock();
+    sendWhileRunning(caller, text + "0\r\n\r\n");
+    cr_assert(caller.receiveUntil("answer to /now", 40s));
+    const std::chrono::milliseconds used((std::clock() - before) * 1000 / CLOCKS_PER_SEC);
+    cr_expect_lt(used.count(), most.count(), "%lld ms of processor time", static_cast<long long>(used.count()));
+}
