Bound the messages of a peer that wait to be handled

While an instance was busy or suspended in its event loop, messages of a peer piled up in it: up to 1000 for each connection, of up to 4 MiB each.

Cause: only the queues to peers had a limit; the receiving socket kept ZeroMQ's default of 1000 messages.

Now the receiving socket has the same limit as those that send. What is beyond stays with the sender, which drops it as it does for a peer that is cut off.

--- a/src/membership/ZmqTransport.cpp
+++ b/src/membership/ZmqTransport.cpp
@@ -4,6 +4,7 @@
 
 namespace {
 
+    /// For each peer and direction. Beyond it, a receiver leaves messages with the sender, which drops them.
     constexpr int maxQueuedMessages = 64;
     constexpr int heartbeatMs = 3000;
     constexpr int heartbeatTimeoutMs = 9000;
@@ -28,6 +29,7 @@
     , receiver(this->context, zmq::socket_type::pull)
 {
     setCommonOptions(this->receiver);
+    this->receiver.set(zmq::sockopt::rcvhwm, maxQueuedMessages);
 }
 
 Result<Endpoint> ZmqTransport::bind(const Endpoint& endpoint)
