Show that the admin address keeps a body of any size

Whoever reaches the admin address can make an instance keep a body without end: one connection that sent 150 MiB of a body made it grow by 292 MB.

Cause: QHttpServer has no limit on the body of a request.

--- a/tests/BadInputTest.cpp
+++ b/tests/BadInputTest.cpp
@@ -110,6 +110,23 @@
         cr_expect(caller->receiveUntil("HTTP/1.1 400"));
 }
 
+Test(badInput, bodiesWithoutEndAtTheAdminAddressDoNotFillMemory, .timeout = 60)
+{
+    constexpr size_t block = 64 << 10;
+    constexpr size_t most = 150 << 20;
+    const Application application;
+    Site site;
+    site.startEntry();
+    const auto before = site.entries[0]->residentBytes();
+    const RawCaller caller(site.admin(0));
+    caller.send("POST /status HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000000\r\n\r\n");
+    const std::string bytes(block, 'x');
+    for (size_t sent = 0; sent < most && caller.send(bytes); sent += block)
+        continue;
+    const auto after = site.entries[0]->residentBytes();
+    cr_expect_leq(after, before + (48u << 20), "grew by %zu MB", (after - std::min(before, after)) >> 20);
+}
+
 Test(badInput, oversizedHeadersAreRefused, .timeout = 60)
 {
     const Application application;
