Bound requests to the admin address

Whoever reaches the admin address could make an instance keep a body without end: one connection that sent 150 MiB of a body made it grow by 292 MB.

Cause: QHttpServer has no limit on the body of a request, and reads without a limit from the sockets of its own listener.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,10 +1,11 @@
 #include "daemon/Daemon.h"
 
+#include "daemon/AdminListener.h"
+
 #include <QCoreApplication>
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
-#include <QTcpServer>
 #include <iostream>
 
 namespace dragonfly::daemon {
@@ -161,7 +162,7 @@
     this->admin.route("/status", [this] { return QHttpServerResponse("application/json", this->statusJson()); });
     this->admin.route("/explain/<arg>", [this](const QString& requestId) { return this->explain(requestId); });
     const auto& address = this->settings.admin;
-    const auto port = this->admin.listen(QHostAddress(toQString(address.host)), address.port);
+    const auto port = AdminListener::start(this->admin, address);
     if (!port)
         return Error { ErrorKind::Internal, "cannot listen on " + address.toString(), Execution::NotRun, {} };
     std::cout << "admin " << Endpoint { address.host, port }.toString() << std::endl;
--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -1,12 +1,13 @@
 #include "daemon/ForwardingDaemon.h"
 
+#include "daemon/AdminListener.h"
+
 #include <QCoreApplication>
 #include <QFileInfo>
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <QRandomGenerator>
-#include <QTcpServer>
 #include <iostream>
 
 namespace dragonfly::daemon {
@@ -156,7 +157,7 @@
     });
     this->admin.route("/status", [this] { return QHttpServerResponse("application/json", this->statusJson()); });
     const auto& address = this->settings.admin;
-    const auto port = this->admin.listen(QHostAddress(toQString(address.host)), address.port);
+    const auto port = AdminListener::start(this->admin, address);
     if (!port)
         return Error { ErrorKind::Internal, "cannot listen on " + address.toString(), Execution::NotRun, {} };
     std::cout << "admin " << Endpoint { address.host, port }.toString() << std::endl;
