Soak kept connections beside changing limits and a stop

24 callers keep their connections for as long as the answers say so: streams and plain answers, half of the callers slow readers of 300 KB answers, requests in two parts or two at once, beside configurations with idle times from none to 10 s in single steps and in storms, SIGHUP, engines that stand still for a second, silent targets of a second, and in a second test a SIGTERM. Each request has to get one whole answer, or its connection ends within 200 ms without its having reached a target; nothing may be discarded or released unanswered, and requests begun and ended have to agree.

--- a/tests/ConfigChangeTest.cpp
+++ b/tests/ConfigChangeTest.cpp
@@ -5,8 +5,11 @@
 #include "tests/support/RawCaller.h"
 #include "tests/support/ScriptedTarget.h"
 
+#include <array>
 #include <criterion/criterion.h>
+#include <cstdlib>
 #include <random>
+#include <set>
 
 using namespace testing;
 using namespace dragonfly;
@@ -347,3 +350,283 @@
     cr_expect_gt(reused, 100, "%d", reused);
     cr_expect_eq(unanswered, 0, "%d without an answer, %d of them late", unanswered, late);
 }
+
+namespace {
+
+constexpr std::chrono::milliseconds minHeaderTime { 200 }; ///< of the configurations of a play
+constexpr size_t largeAnswerBytes = 300 << 10; ///< more than a slow caller's system buffers
+
+/// One caller, which uses its connection for as long as the answers say that it is kept.
+class KeptCaller {
+public:
+    KeptCaller(std::string name, const Endpoint& entry, bool isSlow, unsigned seed)
+        : name(std::move(name))
+        , entry(entry)
+        , isSlow(isSlow)
+        , random(seed)
+    {
+    }
+
+    enum class Sending {
+        Anywhere,
+        OnKeptConnection,
+        Nothing,
+    };
+
+    /// Receives what has arrived; sends the next request when it is due, and @p sending allows it.
+    void step(Sending sending)
+    {
+        const auto now = Clock::now();
+        if (this->connection)
+            this->connection->receive(this->isSlow ? 8 << 10 : SIZE_MAX);
+        if (!this->unsent.empty() && now >= this->restDue)
+            this->sendRest(now);
+        if (this->awaits)
+            this->checkAnswer(now);
+        const bool mayBegin
+            = sending == Sending::Anywhere || (sending == Sending::OnKeptConnection && this->isReusable());
+        if (!this->awaits && mayBegin && now >= this->due)
+            this->begin(now);
+    }
+
+    bool awaits = false;
+    std::map<int, int> answers; ///< by status
+    int reused = 0;
+    int timedOut = 0; ///< requests that this process, when it was busy, did not send within minHeaderTime
+    std::vector<std::string> unread; ///< requests whose connections ended in time without an answer
+    std::vector<std::string> lost; ///< the others without one whole answer, with what was seen
+
+private:
+    int draw(int below)
+    {
+        return std::uniform_int_distribution<int>(0, below - 1)(this->random);
+    }
+    bool isReusable() const
+    {
+        return this->connection && !this->connection->ended && !this->isToClose;
+    }
+    void begin(Clock::time_point now)
+    {
+        constexpr std::array paths { "/ask/x", "/once/x", "/read/x", "/read/x", "/book/x", "/open/x" };
+        this->sendBegunAt = now;
+        if (!this->isReusable())
+            this->connection = std::make_unique<RawCaller>(this->entry, this->isSlow ? 4 << 10 : 0);
+        else
+            ++this->reused;
+        this->connection->received.clear();
+        this->isToClose = false;
+        this->awaits = true;
+        this->id = (this->isSlow ? "large-" : "") + this->name + "-" + std::to_string(this->sent++);
+        const auto* path = this->isSlow ? "/read/x" : paths[static_cast<size_t>(this->draw(paths.size()))];
+        this->unsent = requestText(this->id, path);
+        this->expected = this->draw(5) ? 1 : 2;
+        if (this->expected == 2)
+            this->unsent += requestText(this->id + "-behind", path);
+        if (!this->draw(4)) { // the head arrives in two parts
+            this->connection->send(this->unsent.substr(0, 40));
+            this->unsent.erase(0, 40);
+            this->restDue = now + std::chrono::milliseconds(this->draw(120));
+            return;
+        }
+        this->sendRest(now);
+    }
+    void sendRest(Clock::time_point now)
+    {
+        this->connection->send(std::exchange(this->unsent, {}));
+        this->sentAt = now;
+        this->isLate = now - this->sendBegunAt >= minHeaderTime;
+    }
+    void checkAnswer(Clock::time_point now)
+    {
+        const auto& received = this->connection->received;
+        const auto statuses = wholeAnswers(received);
+        const auto described = this->id + ": " + toText(statuses) + "after "
+            + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - this->sendBegunAt).count())
+            + " ms";
+        const bool isWhole = statuses.size() == this->expected && statuses.back() != -1;
+        const bool isTimedOut = this->isLate && statuses == std::vector { 408 };
+        if (isWhole || isTimedOut) {
+            this->timedOut += isTimedOut;
+            for (const auto status : statuses)
+                this->answers[status] += !isTimedOut;
+            this->isToClose = received.find("\r\nConnection: close\r\n") != std::string::npos;
+            this->due = now + std::chrono::milliseconds(this->draw(2) ? 0 : this->draw(600));
+        } else if (this->connection->ended) {
+            const bool isInTime = !this->unsent.empty() || now <= this->sentAt + lossSlack;
+            (received.empty() && isInTime ? this->unread : this->lost).push_back(described);
+        } else if (now >= this->sendBegunAt + patience) {
+            this->lost.push_back(described + ", still open");
+            this->isToClose = true;
+        } else {
+            return;
+        }
+        this->awaits = false;
+        this->unsent.clear();
+    }
+
+    std::string name;
+    Endpoint entry;
+    bool isSlow;
+    std::mt19937 random;
+    std::unique_ptr<RawCaller> connection;
+    std::string id;
+    std::string unsent;
+    size_t expected = 1; ///< answers: 2 if a request was sent behind another
+    Clock::time_point restDue; ///< of what is unsent
+    Clock::time_point sendBegunAt;
+    Clock::time_point sentAt; ///< the last byte
+    Clock::time_point due; ///< the next request
+    bool isToClose = false;
+    bool isLate = false; ///< the current request was not sent within minHeaderTime
+    int sent = 0;
+};
+
+/// A site with changing limits whose callers keep their connections.
+class KeptSite {
+public:
+    KeptSite()
+        : random(this->seed)
+    {
+        for (int i = 0; i < 6; ++i) {
+            this->targets.push_back(std::make_unique<ScriptedTarget>("X-Dragonflyarch-Attempt-Id",
+                [this](const ScriptedRequest& request, QTcpSocket& socket) { this->answer(request, socket); }));
+            this->site.registerTarget("scripted-" + QString::number(i), "desk", "", this->targets.back()->address());
+        }
+        for (const auto& service : this->site.services)
+            control(service->address(), { { "draining", true } });
+        for (const auto& engine : this->site.engines)
+            control(engine->address(), { { "work_ms", 20 }, { "event_ms", 60 }, { "events", 8 } });
+        this->site.publish({ forwardKey }, 5000, 2000);
+        this->site.startEntry();
+        this->site.waitUntilInForce();
+        for (unsigned i = 0; i < 24; ++i)
+            this->callers.push_back(std::make_unique<KeptCaller>(
+                "c" + std::to_string(i), this->entry().address(), i % 2 == 0, this->seed * 1000 + i));
+    }
+
+    Process& entry()
+    {
+        return *this->site.entries[0];
+    }
+    void run(std::chrono::milliseconds time, KeptCaller::Sending sending)
+    {
+        const auto end = Clock::now() + time;
+        waitUntil(
+            [&] {
+                bool anyAwaits = false;
+                for (const auto& each : this->callers) {
+                    each->step(sending);
+                    anyAwaits = anyAwaits || each->awaits;
+                }
+                return Clock::now() >= end || (sending == KeptCaller::Sending::Nothing && !anyAwaits);
+            },
+            time + 1s);
+    }
+    void changeLimits(std::chrono::milliseconds duration)
+    {
+        const auto end = Clock::now() + duration;
+        while (Clock::now() < end) {
+            this->run(std::chrono::milliseconds(50 + this->draw(500)), KeptCaller::Sending::Anywhere);
+            const int kind = this->draw(10);
+            for (int i = 0; i < (kind < 2 ? 6 : 1); ++i)
+                this->publish();
+            if (kind == 3 || kind == 4)
+                this->entry().hangUp();
+            if (kind == 5) {
+                auto& engine = *this->site.engines[static_cast<size_t>(this->draw(2))];
+                engine.freeze();
+                this->run(1s, KeptCaller::Sending::Anywhere);
+                engine.thaw();
+            }
+        }
+    }
+    /// @param mayRefuse whether requests may be refused as not run
+    void check(bool mayRefuse)
+    {
+        int unread = 0;
+        for (const auto& each : this->callers) {
+            for (const auto& text : each->lost)
+                cr_expect_fail("seed %u: %s", this->seed, text.c_str());
+            for (const auto& text : each->unread)
+                cr_expect(
+                    !this->arrived.contains(text.substr(0, text.find(':'))), "seed %u: %s", this->seed, text.c_str());
+            for (const auto& [status, count] : each->answers)
+                cr_expect(!count || status == 200 || (mayRefuse && status == 503), "seed %u: %d answers %d", this->seed,
+                    count, status);
+            this->whole += each->answers[200];
+            this->reused += each->reused;
+            this->timedOut += each->timedOut;
+            unread += static_cast<int>(each->unread.size());
+        }
+        cr_log_info("seed %u: %d whole answers, %d on used connections, %d left unread", this->seed, this->whole,
+            this->reused, unread);
+        cr_expect_gt(this->reused, static_cast<int>(this->callers.size()), "%d", this->reused);
+        cr_expect(this->timedOut || !this->entry().printedLine("whole_head=yes"), "seed %u", this->seed);
+        cr_expect_not(this->entry().printedLine("request released without an answer"), "seed %u", this->seed);
+    }
+
+    int whole = 0;
+    int reused = 0;
+    int timedOut = 0;
+
+private:
+    int draw(int below)
+    {
+        return std::uniform_int_distribution<int>(0, below - 1)(this->random);
+    }
+    void publish()
+    {
+        constexpr std::array idleTimes { 0, 0, 1, 50, 300, 2000, 10000 };
+        QJsonObject limits { { "max_body_bytes", 100000 },
+            { "idle_timeout_ms", idleTimes[static_cast<size_t>(this->draw(idleTimes.size()))] } };
+        if (!this->draw(3))
+            limits["header_timeout_ms"] = static_cast<int>(minHeaderTime.count()) + this->draw(3000);
+        this->site.editConfig = withLimits(limits);
+        this->site.publish({ forwardKey }, 5000, 2000);
+    }
+    void answer(const ScriptedRequest& request, QTcpSocket& socket)
+    {
+        this->arrived.insert(request.id);
+        const bool isLarge = request.id.starts_with("large-");
+        const auto silence = this->draw(20) ? std::chrono::milliseconds(this->draw(150)) : 1000ms;
+        ScriptedTarget::writeLater(socket, silence,
+            "HTTP/1.1 200 OK\r\nX-Dragonflyarch-Attempt-Id: " + request.id + "\r\nX-Dragonflyarch-Response-Stamp: s-"
+                + request.id + "\r\nContent-Length: " + std::to_string(isLarge ? largeAnswerBytes : 2) + "\r\n\r\n"
+                + (isLarge ? std::string(largeAnswerBytes, 'x') : "ok"));
+    }
+
+    const char* seedText = std::getenv("DRAGONFLY_TEST_SEED");
+    unsigned seed = seedText ? static_cast<unsigned>(std::atoi(seedText)) : 1;
+    std::mt19937 random;
+    const Application application;
+    ForwardSite site;
+    std::set<std::string> arrived; ///< ids of requests that reached a scripted target
+    std::vector<std::unique_ptr<ScriptedTarget>> targets;
+    std::vector<std::unique_ptr<KeptCaller>> callers;
+};
+
+}
+
+Test(configChange, requestsOnKeptConnectionsAreAnsweredOrLeftUnreadWhileLimitsChange, .timeout = 120)
+{
+    KeptSite kept;
+    kept.changeLimits(8s);
+    kept.run(patience + 1s, KeptCaller::Sending::Nothing);
+    kept.check(false);
+    const auto begun = metricOf(kept.entry(), "dragonfly_requests_begun_total");
+    cr_expect_eq(begun, kept.whole, "%f begun, %d answered", begun, kept.whole);
+    cr_expect_eq(metricOf(kept.entry(), "dragonfly_requests_ended_total"), begun);
+    cr_expect_eq(metricOf(kept.entry(), "dragonfly_requests_unanswered_total"), 0);
+    cr_expect_leq(metricOf(kept.entry(), "dragonfly_discarded_inputs_total"), kept.timedOut);
+}
+
+Test(configChange, requestsOnKeptConnectionsAreAnsweredOrLeftUnreadWhenTheInstanceStopsAfterAChange, .timeout = 120)
+{
+    KeptSite kept;
+    kept.changeLimits(4s);
+    kept.entry().terminate();
+    kept.run(patience, KeptCaller::Sending::OnKeptConnection);
+    kept.run(patience, KeptCaller::Sending::Nothing);
+    cr_expect_eq(kept.entry().waitForExit(patience), 0);
+    kept.check(true);
+}
