Let the slow callers of the soak receive more slowly

With 2 KB a step instead of 8 KB their answers are under way for longer, so more idle times end during a delivery. What is found depends on the timing, so the tests of ServerCloseTest remain the regression tests. Seed 3 becomes the default.

--- a/tests/ConfigChangeTest.cpp
+++ b/tests/ConfigChangeTest.cpp
@@ -378,7 +378,7 @@
     {
         const auto now = Clock::now();
         if (this->connection)
-            this->connection->receive(this->isSlow ? 8 << 10 : SIZE_MAX);
+            this->connection->receive(this->isSlow ? 2 << 10 : SIZE_MAX);
         if (!this->unsent.empty() && now >= this->restDue)
             this->sendRest(now);
         if (this->awaits)
@@ -596,7 +596,7 @@
     }
 
     const char* seedText = std::getenv("DRAGONFLY_TEST_SEED");
-    unsigned seed = seedText ? static_cast<unsigned>(std::atoi(seedText)) : 1;
+    unsigned seed = seedText ? static_cast<unsigned>(std::atoi(seedText)) : 3;
     std::mt19937 random;
     const Application application;
     ForwardSite site;
