Bound the refusals at targets that bear few of them

Targets may say in all their answers how many requests a second they can refuse for want of room, and end when they refuse more. Nothing read this. Callers lost the requests that such a target was running, again and again: each instance learns that a target is full by its own refusal and tries again 250 ms later, and a target that returns empty is flooded by all.

Evidence: a process test with nine instances, two targets that bear five refusals a second, and 60 requests a second of the 26 that they can serve.

Each instance now keeps a budget for each such process. It sends to slots that the latest answer reports free. Without these, the first instances of the ranking that divides request limits send while the requests that may yet be refused, and those refused in the last second, are within an integer share; the shares sum up to the limit at most. All others send rare probes. A process that has not answered is treated by what its service named, and at a service whose targets are commonly full a report proves one slot for a second, since all instances hear of the same slots.

In the simulation the bound holds at 1 and 9 instances for limits of 3 to 40, at 40 for 5 to 40, and at 320 for 40. Instances with about one request a second learn that a service is full by their own refusal; they would have to tell each other.

The site of LimitTest sends a body of its own with each request: equal bodies are repetitions of one request, which is quarantined when targets end beside it.

--- a/src/backoff/SendGate.cpp
+++ b/src/backoff/SendGate.cpp
@@ -29,8 +29,11 @@
 SendGate::SendGate(limits::RequestLimits& limits, observe::Metrics& metrics)
     : random([] { return QRandomGenerator::global()->generateDouble(); })
     , limits(limits)
+    , brittle(metrics)
     , metrics(metrics)
 {
+    this->brittle.standingOf = [this](const auto& target) { return this->limits.standingOf(target); };
+    this->brittle.random = [this] { return this->random(); };
 }
 
 SendGate::Entry* SendGate::find(const directory::Registration& target)
@@ -85,6 +88,12 @@
         this->onBackoff(entry, target, *statement.backoff, source, now);
 }
 
+void SendGate::onRoomAnswer(const directory::Registration& target, const limits::NamedRefusalLimit& named,
+    const limits::RoomAnswer& answer, Clock::time_point now)
+{
+    this->brittle.onAnswer(target, named, answer, now);
+}
+
 void SendGate::onLeaving(Entry& entry, const directory::Registration& target, const std::string& source)
 {
     if (std::exchange(entry.state.isLeaving, true))
@@ -120,6 +129,8 @@
         if (verdict != Verdict::Open)
             return verdict;
     }
+    if (!this->brittle.maySend(target, now))
+        return Verdict::NoRoom;
     return this->limits.maySend(target, now) ? Verdict::Open : Verdict::AtLimit;
 }
 
@@ -127,7 +138,8 @@
 {
     if (auto* entry = this->find(target))
         backoff::recordSend(entry->state, now, this->random());
-    return { now, this->limits.recordSend(target, now) };
+    this->brittle.recordSend(target, now);
+    return { now, this->limits.recordSend(target, now), now + limits::refusalArrivalTime };
 }
 
 Verdict SendGate::confirm(const directory::Registration& target, SendPermit& permit, Clock::time_point now)
@@ -137,6 +149,12 @@
         if (verdict != Verdict::Open)
             return verdict;
     }
+    if (now >= permit.refusableUntil) {
+        if (!this->brittle.maySend(target, now))
+            return Verdict::NoRoom;
+        this->brittle.recordSend(target, now);
+        permit.refusableUntil = now + limits::refusalArrivalTime;
+    }
     if (permit.isCounted)
         return Verdict::Open;
     if (!this->limits.maySend(target, now))
@@ -160,7 +178,7 @@
 std::optional<Clock::time_point> SendGate::nextSendAt(
     const directory::Registration& target, Clock::time_point now) const
 {
-    const auto next = this->limits.nextSendAt(target, now);
+    const auto next = std::max(this->limits.nextSendAt(target, now), this->brittle.nextSendAt(target, now));
     const auto* entry = this->find(target);
     if (!entry)
         return next;
--- a/src/backoff/SendGate.h
+++ b/src/backoff/SendGate.h
@@ -15,6 +15,7 @@
 struct SendPermit {
     Clock::time_point recordedAt;
     bool isCounted = false; ///< counted in the share of the target's request limit
+    Deadline refusableUntil; ///< counted until then as a request that may be refused
 };
 
 class SendGate {
@@ -27,6 +28,9 @@
     /// @param source the id of the request, or the kind of the call, that was answered
     void onAnswer(const directory::Registration& target, const Statement& statement, const std::string& source,
         Clock::time_point now);
+    /// Applies what an answer of @p target to a request says about refusals.
+    void onRoomAnswer(const directory::Registration& target, const limits::NamedRefusalLimit& named,
+        const limits::RoomAnswer& answer, Clock::time_point now);
     /// Whether a request may be sent to @p target now.
     Verdict ask(const directory::Registration& target, Clock::time_point now);
     /// Records a request that is to be sent to @p target.
@@ -57,6 +61,7 @@
         const std::string& source, Clock::time_point now);
 
     limits::RequestLimits& limits;
+    limits::BrittleTargets brittle;
     observe::Metrics& metrics;
     /// Processes that have made a statement. Invariant: no more than maxEntries.
     std::map<directory::Incarnation, Entry> entries;
--- a/src/backoff/TargetBackoff.cpp
+++ b/src/backoff/TargetBackoff.cpp
@@ -42,6 +42,8 @@
         return "has asked for time";
     case Verdict::AtLimit:
         return "is at its request limit";
+    case Verdict::NoRoom:
+        return "has no room by what it reported";
     }
     return "takes requests";
 }
--- a/src/backoff/TargetBackoff.h
+++ b/src/backoff/TargetBackoff.h
@@ -40,6 +40,7 @@
     Leaving,
     BackingOff, ///< the target has asked for time
     AtLimit, ///< this instance has used its share of the target's request limit
+    NoRoom, ///< the target bears few refusals and may refuse the request for want of room
 };
 
 /// The verdict as the predicate of a target, for log lines.
--- a/src/forward/Dialect.h
+++ b/src/forward/Dialect.h
@@ -64,6 +64,9 @@
     /// Requests a second that the target takes from all instances together, for as long as its answers name a limit.
     std::optional<double> requestLimit;
     bool hasInvalidLimit = false; ///< a limit is named but cannot be read
+    /// Refusals for want of room a second, caused by all instances together, that the target bears.
+    std::optional<double> refusalLimit;
+    bool hasInvalidRefusalLimit = false; ///< a number of refusals is named but cannot be read
     bool isLeaving = false; ///< the target's process is leaving and wants no further requests
     /// The target turned the request away and wants no requests from this instance for so long.
     std::optional<std::chrono::duration<double>> backoff;
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -357,7 +357,7 @@
         return;
     }
     const auto next = nextSend(query);
-    if (!next || (next->reason != Verdict::AtLimit && next->reason != Verdict::BackingOff)) {
+    if (!next || next->reason == Verdict::Open || next->reason == Verdict::Leaving) {
         this->fail({ ErrorKind::NoTarget, "no usable target for this request", this->execution(), retryAfterRefusal });
         return;
     }
@@ -365,8 +365,10 @@
     if (next->reason == Verdict::BackingOff)
         this->fail({ ErrorKind::Overloaded, "every usable target has asked for time", this->execution(), wait });
     else
-        this->fail({ ErrorKind::Overloaded, "every usable target is at its request limit", this->execution(),
-            std::clamp(wait, retryAfterRefusal, maxRetryAfterLimit) });
+        this->fail({ ErrorKind::Overloaded,
+            next->reason == Verdict::NoRoom ? "no usable target has room"
+                                            : "every usable target is at its request limit",
+            this->execution(), std::clamp(wait, retryAfterRefusal, maxRetryAfterLimit) });
 }
 
 /// Whether the request has a grant for a retry at @p target. A grant that no attempt has used yet stays valid within
@@ -964,6 +966,11 @@
     }
     this->context.limits.onAnswer(
         target.registration, { answer.requestLimit, answer.hasInvalidLimit }, attempt.sentAt, Clock::now());
+    limits::RoomAnswer room { attempt.sentAt, answer.notRun && attempt.head.status == statusUnavailable, {} };
+    if (answer.load)
+        room.report = { answer.load->running, answer.load->waiting, answer.load->slots };
+    this->context.gate.onRoomAnswer(
+        target.registration, { answer.refusalLimit, answer.hasInvalidRefusalLimit }, room, Clock::now());
 }
 
 void ForwardCall::onBody(Slot& slot, std::string_view bytes)
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -82,6 +82,7 @@
     , quarantinedParts(gauge(*registry, "dragonfly_quarantined_parts",
           "Prompt parts and requests that are kept from targets because they crash them"))
     , limitedTargets(gauge(*registry, "dragonfly_limited_targets", "Targets whose answers name a limit of requests"))
+    , brittleTargets(gauge(*registry, "dragonfly_brittle_targets", "Processes of targets that bear few refusals"))
     , leavingTargets(
           gauge(*registry, "dragonfly_leaving_targets", "Processes of targets that said in an answer that they leave"))
     , backoffs(counter(*registry, "dragonfly_backoffs_total", "Times without requests that targets asked for"))
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -60,6 +60,7 @@
     prometheus::Counter& targetEndReports;
     prometheus::Gauge& quarantinedParts;
     prometheus::Gauge& limitedTargets;
+    prometheus::Gauge& brittleTargets;
     prometheus::Gauge& leavingTargets;
     prometheus::Counter& backoffs;
     prometheus::Counter& attemptsWithheld;
--- a/standins/target.cpp
+++ b/standins/target.cpp
@@ -13,6 +13,9 @@
 //
 // {"refusal_ms": N} delays the refusals of the answer "busy".
 //
+// {"room": N} refuses requests beyond N that are under way (0: no bound). {"brittle": text} sets the field of all
+// answers that says how many such refusals a second the target bears ("" for none); with one more it ends as below.
+//
 // {"deadly_part": ID} names a shared part of prompts that ends the target "crash_after_ms" after it begins an answer to
 // a request with it; {"deadly_body": TEXT} the body of requests that end it so long after they begin to run, without
 // any answer; {"crash": true} ends the target at once. The target then closes every connection, refuses connections for
@@ -34,6 +37,8 @@
 
 /// More than an instance buffers of one answer.
 constexpr size_t oversizedBytes = 9u << 20;
+/// Requests that a target runs at the same time.
+constexpr int slots = 8;
 
 struct Settings {
     uint16_t port = 0;
@@ -102,6 +107,7 @@
         ++this->lifetime;
         this->leaving.clear();
         this->retryAfter.clear();
+        this->turnedAway.clear();
         this->server = this->makeServer();
         if (!listenAndPrint(*this->server, this->settings.port))
             QCoreApplication::exit(1);
@@ -143,13 +149,16 @@
 
     Headers answerHeaders(const http::Request& request) const
     {
-        Headers headers { { "X-Dragonflyarch-Instance-Id", this->id() }, { "X-Dragonflyarch-Instance-Load", "1,0,8" } };
+        Headers headers { { "X-Dragonflyarch-Instance-Id", this->id() },
+            { "X-Dragonflyarch-Instance-Load", this->loadReport() } };
         const auto requestId = std::string(request.headers.valueOr("X-Dragonflyarch-Attempt-Id", ""));
         headers.add("X-Dragonflyarch-Attempt-Id", this->mode == "foreign" ? "somebody-else" : requestId);
         if (this->mode != "unstamped")
             headers.add("X-Dragonflyarch-Response-Stamp", "stamp-of-" + requestId);
         if (!this->limit.isEmpty())
             headers.add("Server-Limit", this->limit.toStdString());
+        if (!this->brittle.isEmpty())
+            headers.add("Server-Brittle", this->brittle.toStdString());
         this->addLeaving(headers);
         if (this->mode == "encoded")
             headers.add("Content-Encoding", "gzip");
@@ -158,6 +167,27 @@
         return headers;
     }
 
+    /// Requests that run, requests that wait, and slots.
+    std::string loadReport() const
+    {
+        if (!this->room)
+            return "1,0,8";
+        const auto running = std::min(this->underWay, slots);
+        return std::to_string(running) + "," + std::to_string(this->underWay - running) + "," + std::to_string(slots);
+    }
+
+    /// Refuses a request for want of room. Ends the target if it has turned more away in a second than it bears.
+    void turnAway(http::Exchange& exchange, const Headers& headers)
+    {
+        this->refuse(exchange, headers, 503);
+        const auto now = dragonfly::Clock::now();
+        std::erase_if(this->turnedAway, [now](const auto& time) { return now - time >= std::chrono::seconds(1); });
+        this->turnedAway.push_back(now);
+        ++this->turnedAwayCount;
+        if (!this->brittle.isEmpty() && this->turnedAway.size() > this->brittle.toUInt())
+            QTimer::singleShot(0, &this->timerContext, [this] { this->crash(); });
+    }
+
     void addLeaving(Headers& headers) const
     {
         if (!this->leaving.isEmpty())
@@ -202,6 +232,10 @@
                 [this, exchange, headers] { this->refuse(*exchange, headers, 503); });
             return;
         }
+        if (this->room && this->underWay >= this->room) {
+            this->turnAway(*exchange, headers);
+            return;
+        }
         this->recordRequest(request);
         if (this->hasDeadlyBody(request)) {
             QTimer::singleShot(this->crashAfterMs, &this->timerContext, [this, exchange] { this->crash(); });
@@ -219,8 +253,12 @@
         } else if (this->mode == "oversized") {
             exchange->respond(200, headers, std::string(oversizedBytes, 'x'));
         } else {
-            QTimer::singleShot(
-                this->workMs, &this->timerContext, [this, exchange, headers] { this->answer(exchange, headers); });
+            ++this->underWay;
+            QTimer::singleShot(this->workMs, &this->timerContext, [this, exchange] {
+                const auto headers = this->answerHeaders(exchange->request());
+                --this->underWay;
+                this->answer(exchange, headers);
+            });
         }
     }
 
@@ -355,6 +393,9 @@
         this->orderDelayMs = body["order_delay_ms"].toInt(this->orderDelayMs);
         if (body.contains("limit"))
             this->limit = body["limit"].toString();
+        if (body.contains("brittle"))
+            this->brittle = body["brittle"].toString();
+        this->room = body["room"].toInt(this->room);
         if (body.contains("leaving"))
             this->leaving = body["leaving"].toString();
         if (body.contains("retry_after"))
@@ -384,14 +425,15 @@
                 { "while_draining", this->executionsWhileDraining }, { "cancelled", this->cancelled },
                 { "version", static_cast<qint64>(this->version) }, { "orders", this->orders },
                 { "reports", this->reports }, { "last", this->lastRequest }, { "stream_closes", this->streamCloses },
-                { "crashes", this->crashes }, { "deadly_arrivals", this->deadlyArrivals } });
+                { "turned_away", this->turnedAwayCount }, { "crashes", this->crashes },
+                { "deadly_arrivals", this->deadlyArrivals } });
     }
 
     void writeRegistration()
     {
         QJsonObject record { { "service", QString::fromStdString(this->settings.service) },
             { "address", QString::fromStdString(this->address) },
-            { "zone", QString::fromStdString(this->settings.dataCentre) }, { "slots", 8 },
+            { "zone", QString::fromStdString(this->settings.dataCentre) }, { "slots", slots },
             { "state", this->isDraining ? "draining" : "ready" }, { "models", this->models() },
             { "born", 1000 + this->lifetime }, { "seq", ++this->registrations } };
         if (!this->settings.software.empty())
@@ -437,6 +479,11 @@
     int registrations = 0; ///< records written
     int lifetime = 0; ///< number of crashes that the target has returned from
     QString limit; ///< request limit that answers name; empty: none
+    QString brittle; ///< refusals a second that answers say the target bears; empty: nothing
+    int room = 0; ///< requests under way beyond which more are refused; 0: no bound
+    int underWay = 0; ///< requests that have begun to run and are not answered
+    std::vector<dragonfly::Clock::time_point> turnedAway; ///< for want of room, in the last second
+    int turnedAwayCount = 0;
     QString leaving; ///< what all answers say about leaving; empty: nothing
     QString retryAfter; ///< the time that refusals with 503 ask for; empty: none
     int reports = 0; ///< queries for a report
--- a/tests/LimitPartsTest.cpp
+++ b/tests/LimitPartsTest.cpp
@@ -1,11 +1,14 @@
-// Shares of request limits: what all instances together send to a target, at several sizes of the fleet.
+// Shares of limits of requests and of refusals: what all instances together send to a target, at several sizes of the
+// fleet.
 
 #include "limits/Limits.h"
+#include "limits/RefusalBudget.h"
 #include "relay/Relay.h"
 
 #include <algorithm>
 #include <criterion/criterion.h>
 #include <random>
+#include <utility>
 
 using namespace dragonfly;
 using namespace dragonfly::limits;
@@ -241,3 +244,345 @@
     cr_assert_not(limited.limits.maySend(limited.target, next - 1ms));
     cr_assert(limited.limits.maySend(limited.target, next));
 }
+
+namespace {
+
+/// A target that ends when it has refused more than it bears in a second, and the budgets of all instances there.
+struct BrittleTarget {
+    struct Arrival {
+        Clock::time_point at;
+        size_t instance;
+        Clock::time_point sentAt;
+    };
+
+    size_t waitingRoom = 0;
+    size_t running = 0;
+    size_t ends = 0;
+    Clock::time_point backAt;
+    std::vector<Clock::time_point> refusals; ///< of the last second
+    std::vector<std::pair<Clock::time_point, Arrival>> runs; ///< by the time of their end
+    std::vector<Arrival> arriving;
+    std::vector<Arrival> line; ///< requests that wait
+    std::vector<RefusalBudget> budgets; ///< of each instance
+
+    RoomReport report() const
+    {
+        return { static_cast<uint32_t>(this->running), static_cast<uint32_t>(this->line.size()), 8 };
+    }
+};
+
+/// Many instances with requests for a few targets, each of which tells its room only to whom it answers.
+class BrittleService {
+public:
+    static constexpr size_t targetCount = 10;
+    static constexpr size_t slots = 8;
+    static constexpr auto step = 5ms;
+    static constexpr auto arrivalTime = 5ms; ///< of a request, and as long of its answer
+    static constexpr auto runTime = 500ms;
+    static constexpr auto restartTime = 3s;
+
+    /// Stated target.
+    static constexpr size_t allowedEnds = 2 + targetCount / 10;
+
+    BrittleService(size_t instances, double limit, uint64_t seed)
+        : generator(seed)
+        , limit(limit)
+        , places(instances)
+        , rooms(instances)
+    {
+        for (size_t t = 0; t < targetCount; ++t) {
+            this->standingsOf.push_back(standings(instances, "engine-" + std::to_string(t)));
+            this->targets.emplace_back();
+            this->reset(this->targets.back(), t, this->now);
+        }
+    }
+
+    /// Plays @p perSecond requests a second in all; each tries up to two targets.
+    void play(std::chrono::seconds duration, double perSecond, size_t waitingRoom)
+    {
+        for (auto& target : this->targets)
+            target.waitingRoom = waitingRoom;
+        std::poisson_distribution<int> demand(perSecond * std::chrono::duration<double>(step).count());
+        for (const auto end = this->now + duration; this->now < end; this->now += step) {
+            for (size_t t = 0; t < targetCount; ++t)
+                this->advance(this->targets[t], t);
+            for (int n = demand(this->generator); n > 0; --n)
+                this->sendAnywhere(this->generator() % this->places);
+        }
+    }
+
+    size_t ends() const
+    {
+        size_t sum = 0;
+        for (const auto& target : this->targets)
+            sum += target.ends;
+        return sum;
+    }
+
+    size_t served = 0;
+
+private:
+    double random()
+    {
+        return std::uniform_real_distribution<double>(0, 1)(this->generator);
+    }
+
+    void reset(BrittleTarget& target, size_t number, Clock::time_point from)
+    {
+        target.running = 0;
+        target.runs.clear();
+        target.arriving.clear();
+        target.line.clear();
+        target.refusals.clear();
+        target.backAt = from;
+        target.budgets.assign(this->places, {});
+        for (size_t i = 0; i < this->places; ++i)
+            setShare(
+                target.budgets[i], refusalShareOf(this->limit, this->standingsOf[number][i]), from, this->random());
+    }
+
+    void sendAnywhere(size_t instance)
+    {
+        const auto first = this->generator() % targetCount;
+        for (size_t n = 0; n < targetCount; ++n) {
+            auto& target = this->targets[(first + n) % targetCount];
+            auto& budget = target.budgets[instance];
+            if (this->now < target.backAt
+                || !maySend(budget, isFull(this->rooms[instance], this->now), this->now, this->random()))
+                continue;
+            recordSend(budget, this->now, this->random());
+            target.arriving.push_back({ this->now + arrivalTime, instance, this->now });
+            return;
+        }
+    }
+
+    void answer(BrittleTarget& target, const BrittleTarget::Arrival& request, bool isRefusal)
+    {
+        const RoomAnswer answer { request.sentAt, isRefusal, target.report() };
+        const auto arrivesAt = this->now + arrivalTime;
+        recordAnswer(this->rooms[request.instance], answer, arrivesAt);
+        applyAnswer(target.budgets[request.instance], answer, arrivesAt, this->random());
+    }
+
+    void arrive(BrittleTarget& target, size_t number, const BrittleTarget::Arrival& request)
+    {
+        if (target.running < slots) {
+            ++target.running;
+            target.runs.emplace_back(this->now + runTime, request);
+            this->answer(target, request, false);
+            return;
+        }
+        if (target.line.size() < target.waitingRoom) {
+            target.line.push_back(request);
+            return;
+        }
+        this->answer(target, request, true);
+        std::erase_if(target.refusals, [this](const auto& time) { return this->now - time >= 1s; });
+        target.refusals.push_back(this->now);
+        if (static_cast<double>(target.refusals.size()) <= this->limit)
+            return;
+        ++target.ends;
+        this->reset(target, number, this->now + restartTime);
+    }
+
+    void advance(BrittleTarget& target, size_t number)
+    {
+        if (this->now < target.backAt)
+            return;
+        const auto finished = std::erase_if(target.runs, [this](const auto& run) { return this->now >= run.first; });
+        target.running -= finished;
+        this->served += finished;
+        auto& line = target.line;
+        while (target.running < slots && !line.empty()) {
+            const auto request = line.front();
+            line.erase(line.begin());
+            ++target.running;
+            target.runs.emplace_back(this->now + runTime, request);
+            this->answer(target, request, false);
+        }
+        auto queued = std::exchange(target.arriving, {});
+        for (const auto& request : queued) {
+            if (this->now < target.backAt)
+                return;
+            if (request.at <= this->now)
+                this->arrive(target, number, request);
+            else
+                target.arriving.push_back(request);
+        }
+    }
+
+    std::mt19937_64 generator;
+    double limit;
+    size_t places;
+    Clock::time_point now { 1000s };
+    std::vector<ServiceRoom> rooms; ///< as each instance knows it
+    std::vector<std::vector<Standing>> standingsOf; ///< of each target and instance
+    std::vector<BrittleTarget> targets;
+};
+
+}
+
+namespace {
+
+/// The ends of targets that are idle, then sent twice what they can serve, then also let fewer requests wait.
+size_t endsUnderOverload(size_t instances, double limit, uint64_t seed)
+{
+    constexpr double capacity = 160; // requests a second of all targets
+    constexpr size_t roomAtFirst = 32;
+    constexpr size_t roomLater = 2;
+    BrittleService service(instances, limit, seed);
+    service.play(4s, capacity / 2, roomAtFirst);
+    service.play(4s, 2 * capacity, roomAtFirst);
+    service.play(20s, 2 * capacity, roomLater);
+    cr_expect_gt(service.served, 0, "%zu instances, limit %g", instances, limit);
+    return service.ends();
+}
+
+void expectFewEnds(size_t instances, double limit)
+{
+    for (const uint64_t seed : { 11, 12, 13 }) {
+        const auto ends = endsUnderOverload(instances, limit, seed);
+        cr_expect_leq(ends, BrittleService::allowedEnds, "%zu instances, limit %g, seed %u: %zu ends, %zu allowed",
+            instances, limit, static_cast<unsigned>(seed), ends, BrittleService::allowedEnds);
+    }
+}
+
+}
+
+Test(refusalBudget, overloadedTargetsDoNotEndByRefusals)
+{
+    for (const size_t size : { 1, 9, 40 }) {
+        for (const double limit : { 5.0, 12.0, 40.0 })
+            expectFewEnds(size, limit);
+    }
+    for (const size_t size : { 1, 9 })
+        expectFewEnds(size, 3);
+    expectFewEnds(1, 1);
+    expectFewEnds(320, 40);
+}
+
+Test(refusalBudget, overloadedTargetsDoNotEndByRefusalsOfManyInstancesForTheNumberThatTheyBear)
+{
+    for (const size_t size : { 9, 40 })
+        expectFewEnds(size, 1);
+    expectFewEnds(40, 3);
+    for (const double limit : { 1.0, 3.0, 5.0, 12.0 })
+        expectFewEnds(320, limit);
+}
+
+Test(refusalBudget, refusalTakesItsPartOfTheShareForASecond)
+{
+    RefusalBudget budget;
+    const Clock::time_point start { 1000s };
+    setShare(budget, refusalShareOf(4, { 0, 2, 1 }), start, 0.5);
+    budget.freeSlots = 0;
+    for (int n = 0; n < 2; ++n) {
+        cr_assert(maySend(budget, false, start, 0.5));
+        recordSend(budget, start, 0.5);
+    }
+    cr_assert_not(maySend(budget, false, start, 0.5), "both may yet be refused");
+    applyAnswer(budget, { start, true, {} }, start + 10ms, 0.5);
+    applyAnswer(budget, { start, true, {} }, start + 10ms, 0.5);
+    const auto next = nextSendAt(budget, false, start + 10ms);
+    cr_assert_eq(next, start + 1010ms);
+    cr_assert_not(maySend(budget, false, next - 1ms, 0.5));
+    cr_assert(maySend(budget, false, next, 0.5));
+}
+
+Test(refusalBudget, sharesSumUpToNoMoreThanTheLimit)
+{
+    for (const size_t size : { 1, 9, 40, 320 }) {
+        for (const double limit : { 0.0, 1.0, 2.0, 3.0, 5.0, 12.0, 40.0, 1000.0 }) {
+            size_t sum = 0;
+            for (const auto& place : standings(size))
+                sum += refusalShareOf(limit, place).perSecond;
+            cr_assert_leq(static_cast<double>(sum), limit, "%zu instances, limit %g", size, limit);
+            cr_assert(sum > 0 || limit < 1, "%zu instances, limit %g", size, limit);
+        }
+    }
+}
+
+namespace {
+
+struct Brittle {
+    observe::Metrics metrics;
+    BrittleTargets targets { this->metrics };
+    directory::Registration target;
+    Clock::time_point start { 1000s };
+
+    Brittle()
+    {
+        this->target.id = "i-1";
+        this->target.startedUnixMs = 1;
+        this->target.service = "engines";
+        this->targets.random = [] { return 0.5; };
+        this->targets.standingOf = [](const directory::Registration&) { return Standing { 0, 1, 1 }; };
+    }
+
+    void answer(const NamedRefusalLimit& named, std::chrono::milliseconds sentAt, std::chrono::milliseconds at,
+        bool isRefusal = true)
+    {
+        this->targets.onAnswer(
+            this->target, named, { this->start + sentAt, isRefusal, RoomReport { 8, 0, 8 } }, this->start + at);
+    }
+
+    /// Requests that may be sent at once.
+    int burstAt(std::chrono::milliseconds at)
+    {
+        constexpr int most = 100;
+        int sent = 0;
+        while (sent < most && this->targets.maySend(this->target, this->start + at)) {
+            this->targets.recordSend(this->target, this->start + at);
+            ++sent;
+        }
+        return sent;
+    }
+};
+
+}
+
+Test(brittleTargets, numberHoldsUntilALaterRequestIsAnsweredWithoutIt)
+{
+    Brittle brittle;
+    cr_assert_eq(brittle.burstAt(0ms), 100);
+    brittle.answer({ 3, false }, 0ms, 100ms);
+    cr_assert_eq(brittle.burstAt(100ms), 2, "one was refused");
+    brittle.answer({}, 50ms, 200ms, false);
+    cr_assert_eq(brittle.metrics.brittleTargets.Value(), 1);
+    brittle.answer({}, 150ms, 300ms, false);
+    cr_assert_eq(brittle.burstAt(300ms), 100);
+    cr_assert_eq(brittle.metrics.brittleTargets.Value(), 0);
+}
+
+Test(brittleTargets, unreadableNumberChangesNothing)
+{
+    Brittle brittle;
+    brittle.answer({ std::nullopt, true }, 0ms, 100ms);
+    cr_assert_eq(brittle.burstAt(100ms), 100);
+    brittle.answer({ 3, false }, 0ms, 200ms);
+    brittle.answer({ std::nullopt, true }, 250ms, 300ms, false);
+    cr_assert_leq(brittle.burstAt(300ms), 3);
+}
+
+Test(brittleTargets, processThatHasNotAnsweredIsTreatedByItsService)
+{
+    Brittle brittle;
+    brittle.answer({ 3, false }, 0ms, 100ms);
+    brittle.target.startedUnixMs = 2;
+    cr_assert_leq(brittle.burstAt(100ms), 3);
+    brittle.answer({}, 200ms, 300ms, false);
+    cr_assert_eq(brittle.burstAt(300ms), 100);
+}
+
+Test(brittleTargets, endAtOneTargetLetsOneRequestAskTheOthers)
+{
+    Brittle brittle;
+    brittle.targets.standingOf = [](const directory::Registration&) { return Standing { 8, 9, 4 }; };
+    brittle.answer({ 3, false }, 0ms, 100ms);
+    cr_assert_eq(brittle.burstAt(200ms), 0);
+    const auto first = std::exchange(brittle.target.id, "i-2");
+    brittle.answer({ 3, false }, 0ms, 300ms, false);
+    brittle.answer({}, 350ms, 400ms, false);
+    brittle.target.id = first;
+    cr_assert_eq(brittle.burstAt(400ms), 1);
+}
--- a/tests/LimitTest.cpp
+++ b/tests/LimitTest.cpp
@@ -1,5 +1,5 @@
-// End-to-end tests of the request limits that targets name, with real processes: nine entry instances, a metadata store
-// and engines.
+// End-to-end tests of the limits that targets name, of requests and of refusals, with real processes: nine entry
+// instances, a metadata store and targets.
 
 #include "tests/support/ForwardSite.h"
 
@@ -27,6 +27,14 @@
     return static_cast<int>(factor * perSecond * windowSeconds) + slack;
 }
 
+/// Stated target: how often targets that are brittle for some time may end.
+size_t allowedEnds(size_t targets)
+{
+    constexpr size_t base = 2;
+    constexpr size_t targetsPerEnd = 10;
+    return base + targets / targetsPerEnd;
+}
+
 /// The most arrivals in a window of 4 s that ends at @p from or later.
 int maxArrivalsInWindow(const std::vector<int64_t>& times, int64_t from)
 {
@@ -64,13 +72,15 @@
         });
     }
 
-    /// Sends each instance in turn a request with a prompt of its own, 60 a second in all.
+    /// Sends each instance in turn a request with a body and a prompt of its own, 60 a second in all.
     void play(std::chrono::milliseconds duration, const std::string& path = "/ask/x")
     {
         const auto end = Clock::now() + duration;
         while (Clock::now() < end) {
             const auto number = std::to_string(this->answers.size());
-            const ForwardRequestSpec spec { .id = "r" + number, .path = path, .prompt = "aa" + number + ":200,bb:100" };
+            const ForwardRequestSpec spec {
+                .id = "r" + number, .path = path, .body = "body " + number, .prompt = "aa" + number + ":200,bb:100"
+            };
             this->answers.push_back(this->site.send(spec, this->answers.size() % instances));
             runFor(16ms);
         }
@@ -151,3 +161,35 @@
     cr_assert_gt(refused, 0);
     cr_assert_eq(limited.served() + refused, static_cast<int>(limited.answers.size()));
 }
+
+Test(limits, overloadedBrittleTargetsAreNotRefusingMoreThanTheyBear, .timeout = 120)
+{
+    constexpr int bearablePerSecond = 5;
+    constexpr int roomAtFirst = 64;
+    constexpr int roomLater = 9;
+    constexpr int workMs = 700; // both then serve 26 requests a second of the 60 that are sent
+    LimitedSite limited;
+    limited.site.publish({ forwardKey }, 3000, 2 * workMs);
+    limited.site.waitUntilInForce();
+    for (const auto& service : limited.site.services)
+        control(service->address("control"),
+            { { "brittle", QString::number(bearablePerSecond) }, { "room", roomAtFirst }, { "work_ms", workMs } });
+    limited.play(contactTime, "/read/x");
+    for (const auto& service : limited.site.services)
+        control(service->address("control"), { { "room", roomLater } });
+    const auto begunAt = QDateTime::currentMSecsSinceEpoch();
+    limited.play(15s, "/read/x");
+    require(waitForAll(limited.answers, 20s), "not all requests were answered");
+    size_t ends = 0;
+    int refusals = 0;
+    for (const auto& service : limited.site.services) {
+        const auto state = control(service->address("control"));
+        refusals += state["turned_away"].toInt();
+        for (const auto& time : state["crashes"].toArray())
+            ends += time.toInteger() >= begunAt;
+    }
+    const auto allowed = allowedEnds(limited.site.services.size());
+    cr_assert_leq(ends, allowed, "targets ended %zu times, %zu allowed; %d refusals, %d of %zu served", ends, allowed,
+        refusals, limited.served(), limited.answers.size());
+    cr_assert_gt(limited.served(), 0, "the targets are not used any more");
+}
--- a/tests/PlatformAdapterTest.cpp
+++ b/tests/PlatformAdapterTest.cpp
@@ -183,8 +183,8 @@
 Test(adapter, platformNamesDoNotOccurInSrc)
 {
     const char* names[] = { "X-Dragonflyarch-", "Kv-From", "/api/", "op/config", "op/version", "\"servers/", "api_keys",
-        "fencing_token\"", "opcode", "kv_store", "Server-Limit", "Server-Leaving", "Store-Era", "max_attempts",
-        "traffic_split", "switch_mode", "Expect-Instance" };
+        "fencing_token\"", "opcode", "kv_store", "Server-Limit", "Server-Brittle", "Server-Leaving", "Store-Era",
+        "max_attempts", "traffic_split", "switch_mode", "Expect-Instance" };
     for (const auto& entry : std::filesystem::recursive_directory_iterator(SOURCE_FOLDER "/src")) {
         if (!entry.is_regular_file())
             continue;
@@ -217,6 +217,27 @@
     cr_assert(!unlimited.requestLimit && !unlimited.hasInvalidLimit);
 }
 
+Test(headerCodec, readsBearableRefusalsAndDistrustsUnreadableOnes)
+{
+    const HeaderCodec codec;
+    const auto answerWith = [&](const std::string& text) {
+        return codec.parseAnswer({ 503, { { "Server-Brittle", text } } });
+    };
+    for (const auto& [text, expected] : { std::pair("5", 5.0), { "0", 0.0 }, { "2.5", 2.5 } }) {
+        const auto answer = answerWith(text);
+        cr_assert(answer.refusalLimit == expected && !answer.hasInvalidRefusalLimit, "%s", text);
+        cr_assert(!answer.requestLimit && !answer.hasInvalidLimit, "%s", text);
+    }
+    for (const auto* text : { "", "-1", "nan", "inf", "few", "5 a second" }) {
+        const auto answer = answerWith(text);
+        cr_assert(!answer.refusalLimit && answer.hasInvalidRefusalLimit, "%s", text);
+    }
+    const auto contradictory = codec.parseAnswer({ 200, { { "Server-Brittle", "5" }, { "Server-Brittle", "9" } } });
+    cr_assert(!contradictory.refusalLimit && contradictory.hasInvalidRefusalLimit);
+    const auto silent = codec.parseAnswer({ 200, {} });
+    cr_assert(!silent.refusalLimit && !silent.hasInvalidRefusalLimit);
+}
+
 Test(headerCodec, readsWhetherATargetIsLeaving)
 {
     const HeaderCodec codec;
