Wait for the arrival that a test of frozen instances needs

The test gave requests 80 ms to reach a target before it froze the instance, and aborted once under load because none had arrived by then. It now waits for the arrival, within 5 s, before it freezes the instance; all else is checked as before. The target works for 200 ms, so its answer still waits for the frozen instance.

--- a/tests/BackoffTest.cpp
+++ b/tests/BackoffTest.cpp
@@ -421,8 +421,8 @@
         for (int i = 0; i < callers / 2; ++i)
             answers.push_back(site.send({ "early" + std::to_string(i), "/read/x" }));
         runFor(80ms);
+        require(waitUntil([&] { return arrivals(leaving, 0) > 0; }, 5s), "the leaving target got no request");
         site.entries[0]->freeze();
-        require(arrivals(leaving, 0) > 0, "the leaving target got no request");
         runFor(300ms);
         for (int i = 0; i < callers / 2; ++i)
             answers.push_back(site.send({ "late" + std::to_string(i), "/read/x" }));
