End sending behind the answer when a kept connection closes

What callers saw: after a kept stream that ended in a drain, or beside a configuration without idle time, the connection stayed open for up to 50 ms and was then closed, so a caller that sent its next request in that time could cross the close.

Cause: the connection waited, readable, for the delivery of the answer, and ended only after that. Its caller learned of the close later than of the end of the answer.

Change: the end of sending follows the answer at once, as for an answer that said "close", but nothing is read any more: what crosses the close stays with the system and is reset once the answer is delivered. The wait for delivery is a state of its own in place of a condition of idle connections.

Evidence: callerLearnsOfTheCloseWithTheEndOfAKeptStream failed before in both cases (drain, no idle time): no end while the server does not run. Three tests share the set-up of a kept stream; no check changed.

--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -16,14 +16,16 @@
 namespace {
 
     constexpr qint64 readBufferBytes = 256 << 10;
+    /// Of a connection that is not read any more; 0 would mean no limit.
+    constexpr qint64 minReadBufferBytes = 1;
     constexpr size_t maxUnparsedBytes = 64 << 10;
     /// How often a caller's close is looked for while reading is paused, which hides it from the event loop. A fraction
     /// of the half second within which a target's work for a caller that has left has to end.
     constexpr std::chrono::milliseconds closeCheckInterval { 100 };
     /// From accepting a connection; some round trips, within which a caller that has just connected sends its request.
     constexpr std::chrono::milliseconds firstRequestTimeout { 500 };
-    /// How often the delivery of the last answer is looked for on an idle connection that is to close. A fraction of
-    /// the time within which a caller has to learn that its next request is not read.
+    /// How often the delivery of the last answer is looked for on a connection that closes without reading. A fraction
+    /// of the time within which a caller has to learn that its next request is not read.
     constexpr std::chrono::milliseconds deliveryCheckInterval { 50 };
     /// Bytes received from a caller after its last answer; bounds the work that a caller causes which never stops.
     constexpr size_t maxDiscardedBytes = 64u << 20;
@@ -116,6 +118,9 @@
     case State::Closing:
         this->checkSendProgress();
         break;
+    case State::ClosingUnread:
+        this->checkDelivery();
+        break;
     case State::Answering:
         if (this->unparsed.size() < maxUnparsedBytes)
             break;
@@ -131,6 +136,8 @@
 
 void ServerConnection::readMore()
 {
+    if (this->state == State::ClosingUnread)
+        return;
     this->readAvailable();
     if (this->state != State::Headers && this->state != State::Body)
         this->unparsed.shrink_to_fit(); // a connection may be kept for long
@@ -155,6 +162,7 @@
         this->reset();
         break;
     case State::Closing:
+    case State::ClosingUnread:
     case State::Closed:
         break;
     }
@@ -236,7 +244,6 @@
             this->parser->body_limit(this->server->limits.bodyBytes);
             this->state = State::Headers;
             this->firstRequestDeadline = {};
-            this->deliveryDeadline.reset();
             this->setDeadline(this->server->limits.headerTimeout);
         }
         if (!this->feedParser())
@@ -351,12 +358,16 @@
 
 void ServerConnection::endSending()
 {
-    if (this->state != State::Closing || this->sendingEnded || this->socket.bytesToWrite())
+    const bool isClosing = this->state == State::Closing || this->state == State::ClosingUnread;
+    if (!isClosing || this->sendingEnded || this->socket.bytesToWrite())
         return;
     this->sendingEnded = true;
     this->unsentAtCheck = this->unacknowledgedBytes();
     ::shutdown(static_cast<int>(this->socket.socketDescriptor()), SHUT_WR);
-    this->setDeadline(this->server->limits.lingerTimeout);
+    if (this->state == State::Closing)
+        this->setDeadline(this->server->limits.lingerTimeout);
+    else
+        this->deliveryDeadline = Clock::now() + this->server->limits.lingerTimeout;
 }
 
 /// Waits on while the caller receives, else closes.
@@ -498,27 +509,38 @@
         this->setDeadline(this->server->limits.headerTimeout); // the event loop has yet to read it
     else if (now < this->firstRequestDeadline)
         this->setDeadline(remaining(this->firstRequestDeadline, now));
-    else if (!this->awaitsDelivery(now))
+    else if (this->unacknowledgedBytes())
+        this->closeBehindAnswer();
+    else
         this->drop(); // a request that crosses the close is reset, so that its caller knows that it was not read
 }
 
-/// Whether the caller still receives its last answer, which said that the connection is kept. The next request may be
-/// on its way and is read until then.
-bool ServerConnection::awaitsDelivery(Clock::time_point now)
+/// Closes a connection whose last answer said that it is kept and is still on its way. The end of sending follows that
+/// answer, so that the caller learns of it before it sends the next request. What it has sent before is not read, but
+/// reset once the answer is delivered.
+void ServerConnection::closeBehindAnswer()
+{
+    this->state = State::ClosingUnread;
+    this->socket.setReadBufferSize(minReadBufferBytes);
+    this->unsentAtCheck = this->unacknowledgedBytes();
+    this->deliveryDeadline = Clock::now() + this->server->limits.sendTimeout;
+    this->endSending();
+    this->setDeadline(deliveryCheckInterval);
+}
+
+/// Closes once the caller has received everything, or no longer receives.
+void ServerConnection::checkDelivery()
 {
+    const auto now = Clock::now();
     const auto unsent = this->unacknowledgedBytes();
-    if (!unsent)
-        return false;
     const auto& limits = this->server->limits;
-    // What is with the system is delivered after the close too.
-    const auto patience = this->socket.bytesToWrite() ? limits.sendTimeout : limits.lingerTimeout;
-    if (!this->deliveryDeadline || unsent < this->unsentAtCheck)
-        this->deliveryDeadline = now + patience;
+    if (unsent < this->unsentAtCheck)
+        this->deliveryDeadline = now + (this->sendingEnded ? limits.lingerTimeout : limits.sendTimeout);
     this->unsentAtCheck = unsent;
-    if (now >= *this->deliveryDeadline)
-        return false;
-    this->setDeadline(deliveryCheckInterval);
-    return true;
+    if (!unsent || now >= this->deliveryDeadline)
+        this->drop();
+    else
+        this->setDeadline(deliveryCheckInterval);
 }
 
 bool ServerConnection::hasCallerClosed() const
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -47,6 +47,7 @@
         Body, ///< until bodyTimeout
         Answering, ///< until the handler ends the answer; the request's deadline is the handler's
         Closing, ///< sends what is queued and discards what arrives, until sendTimeout or lingerTimeout
+        ClosingUnread, ///< sends what is queued and reads nothing, until it is delivered, sendTimeout or lingerTimeout
         Closed,
     };
 
@@ -73,7 +74,8 @@
     void onAnswerSent();
     bool hasWaitingInput() const;
     bool mayKeep() const;
-    bool awaitsDelivery(Clock::time_point now);
+    void closeBehindAnswer();
+    void checkDelivery();
     void closeInOrder(CloseReason reason);
     void endSending();
     void checkSendProgress();
@@ -102,9 +104,9 @@
     bool isHeadSent = false; ///< in Answering: of a stream
     bool hasCallerAskedToClose = false; ///< with its last request
     bool keepAlive = true; ///< false once the caller or the head of the current answer has said "close"
-    bool sendingEnded = false; ///< in Closing: everything queued is with the system, and the end of the stream too
-    /// In Idle, once the connection is to close: without progress of what is unacknowledged, it closes then.
-    std::optional<Deadline> deliveryDeadline;
+    bool sendingEnded
+        = false; ///< in Closing and ClosingUnread: everything queued is with the system, and the end of the stream too
+    Deadline deliveryDeadline; ///< in ClosingUnread: it closes then if nothing more was acknowledged
     int64_t unsentAtCheck = 0; ///< unacknowledgedBytes() when that deadline or the one of Closing was set
     CloseReason closeReason = CloseReason::AnswerCloses; ///< valid in Closing
     size_t discardedBytes = 0;
--- a/tests/ServerCloseTest.cpp
+++ b/tests/ServerCloseTest.cpp
@@ -113,6 +113,33 @@
 
 namespace {
 
+constexpr int smallReceiveBuffer = 4 << 10;
+constexpr size_t slowAnswerBytes = 4 << 20; ///< more than the systems hold
+
+/// A stream whose head said that the connection is kept.
+struct KeptStream {
+    TestedServer tested;
+    RawCaller caller { this->tested.endpoint, smallReceiveBuffer };
+
+    KeptStream()
+    {
+        this->caller.send(get("/stream"));
+        require(this->tested.waitForRequest(), "no request");
+        this->tested.held[0]->beginStream(200, {});
+    }
+    void allowNoIdleTime()
+    {
+        http::ServerLimits limits;
+        limits.idleTimeout = 0ms;
+        this->tested.server.setLimits(limits);
+    }
+    void finish(size_t bytes)
+    {
+        this->tested.held[0]->write(std::string(bytes, 'x') + "end");
+        this->tested.held[0]->finish();
+    }
+};
+
 /// Receives an answer of @p bytes that ends with "end" slowly, and sends a request as soon as it has arrived whole.
 void receiveThenSend(RawCaller& caller, size_t bytes)
 {
@@ -141,51 +168,59 @@
 
 Test(serverClose, requestAfterASlowlyReceivedAnswerIsNotDiscardedWhenTheIdleTimeHasEnded, .timeout = 60)
 {
-    constexpr size_t answerBytes = 4 << 20;
     http::ServerLimits limits;
     limits.idleTimeout = 200ms;
     TestedServer tested(limits);
-    RawCaller caller(tested.endpoint, 4 << 10);
+    RawCaller caller(tested.endpoint, smallReceiveBuffer);
     caller.send(get("/held"));
     cr_assert(tested.waitForRequest());
-    tested.held[0]->respond(200, {}, std::string(answerBytes, 'x') + "end");
+    tested.held[0]->respond(200, {}, std::string(slowAnswerBytes, 'x') + "end");
     runFor(500ms);
-    receiveThenSend(caller, answerBytes);
+    receiveThenSend(caller, slowAnswerBytes);
     cr_assert(isAnsweredOrReset(caller), "discarded in silence");
 }
 
 Test(serverClose, requestAfterAKeptStreamIsNotDiscardedInTheDrain, .timeout = 60)
 {
-    constexpr size_t answerBytes = 4 << 20;
-    TestedServer tested;
-    RawCaller caller(tested.endpoint, 4 << 10);
-    caller.send(get("/stream"));
-    cr_assert(tested.waitForRequest());
-    tested.held[0]->beginStream(200, {});
-    tested.drain();
-    tested.held[0]->write(std::string(answerBytes, 'x') + "end");
-    tested.held[0]->finish();
+    KeptStream stream;
+    stream.tested.drain();
+    stream.finish(slowAnswerBytes);
     runFor(200ms);
-    receiveThenSend(caller, answerBytes);
-    cr_assert(isAnsweredOrReset(caller), "discarded in silence");
+    receiveThenSend(stream.caller, slowAnswerBytes);
+    cr_assert(isAnsweredOrReset(stream.caller), "discarded in silence");
 }
 
 Test(serverClose, requestAfterAKeptStreamIsNotDiscardedWhenConnectionsMayNoLongerBeIdle, .timeout = 60)
 {
-    constexpr size_t answerBytes = 4 << 20;
-    TestedServer tested;
-    RawCaller caller(tested.endpoint, 4 << 10);
-    caller.send(get("/stream"));
-    cr_assert(tested.waitForRequest());
-    tested.held[0]->beginStream(200, {});
-    http::ServerLimits limits;
-    limits.idleTimeout = 0ms;
-    tested.server.setLimits(limits);
-    tested.held[0]->write(std::string(answerBytes, 'x') + "end");
-    tested.held[0]->finish();
+    KeptStream stream;
+    stream.allowNoIdleTime();
+    stream.finish(slowAnswerBytes);
     runFor(200ms);
-    receiveThenSend(caller, answerBytes);
-    cr_assert(isAnsweredOrReset(caller), "discarded in silence");
+    receiveThenSend(stream.caller, slowAnswerBytes);
+    cr_assert(isAnsweredOrReset(stream.caller), "discarded in silence");
+}
+
+Test(serverClose, callerLearnsOfTheCloseWithTheEndOfAKeptStream, .timeout = 30)
+{
+    constexpr size_t answerBytes = 100 << 10; // the systems hold them
+    for (const bool isDrained : { true, false }) {
+        KeptStream stream;
+        if (isDrained)
+            stream.tested.drain();
+        else
+            stream.allowNoIdleTime();
+        stream.finish(answerBytes);
+        runFor(20ms);
+        // The server does not run from here on.
+        auto& caller = stream.caller;
+        for (int i = 0; i < 500 && !caller.ended; ++i) {
+            caller.receive();
+            QThread::msleep(2);
+        }
+        cr_expect(caller.ended, "%s: the next request would cross the close", isDrained ? "drain" : "no idle time");
+        cr_expect_not(caller.wasReset);
+        cr_expect(caller.received.ends_with("0\r\n\r\n"), "%zu bytes", caller.received.size());
+    }
 }
 
 Test(serverClose, requestThatIsCompletedWhileTheEventLoopIsBusyOnAKeptConnectionIsNotTimedOut, .timeout = 30)
