Record discarded bytes in a struct of their own

The connection mixed its states with the search for the end of a head in what it throws away, split over two members and a function. That is now recordDiscarded() over a plain struct, with a test of its own (pieces of 1 to 100 bytes). No behaviour changes.

--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -33,8 +33,6 @@
     /// Retry-After of a request that is refused while it is received; some of those that hold the memory end within it.
     constexpr std::chrono::seconds overloadRetryAfter { 1 };
 
-    constexpr std::string_view headEnd = "\r\n\r\n";
-
     ErrorKind errorKindOf(const boost::beast::error_code& failure)
     {
         if (failure == beast::error::body_limit)
@@ -184,8 +182,8 @@
     }
     const auto bytes = this->socket.readAll();
     if (this->state == State::Closing) {
-        this->discard({ bytes.constData(), static_cast<size_t>(bytes.size()) });
-        if (this->discardedBytes > maxDiscardedBytes)
+        recordDiscarded(this->discarded, { bytes.constData(), static_cast<size_t>(bytes.size()) });
+        if (this->discarded.count > maxDiscardedBytes)
             this->drop();
         return;
     }
@@ -193,22 +191,11 @@
     this->parse();
 }
 
-void ServerConnection::discard(std::string_view bytes)
-{
-    this->discardedBytes += bytes.size();
-    if (this->hasDiscardedHead)
-        return;
-    const auto begin = this->lastDiscarded + std::string(bytes.substr(0, headEnd.size() - 1));
-    this->hasDiscardedHead = bytes.find(headEnd) != std::string_view::npos || begin.find(headEnd) != std::string::npos;
-    const auto& tail = bytes.size() < headEnd.size() ? std::string_view(begin) : bytes;
-    this->lastDiscarded = std::string(tail.substr(tail.size() - std::min(tail.size(), headEnd.size() - 1)));
-}
-
 void ServerConnection::reportDiscarded()
 {
     const auto& report = this->server->observer.onInputDiscarded;
-    if (const auto bytes = std::exchange(this->discardedBytes, 0); bytes && report)
-        report({ toString(this->closeReason), this->addressText(), bytes, this->hasDiscardedHead });
+    if (const auto all = std::exchange(this->discarded, {}); all.count && report)
+        report({ toString(this->closeReason), this->addressText(), all.count, all.hasWholeHead });
 }
 
 std::string_view ServerConnection::toString(CloseReason reason)
@@ -348,7 +335,7 @@
     this->endRequest();
     this->parser.reset();
     this->headFields = {};
-    this->discard(this->unparsed);
+    recordDiscarded(this->discarded, this->unparsed);
     this->unparsed.clear();
     this->unsentAtCheck = unsent;
     this->setDeadline(this->server->limits.sendTimeout);
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 // One accepted connection, which reads requests one at a time and writes the answers.
 
+#include "http/DiscardedBytes.h"
 #include "http/Server.h"
 
 #include <QTcpSocket>
@@ -63,7 +64,6 @@
     void readAvailable();
     void giveUpInput();
     void reset();
-    void discard(std::string_view bytes);
     void reportDiscarded();
     void endRequest();
     void parse();
@@ -109,9 +109,7 @@
     Deadline deliveryDeadline; ///< in ClosingUnread: it closes then if nothing more was acknowledged
     int64_t unsentAtCheck = 0; ///< unacknowledgedBytes() when that deadline or the one of Closing was set
     CloseReason closeReason = CloseReason::AnswerCloses; ///< valid in Closing
-    size_t discardedBytes = 0;
-    bool hasDiscardedHead = false; ///< among the discarded bytes is the end of a head
-    std::string lastDiscarded; ///< the last discarded bytes, as many as may be part of a head's end
+    DiscardedBytes discarded; ///< in Closing
 };
 
 }
--- a/tests/ServerCloseTest.cpp
+++ b/tests/ServerCloseTest.cpp
@@ -3,6 +3,7 @@
 // The server runs in the test's own event loop, so that a busy loop is a loop that is not run. The callers use blocking
 // system calls.
 
+#include "http/DiscardedBytes.h"
 #include "tests/support/ForwardSite.h"
 #include "tests/support/TestedServer.h"
 
@@ -322,6 +323,22 @@
     cr_expect_eq(ended, 5);
 }
 
+Test(serverClose, endOfAHeadIsFoundAmongDiscardedBytesInPieces)
+{
+    for (const size_t piece : { 1u, 2u, 3u, 4u, 5u, 100u }) {
+        http::DiscardedBytes whole;
+        http::DiscardedBytes part;
+        const auto text = get("/x");
+        for (size_t at = 0; at < text.size(); at += piece)
+            http::recordDiscarded(whole, std::string_view(text).substr(at, piece));
+        for (size_t at = 0; at + 1 < text.size(); at += piece)
+            http::recordDiscarded(part, std::string_view(text).substr(at, std::min(piece, text.size() - 1 - at)));
+        cr_expect(whole.hasWholeHead, "pieces of %zu", piece);
+        cr_expect_eq(whole.count, text.size());
+        cr_expect_not(part.hasWholeHead, "pieces of %zu", piece);
+    }
+}
+
 Test(serverClose, inputThatAClosingConnectionDiscardsIsReported, .timeout = 30)
 {
     TestedServer tested;
