--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -236,10 +236,12 @@
     registers itself every 1.2 s.
     """
 
-    def __init__(self, record, store, name, service, zone, model=None, work_s=0.05, load_s=1.8):
+    def __init__(self, record, store, name, service, zone, model=None, work_s=0.05, load_s=1.8,
+                 slots=128, queue=0):
         super().__init__()
         self.record, self.store, self.name, self.service, self.zone = record, store, name, service, zone
-        self.model, self.work_s, self.load_s = model, work_s, load_s
+        self.model, self.work_s, self.load_s, self.slots = model, work_s, load_s, slots
+        self.queue, self.waiting, self.last_ticket, self.tickets = queue, 0, 0, []
         self.version, self.accepted, self.fence, self.is_loading = 1, 0, 0, False
         self.state = "ready"
         self.beats = 0
@@ -262,7 +264,7 @@
     def beat(self):
         self.beats += 1
         models = [{"name": self.model, "version": self.version, "adapters": []}] if self.model else []
-        value = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 128,
+        value = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": self.slots,
                  "state": self.state, "cold_remaining_ms": 0, "models": models, "born": self.born, "seq": self.beats}
         self.store.put("servers/" + self.name, json.dumps(value).encode())
 
@@ -310,7 +312,7 @@
 
     def _headers(self, attempt):
         fields = [("X-Dragonflyarch-Attempt-Id", attempt), ("X-Dragonflyarch-Instance-Id", self.name),
-                  ("X-Dragonflyarch-Instance-Load", f"{self.running},0,128")]
+                  ("X-Dragonflyarch-Instance-Load", f"{self.running},{self.waiting},{self.slots}")]
         if self.model:
             fields.append(("X-Dragonflyarch-Weight-Versions", self.version))
         return fields
@@ -323,7 +325,7 @@
             self.arrivals.append((now(), attempt, False))
             connection.answer(421, b"", refusal)
             return
-        if self.is_loading:
+        if not await self._wait_for_slot(connection, expected):
             self.arrivals.append((now(), attempt, False))
             connection.answer(503, b"", refusal)
             return
@@ -345,6 +347,23 @@
         else:
             connection.answer(200, b"done by " + self.name.encode(), stamp)
 
+    async def _wait_for_slot(self, connection, expected):
+        """Waits in the queue, in order. False if the request is not to run: no room, an order, or its caller left."""
+        if self.is_loading or (self.running >= self.slots and self.waiting >= self.queue):
+            return False
+        ticket = self.last_ticket = self.last_ticket + 1
+        self.tickets.append(ticket)
+        self.waiting += 1
+        try:
+            while self.running >= self.slots or self.tickets[0] != ticket:
+                await asyncio.sleep(0.005)
+                if self.is_loading or connection.reader.at_eof():
+                    return False
+            return not expected or expected == str(self.version)
+        finally:
+            self.waiting -= 1
+            self.tickets.remove(ticket)
+
     def _use_parts(self, headers):
         """Reads the prompt: finds the parts that are kept under its salt, and keeps the others."""
         tenant = headers.get("x-dragonflyarch-tenant", "")
