Review: an instance that outlives a store outage alone never follows records again (DRAIN)

Rule: DRAIN, "A request reaches an engine later than drain_ms after a machine in touch acknowledged that the engine is draining or gone". Seen: the store is down for 4.5 s, and all instances but one are killed meanwhile. That one asks peers, which do not know its revision, and the store with a deadline that has passed, in turn and without end. Code at fault: RelayedSource::recordServiceFailure() and queryNextSource() in src/relay/RelayedSource.cpp; a watch whose deadline has passed is passed on instead of completed.

--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import socket
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -129,18 +130,32 @@
         self.leases = {}
         self.last_lease = 0
         self.changed = asyncio.Event()
+        self.is_down = False
 
     async def listen(self, port=0):
         await super().listen(port)
         self.expiry = asyncio.ensure_future(self._expire_forever())
         return self
 
+    def go_down(self):
+        """Answers nothing from now on. Channels on which an answer is lost return nothing afterwards either."""
+        self.is_down = True
+        self.record.line("the store is down, silent")
+
+    def come_back(self):
+        self.is_down = False
+        self.record.line("the store is back")
+
     async def _expire_forever(self):
         while True:
             await asyncio.sleep(0.02)
             self._expire()
 
     def _expire(self):
+        if self.is_down:  # leases pause
+            for lease, (ttl, until) in self.leases.items():
+                self.leases[lease] = (ttl, until + 0.02)
+            return
         ended = [lease for lease, (_, until) in self.leases.items() if until <= time.monotonic()]
         for lease in ended:
             del self.leases[lease]
@@ -169,12 +184,17 @@
         self.record.line("store", key, "revision", self.revision, json.dumps(value))
 
     async def handle(self, connection, method, target, headers, body):
+        if self.is_down:
+            connection.is_silent = True
+            return
         url = urllib.parse.urlsplit(target)
         query = {name: values[0] for name, values in urllib.parse.parse_qs(url.query, keep_blank_values=True).items()}
         if url.path == "/api/kv-watch":
             status, answer = await self._watch(connection, query)
         else:
             status, answer = self._call(method, url.path, query, json.loads(body) if body else {})
+        if self.is_down:
+            connection.is_silent = True
         connection.answer(status, json.dumps(answer).encode(), [("Content-Type", "application/json")])
 
     async def _watch(self, connection, query):
@@ -384,13 +404,52 @@
         """Called for each kept part that a request uses."""
 
 
+class Link:
+    """A link to a port: a TCP proxy that passes bytes on, in order, after a delay."""
+
+    def __init__(self, port, delay_s):
+        self.target, self.delay_s = port, delay_s
+
+    async def listen(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader, writer):
+        try:
+            onward_reader, onward_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        await asyncio.gather(self._pass(reader, onward_writer), self._pass(onward_reader, writer))
+
+    async def _pass(self, reader, writer):
+        loop = asyncio.get_running_loop()
+        try:
+            while data := await reader.read(65536):
+                loop.call_later(self.delay_s, self._write, writer, data)
+        except ConnectionError:
+            pass
+        loop.call_later(self.delay_s, writer.close)
+
+    @staticmethod
+    def _write(writer, data):
+        if not writer.is_closing():
+            writer.write(data)
+
+
 class Instance:
-    """One entry instance: target/dragonflyd with settings made from the template of the deploy file."""
+    """One entry instance: target/dragonflyd with settings made from the template of the deploy file.
+
+    advertised: port of a link that other instances use to reach it; its own port if it is None.
+    """
 
-    def __init__(self, record, folder, store, name, zone, zones):
+    def __init__(self, record, folder, store, name, zone, zones, peers_port=None, advertised=None):
         self.record, self.name = record, name
         ports = [free_port() for _ in range(5)]
         self.front, self.admin = ports[0], ports[1]
+        ports[3] = peers_port or ports[3]
+        link = f"peersAdvertised: 127.0.0.1:{advertised}\n" if advertised else ""
         listed = ", ".join(f"{each}: {each}-region" for each in zones)
         self.path = os.path.join(folder, name + ".yaml")
         with open(self.path, "w", encoding="utf-8") as file:
@@ -404,7 +463,7 @@
 metrics: 127.0.0.1:{ports[2]}
 peers: 127.0.0.1:{ports[3]}
 tunnels: 127.0.0.1:{ports[4]}
-processorShare: 0.25
+{link}processorShare: 0.25
 memory: 260MiB
 platform: [ {store.address} ]
 http:
@@ -533,11 +592,12 @@
                 for instance in started:
                     await instance.kill()
 
+    sys.unraisablehook = lambda _: None  # connections that are still open at the end need no orderly close
     try:
         code = asyncio.run(limited())
     except Exception as failure:  # the case could not run
         record.line("could not run:", repr(failure))
         code = 2
     record.line("exit code", code)
-    print("exit code", code)
-    raise SystemExit(code)
+    print("exit code", code, flush=True)
+    os._exit(code)
