--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -265,6 +265,7 @@
         self.version, self.accepted, self.fence, self.is_loading = 1, 0, 0, False
         self.state = "ready"
         self.beats = 0
+        self.entry = None  # as it stands in the store, without its number
         self.born = int(time.time() * 1000)
         self.running = 0
         self.runs = []  # of each run: time, id, version, headers
@@ -285,7 +286,11 @@
         self.beats += 1
         models = [{"name": self.model, "version": self.version, "adapters": []}] if self.model else []
         value = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": self.slots,
-                 "state": self.state, "cold_remaining_ms": 0, "models": models, "born": self.born, "seq": self.beats}
+                 "state": self.state, "cold_remaining_ms": 0, "models": models, "born": self.born}
+        if value == self.entry:
+            return  # the entry changes when more than its number does
+        self.entry = dict(value)
+        value["seq"] = self.beats
         self.store.put("servers/" + self.name, json.dumps(value).encode())
 
     def drain(self):
@@ -361,11 +366,16 @@
         finally:
             self.running -= 1
         stamp = self._headers(attempt) + [("X-Dragonflyarch-Response-Stamp", "stamp." + attempt)]
+        is_leaving = self.state == "draining"
+        if is_leaving:
+            stamp.append(("Connection", "close"))
         if self.model:
             body = "".join(f"id: {i}\ndata: token {i}\n\n" for i in (1, 2, 3)).encode()
             connection.answer(200, body, stamp + [("Content-Type", "text/event-stream")])
         else:
             connection.answer(200, b"done by " + self.name.encode(), stamp)
+        if is_leaving:
+            connection.writer.close()
 
     async def _wait_for_slot(self, connection, expected):
         """Waits in the queue, in order. False if the request is not to run: no room, an order, or its caller left."""
