--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -224,8 +224,9 @@
             return self._transact(body)
         if path == "/api/kv-lease":
             self.last_lease += 1
-            self.leases[self.last_lease] = (body["ttl_ms"], time.monotonic() + body["ttl_ms"] / 1000)
-            return 200, {"lease": self.last_lease, "ttl_ms": body["ttl_ms"]}
+            ttl = min(max(body["ttl_ms"], 1000), 600000)  # from ttl_min_ms to ten minutes; the answer says what applies
+            self.leases[self.last_lease] = (ttl, time.monotonic() + ttl / 1000)
+            return 200, {"lease": self.last_lease, "ttl_ms": ttl}
         lease = int(path.rsplit("/", 1)[1])
         if lease not in self.leases:
             return 404, {}
@@ -240,6 +241,9 @@
         if any((current[row["key"]] or {"revision": 0})["revision"] != row["revision"] for row in expected):
             return 412, {"items": [item for item in current.values() if item]}
         writes = body.get("writes", [])
+        changed = [write["key"] for write in writes] + body.get("remove", [])
+        if any(key.startswith(("op/", "servers/")) for key in changed):
+            return 403, {}
         if any(write.get("lease") and write["lease"] not in self.leases for write in writes):
             return 404, {}
         for write in writes:
