Relay: a watch of the platform's records ends at its deadline

Cause: RelayedSource passed a failed watch to its peers, and from peers that do not have its revision back to the service with a deadline that had passed. That failed before it was written, counted as a failure of the service and began the round again.

Change: a watch that has no time left for the service ends as failed, and each watch moves from the service to peers once. A watch of a prefix is not sent twice. The age of the records is a metric, and an instance that follows nothing for 10 s says so.

Ruled out: peers that answer wrongly (they do not have the changes, and say so); a store whose channel hangs (checks of the configuration end it).

Tests: relayedSource/watch{ThatNoSourceAnswersEndsAtItsDeadline,LeavesAFailingServiceForItsPeersOnce,OfAPrefixThatFailsAtTheServiceIsNotSentAgain} fail on the former RelayedSource.cpp (3 of 3) and pass now. A process test on loopback passed before too, so it was not kept.

--- a/src/directory/DirectorySync.cpp
+++ b/src/directory/DirectorySync.cpp
@@ -38,6 +38,9 @@
     /// two seconds.
     constexpr std::chrono::milliseconds registrationGracePeriod { 2200 };
 
+    /// An instance whose records are older follows nothing: a change to another source takes less time.
+    constexpr std::chrono::seconds maxFollowedAge { 10 };
+
     /// How long removed targets are remembered. A copy to which the store returns is some seconds old.
     constexpr std::chrono::minutes removedTargetRetention { 10 };
     /// Between two looks for those that need not be remembered any longer, so that many removals at once cost no look
@@ -276,8 +279,27 @@
         this->revisionCheckTimer.start(0);
 }
 
+/// Reports how long ago all changes of the records were known.
+void DirectorySync::reportRecordsAge()
+{
+    const auto asOf = this->changesAsOf();
+    if (asOf == BootClock::time_point())
+        return;
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - asOf);
+    this->metrics.recordsAgeSeconds.Set(std::chrono::duration<double>(age).count());
+    if (this->isFollowing == (age <= maxFollowedAge))
+        return;
+    this->isFollowing = !this->isFollowing;
+    logChange(this->isFollowing ? LogLevel::Info : LogLevel::Error,
+        this->isFollowing ? "platform records followed again" : "platform records not followed",
+        { { "age_ms", std::to_string(age.count()) },
+            { "revision", std::to_string(store::revisionWithinEra(this->watchedRevision)) },
+            { "failed_calls", std::to_string(this->failures) } });
+}
+
 void DirectorySync::sendRevisionCheck()
 {
+    this->reportRecordsAge();
     if (!this->deploymentRevision) {
         this->scheduleRevisionCheck();
         return;
--- a/src/directory/DirectorySync.h
+++ b/src/directory/DirectorySync.h
@@ -113,6 +113,7 @@
     std::chrono::milliseconds backoff() const;
 
     void scheduleRevisionCheck();
+    void reportRecordsAge();
     void sendRevisionCheck();
     void onRevisionChecked(const store::CheckResult& result, int64_t expected, BootClock::time_point queriedAt);
 
@@ -167,6 +168,7 @@
     /// have expired although the targets still run; those register again before.
     std::map<std::string, Deadline> absentTargets;
     Deadline gracePeriodEnd; ///< of the latest outage in which calls for records failed
+    bool isFollowing = true; ///< the records were recent when their age was last reported
     bool reachable = false;
     int failures = 0; ///< consecutive failed calls
 };
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -72,6 +72,8 @@
           counter(*registry, "dragonfly_platform_failures_total", "Failed calls to the platform's service"))
     , recordsRefused(counter(*registry, "dragonfly_records_refused_total",
           "Records of the platform's service that could not be used, once for each content of a target's"))
+    , recordsAgeSeconds(gauge(*registry, "dragonfly_records_age_seconds",
+          "How long ago the instance knew all changes of the platform's records"))
     , livePeers(gauge(*registry, "dragonfly_live_peers", "Peers considered alive"))
     , peerMessages(counter(*registry, "dragonfly_peer_messages_total", "Messages sent to peers"))
     , peerBytes(counter(*registry, "dragonfly_peer_bytes_total", "Bytes sent to peers"))
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -51,6 +51,7 @@
     prometheus::Counter& platformCalls;
     prometheus::Counter& platformFailures;
     prometheus::Counter& recordsRefused;
+    prometheus::Gauge& recordsAgeSeconds;
     prometheus::Gauge& livePeers;
     prometheus::Counter& peerMessages;
     prometheus::Counter& peerBytes;
--- a/src/relay/RelayedSource.cpp
+++ b/src/relay/RelayedSource.cpp
@@ -35,6 +35,9 @@
     constexpr std::chrono::milliseconds serviceProbeInterval { 2000 };
     /// Number of peers that one watch queries before it falls back to the service.
     constexpr int maxQueriedPeers = 2;
+    /// A watch with less time left is not sent to the service, because it would fail there although the service
+    /// answers. Allows for a round trip to a busy service.
+    constexpr std::chrono::milliseconds minServiceTime { 300 };
 
     store::Change decodeChange(const pb::RecordChange& change)
     {
@@ -59,7 +62,7 @@
 {
     this->replyTimer.stop();
     this->currentWatch = Watch { ++this->lastQueryNumber, prefix, after, waitUntil, deadline, std::move(done), 0,
-        std::nullopt, false, {}, {} };
+        std::nullopt, false, false, {}, {} };
     this->queryNextSource();
 }
 
@@ -72,10 +75,17 @@
         watch.isFallback = this->serviceProbeAt.has_value();
         peer = watch.isFallback ? this->ranking.findFallback(now) : this->ranking.findRelay(now);
     }
-    if (peer)
+    if (peer) {
         this->queryPeer(*peer);
-    else
+    } else if (remaining(watch.deadline, now) >= minServiceTime) {
         this->queryService();
+    } else {
+        if (!std::exchange(this->isUnanswered, true))
+            logChange(LogLevel::Warning, "watch of platform records ended without an answer",
+                { { "after", std::to_string(store::revisionWithinEra(watch.after)) },
+                    { "known_instances", std::to_string(this->ranking.size()) } });
+        this->completeWatch(store::StoreFailure::NotExecuted);
+    }
 }
 
 void RelayedSource::queryPeer(const Peer& peer)
@@ -124,7 +134,7 @@
         return;
     if (std::holds_alternative<store::StoreFailure>(result)) {
         this->recordServiceFailure();
-        if (this->currentWatch->peer)
+        if (!this->currentWatch || this->currentWatch->queryNumber != queryNumber)
             return; // the watch continues at a peer
     } else {
         this->recordServiceAnswer();
@@ -188,6 +198,7 @@
 {
     const auto done = std::move(this->currentWatch->done);
     this->currentWatch.reset();
+    this->isUnanswered = this->isUnanswered && std::holds_alternative<store::StoreFailure>(result);
     done(result);
 }
 
@@ -199,16 +210,18 @@
     logChange(LogLevel::Info, "source of platform records changed", { { "from", peer.value_or("the platform") } });
 }
 
-/// Moves a watch that waits at the service to a peer if there is one, because it may stay unanswered for long.
+/// Moves a watch that waits at the service to a peer if there is one, because it may stay unanswered for long. Each watch
+/// is moved once: peers that do not know its revision would otherwise return it to the service without end.
 void RelayedSource::recordServiceFailure()
 {
     if (!this->serviceProbeAt)
         logChange(LogLevel::Warning, "the platform's service is unavailable",
             { { "known_instances", std::to_string(this->ranking.size()) } });
     this->serviceProbeAt = Clock::now() + serviceProbeInterval;
-    const bool isAtService = this->currentWatch && !this->currentWatch->peer;
-    if (!isAtService || !this->ranking.findFallback(Clock::now()))
+    const bool isAtService = this->currentWatch && !this->currentWatch->peer && this->currentWatch->prefix.empty();
+    if (!isAtService || this->currentWatch->hasLeftService || !this->ranking.findFallback(Clock::now()))
         return;
+    this->currentWatch->hasLeftService = true;
     // Peers queried before this failure were candidates for a relay; as fallbacks they may be queried again.
     this->currentWatch->queriedPeerCount = 0;
     this->queryNextSource();
--- a/src/relay/RelayedSource.h
+++ b/src/relay/RelayedSource.h
@@ -66,6 +66,7 @@
         int queriedPeerCount = 0;
         std::optional<Peer> peer; ///< the peer queried last; empty when the service was queried last
         bool isFallback = false; ///< the peer was queried because the service does not answer
+        bool hasLeftService = false; ///< it waited at the service and was moved to peers
         BootClock::time_point queriedAt; ///< when the peer was queried
         Clock::time_point sentToServiceAt; ///< when the service was queried last
     };
@@ -106,6 +107,7 @@
     observe::Metrics& metrics;
     std::optional<Watch> currentWatch;
     uint64_t lastQueryNumber = 0;
+    bool isUnanswered = false; ///< a watch ended without an answer, and no later one has been answered
     bool isLeaving = false; ///< queries no longer name this instance
     QTimer replyTimer;
     std::set<std::string> silentPeers; ///< peers that did not answer their last query
--- a/tests/RelayTest.cpp
+++ b/tests/RelayTest.cpp
@@ -107,12 +107,19 @@
         this->ranking.add(peer("middle", 250));
         this->ranking.add(peer("far", 500, "south-a"));
     }
-    void watch(int64_t after = 20)
+    void watch(int64_t after = 20, std::chrono::milliseconds timeLeft = 5s)
     {
         this->result.reset();
-        this->source.watch("", after, Clock::now() + 4s, Clock::now() + 5s,
+        this->source.watch("", after, Clock::now() + 4s, Clock::now() + timeLeft,
             [this](const store::WatchResult& received) { this->result = received; });
     }
+    /// Answers the latest query as a peer that does not have the changes.
+    void replyUnknown()
+    {
+        pb::RecordsReply reply;
+        reply.set_question(this->transport.sent.back().second.follow_records().question());
+        this->source.onReply(reply);
+    }
     /// Name of the peer queried last; empty when none was.
     std::string queriedPeer() const
     {
@@ -556,6 +563,59 @@
     cr_assert(follower.checkedProofAge().has_value(), "one of them has reached the service meanwhile");
 }
 
+// Instances that start in an outage do not know the revision of one that lived through it.
+Test(relayedSource, watchThatNoSourceAnswersEndsAtItsDeadline)
+{
+    Follower follower;
+    follower.ranking.remove("far");
+    follower.watch(20, 400ms);
+    follower.replyUnknown();
+    follower.replyUnknown();
+    cr_assert_eq(follower.service.watches.size(), 1);
+    runFor(500ms);
+    follower.service.watches.front()(store::StoreFailure::Unknown);
+    cr_assert_not(follower.result.has_value(), "a peer may replace the service");
+    follower.replyUnknown();
+    follower.replyUnknown();
+    cr_assert(follower.result && std::holds_alternative<store::StoreFailure>(*follower.result),
+        "a watch whose deadline has passed cannot be answered by the service");
+    cr_assert_eq(follower.service.watches.size(), 1, "sent to the service after its deadline");
+    follower.watch();
+    follower.replyUnknown();
+    follower.replyUnknown();
+    cr_assert_eq(follower.service.watches.size(), 2);
+    follower.service.watches.back()(store::Changes { {}, 30, {} });
+    cr_assert_eq(std::get<store::Changes>(*follower.result).revision, 30);
+}
+
+// A service that refuses at once and peers without the changes must not be queried in turn at the pace of their answers.
+Test(relayedSource, watchLeavesAFailingServiceForItsPeersOnce)
+{
+    Follower follower;
+    follower.ranking.remove("far");
+    follower.watch();
+    for (size_t round = 0; round < 4 && !follower.result; ++round) {
+        follower.replyUnknown();
+        follower.replyUnknown();
+        follower.service.watches.back()(store::StoreFailure::NotExecuted);
+    }
+    cr_assert(follower.result && std::holds_alternative<store::StoreFailure>(*follower.result));
+    cr_assert_eq(follower.service.watches.size(), 2);
+    cr_assert_eq(follower.transport.sent.size(), 4);
+}
+
+// Peers answer watches of all keys only.
+Test(relayedSource, watchOfAPrefixThatFailsAtTheServiceIsNotSentAgain)
+{
+    Follower follower;
+    std::optional<store::WatchResult> result;
+    follower.source.watch("own/", 20, Clock::now() + 4s, Clock::now() + 5s,
+        [&](const store::WatchResult& received) { result = received; });
+    follower.service.watches.front()(store::StoreFailure::NotExecuted);
+    cr_assert(result && std::holds_alternative<store::StoreFailure>(*result));
+    cr_assert_eq(follower.service.watches.size(), 1);
+}
+
 Test(recordRelay, followerIsKnownBeforeItsRecord)
 {
     Follower follower;
