--- a/src/relay/RelayedSource.cpp
+++ b/src/relay/RelayedSource.cpp
@@ -210,8 +210,8 @@
     logChange(LogLevel::Info, "source of platform records changed", { { "from", peer.value_or("the platform") } });
 }
 
-/// Moves a watch that waits at the service to a peer if there is one, because it may stay unanswered for long. Each watch
-/// is moved once: peers that do not know its revision would otherwise return it to the service without end.
+/// Moves a watch that waits at the service to a peer if there is one, because it may stay unanswered for long. Each
+/// watch is moved once: peers that do not know its revision would otherwise return it to the service without end.
 void RelayedSource::recordServiceFailure()
 {
     if (!this->serviceProbeAt)
