Cache: the common scope is named after the isolated organisations

Cause: the salt of all organisations that are not isolated was made of a constant, the model and the weights, so nothing in it changed when one of them was isolated. Attempts also took the scope of the configuration under which their request had arrived.

Change: RouteTable names the common scope by a digest of the isolated organisations' names ("shared" if there is none, as before), and each attempt takes the scope of the configuration in force. All instances get the same name from the same configuration.

Why it holds: whatever lies under a name was read by organisations outside the set that the name stands for, in any order of configurations and after any restarts.

Cost: one configuration that changes the isolated set has the shared prefixes read again once.

--- a/src/directory/RouteTable.cpp
+++ b/src/directory/RouteTable.cpp
@@ -4,6 +4,25 @@
 
 namespace dragonfly::directory {
 
+namespace {
+
+    std::string commonScopeOf(const std::vector<Organisation>& organisations)
+    {
+        std::set<std::string> isolated; // of digests, so that no name can be taken for several
+        for (const auto& organisation : organisations) {
+            if (organisation.isIsolated)
+                isolated.insert(sha256(organisation.name));
+        }
+        if (isolated.empty())
+            return "shared";
+        std::string digests;
+        for (const auto& digest : isolated)
+            digests += digest;
+        return "shared without:" + toHex(sha256(digests));
+    }
+
+}
+
 RouteTable::RouteTable(Deployment source)
     : deployment(std::move(source))
 {
@@ -17,7 +36,9 @@
         // Keyed by digest, so that the duration of a look-up reveals nothing about the keys.
         for (const auto& key : organisation.apiKeys)
             this->organisationsByKeyHash[sha256(key)] = &organisation;
+        this->organisationsByName[organisation.name] = &organisation;
     }
+    this->commonCacheScope = commonScopeOf(this->deployment.organisations);
     for (const auto& service : this->deployment.services)
         this->servicesByName[service.name] = &service;
     for (const auto& route : this->deployment.routes) {
@@ -47,6 +68,16 @@
     return found == this->organisationsByKeyHash.end() ? nullptr : found->second;
 }
 
+std::string RouteTable::cacheScopeOf(const Organisation* organisation) const
+{
+    if (!organisation)
+        return this->commonCacheScope;
+    // A request may be older than this table, and its organisation may have been removed since.
+    const auto found = this->organisationsByName.find(organisation->name);
+    const auto& current = found == this->organisationsByName.end() ? *organisation : *found->second;
+    return current.isIsolated ? "organisation:" + current.name : this->commonCacheScope;
+}
+
 const Service* RouteTable::findService(std::string_view name) const
 {
     const auto found = this->servicesByName.find(std::string(name));
--- a/src/directory/RouteTable.h
+++ b/src/directory/RouteTable.h
@@ -32,6 +32,12 @@
     /// The organisation that owns @p apiKey, or null.
     const Organisation* findOrganisation(std::string_view apiKey) const;
     const Service* findService(std::string_view name) const;
+    /// Name of the scope within which the requests of @p organisation share cached prefixes; null: anonymous requests.
+    ///
+    /// The common scope has another name for each set of isolated organisations. What an organisation left in it before
+    /// it was isolated is then out of reach of the others, and a name stands for prefixes of organisations that are not
+    /// isolated while it is in use, in whatever order configurations come.
+    std::string cacheScopeOf(const Organisation* organisation) const;
     /// Longest timeout of the routes with resumable streams; 0 if there is none.
     std::chrono::milliseconds longestResumableTimeout() const
     {
@@ -52,6 +58,8 @@
     Deployment deployment;
     std::unordered_map<std::string, std::vector<const Route*>> routesByHost; ///< longest prefix first
     std::unordered_map<std::string, const Organisation*> organisationsByKeyHash;
+    std::unordered_map<std::string, const Organisation*> organisationsByName;
+    std::string commonCacheScope; ///< depends on the names of the isolated organisations only
     std::unordered_map<std::string, const Service*> servicesByName;
     std::set<std::string> servicesOfResumableRoutes;
     std::chrono::milliseconds longestTimeout { 0 }; ///< of the resumable routes
--- a/src/forward/TargetChooser.cpp
+++ b/src/forward/TargetChooser.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-    /// Cache scope of all organisations that are not isolated.
-    constexpr std::string_view sharedCacheScope = "shared";
     /// For this time after their replacement, answers by replaced weights lose no value.
     constexpr std::chrono::milliseconds staleWeightsGracePeriod { 1500 };
     /// After that, an answer by replaced weights is worth a fifth less, which equals about this delay.
@@ -34,12 +32,6 @@
             fastHash(registration.endpoint.toString(), static_cast<uint64_t>(registration.startedUnixMs)));
     }
 
-    std::string scopeOf(const ChoiceQuery& query)
-    {
-        const bool isIsolated = query.organisation && query.organisation->isIsolated;
-        return isIsolated ? "organisation:" + query.organisation->name : std::string(sharedCacheScope);
-    }
-
     Reach reachOf(const ChoiceQuery& query, const std::string& dataCentre)
     {
         if (dataCentre == query.place.dataCentre)
@@ -70,7 +62,8 @@
     {
         PromptPrefixes prefixes;
         prefixes.version = version;
-        const auto scope = scopeOf(query);
+        // Of the configuration in force now, because an attempt may be much later than the request.
+        const auto scope = query.directory.routes()->cacheScopeOf(query.organisation);
         const auto weights = std::to_string(version);
         prefixes.salt = routing::cacheSalt(scope, query.metadata.model, weights);
         uint64_t hash = routing::scopeSeed(scope, query.metadata.model, weights);
--- a/tests/ForwardPartsTest.cpp
+++ b/tests/ForwardPartsTest.cpp
@@ -6,6 +6,8 @@
 
 #include <criterion/criterion.h>
 #include <cstring>
+#include <random>
+#include <set>
 
 using namespace dragonfly;
 using namespace dragonfly::forward;
@@ -342,6 +344,118 @@
     cr_assert_eq(pool.choose()->weightsVersion, 2);
 }
 
+namespace {
+
+/// Puts a configuration in force that isolates just @p isolated of the organisations a, b and c.
+void isolate(Pool& pool, const std::set<std::string>& isolated, uint64_t routeTimeoutMs = 8000)
+{
+    directory::Deployment deployment;
+    deployment.version = pool.directory.routes()->version() + 1;
+    directory::Route route;
+    route.name = "ask";
+    route.host = "a.example";
+    route.pathPrefix = "/";
+    route.shares = { { "engines", 1 } };
+    route.kind = directory::RequestKind::Streaming;
+    route.timeout = std::chrono::milliseconds(routeTimeoutMs);
+    deployment.routes = { route };
+    deployment.services.push_back({ "engines", 100, directory::EnginePool {}, std::nullopt });
+    for (const auto* name : { "c", "a", "b" })
+        deployment.organisations.push_back({ name, { std::string("key-of-") + name }, {}, isolated.contains(name) });
+    pool.directory.apply(std::move(deployment));
+}
+
+/// The salt of a request of @p organisation that arrives now.
+std::string saltOf(Pool& pool, const std::string& organisation)
+{
+    pool.organisation = pool.directory.routes()->findOrganisation("key-of-" + organisation);
+    return pool.choose()->cacheSalt;
+}
+
+}
+
+// What an organisation read before it was isolated must be out of reach of the others, and the reverse.
+Test(targetChooser, organisationThatBecomesIsolatedLeavesNothingInReachOfTheOthers)
+{
+    Pool pool;
+    isolate(pool, {});
+    const auto before = saltOf(pool, "a");
+    cr_assert_eq(saltOf(pool, "b"), before);
+    isolate(pool, { "a" });
+    cr_assert_neq(saltOf(pool, "b"), before, "b goes on from what a has left");
+    cr_assert_neq(saltOf(pool, "a"), before, "a goes on from what b has left");
+    cr_assert_neq(saltOf(pool, "a"), saltOf(pool, "b"));
+    cr_assert_eq(saltOf(pool, "b"), saltOf(pool, "c"));
+}
+
+// Instances share nothing but the configuration, and each may start anew between any two of them.
+Test(targetChooser, prefixesAreNeverSharedWithAnIsolatedOrganisationInWhateverOrderConfigurationsCome)
+{
+    for (unsigned seed = 1; seed <= 50; ++seed) {
+        std::mt19937 random(seed);
+        std::map<std::string, std::set<std::string>> makers; ///< by salt, the organisations that have used it
+        auto pool = std::make_unique<Pool>();
+        for (int step = 0; step < 60; ++step) {
+            std::set<std::string> isolated;
+            for (const auto* name : { "a", "b", "c" }) {
+                if (random() % 2)
+                    isolated.insert(name);
+            }
+            if (random() % 3 == 0)
+                pool = std::make_unique<Pool>();
+            isolate(*pool, isolated);
+            for (const auto* name : { "a", "b", "c" }) {
+                if (random() % 3 == 0)
+                    continue;
+                auto& used = makers[saltOf(*pool, name)];
+                for (const auto& maker : used)
+                    cr_assert(maker == name || (!isolated.contains(maker) && !isolated.contains(name)),
+                        "seed %u, step %d: %s goes on from a prefix of %s", seed, step, name, maker.c_str());
+                used.insert(name);
+            }
+        }
+    }
+}
+
+// Another salt means that all shared prefixes are read again.
+Test(targetChooser, configurationThatIsolatesTheSameOrganisationsKeepsAllSalts)
+{
+    Pool pool;
+    isolate(pool, {});
+    cr_assert_eq(saltOf(pool, "a"), routing::cacheSalt("shared", "m", "1"), "as builds before use it");
+    for (const auto& isolated : { std::set<std::string> {}, std::set<std::string> { "a", "c" } }) {
+        isolate(pool, isolated);
+        std::vector<std::string> salts;
+        for (const auto* name : { "a", "b", "c" })
+            salts.push_back(saltOf(pool, name));
+        isolate(pool, isolated, 7000);
+        Pool other;
+        isolate(other, isolated);
+        for (size_t i = 0; i < 3; ++i) {
+            const auto name = std::string(1, static_cast<char>('a' + static_cast<char>(i)));
+            cr_assert_eq(saltOf(pool, name), salts[i]);
+            cr_assert_eq(saltOf(other, name), salts[i], "instances differ");
+        }
+    }
+}
+
+// An attempt may come long after its request, by which time another configuration is in force.
+Test(targetChooser, furtherAttemptOfAnOlderRequestKeepsToTheOrganisationsThatAreIsolatedNow)
+{
+    Pool pool;
+    isolate(pool, {});
+    const auto routes = pool.directory.routes();
+    const auto before = saltOf(pool, "a");
+    const auto* older = pool.organisation;
+    isolate(pool, { "a" });
+    const auto isolated = saltOf(pool, "a");
+    pool.organisation = older;
+    cr_assert_eq(pool.choose()->cacheSalt, isolated);
+    pool.organisation = routes->findOrganisation("key-of-b");
+    cr_assert_neq(pool.choose()->cacheSalt, before);
+    cr_assert_eq(pool.choose()->cacheSalt, saltOf(pool, "c"));
+}
+
 Test(targetChooser, replacedWeightsAreExcludedAfterTimeToLive)
 {
     Pool pool;
