Weights: the age of weights named while no instance ran is bounded by a lease

Cause: the first leader after a loss of all instances took weights of unknown age for at most 2 s older than its own start, and confirmed the replaced ones for the rest of their time. Nothing proves that no instance ran for only 2 s.

Change: a leader renews a key under a lease while its records are at most 1.5 s old and no named version is unclaimed. The first leader afterwards confirms replaced weights only as long as that key, written before its own claim, bounds their age, and anew while the key still exists. Without it, it confirms nothing. The roll-out goes by the time that is left. Confirmations bear a mark; those of the build before are not believed, and that build ignores the mark and the key.

Ruled out: queues of engines alone (withdrawn in time by the end that was known); late leases (0.8 s at most).

Tests: weightsRollout/weightsNamedWhileNoInstanceRanAreNotConfirmedWithoutAnObservation and forward/replacedWeightsExpireInTimeWhenTheyWereNamedWhileNoInstanceRan fail before; five others guard the bound and both builds.

--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -103,6 +103,7 @@
     this->rollout.onAnswer = [this](const directory::Registration& engine, const http::ResponseHead& head) {
         forward::applyStatement(this->gate, engine, this->headers.parseAnswer(head), "weights", Clock::now());
     };
+    this->rollout.recordsAsOf = [this] { return this->sync.changesAsOf(); };
     this->rollout.isLeaving = [this](const directory::Registration& engine) { return this->gate.isLeaving(engine); };
     this->rollout.mayCall
         = [this](const directory::Registration& engine) { return this->gate.mayCall(engine, Clock::now()); };
--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -28,9 +28,13 @@
     constexpr std::chrono::seconds minConfirmationTtl { 2 };
     /// Before the next attempt to confirm replaced weights after a failed call.
     constexpr std::chrono::milliseconds confirmationRetryInterval { 500 };
-    /// Longest time between a replacement and the start of the first instance that learns of it, if no instance ran
-    /// meanwhile: a restart and the first read.
-    constexpr std::chrono::milliseconds maxUnobservedTime { 2000 };
+    /// A confirmation whose end can still move is written again this long before it ends: two calls and the way to the
+    /// followers.
+    constexpr std::chrono::milliseconds confirmationRewriteMargin { 1000 };
+    /// The leader publishes that it observes the weights only while its records are no older.
+    constexpr std::chrono::milliseconds maxObservationAge { 1500 };
+    /// How much earlier than the start of its lease an observation may have been made.
+    constexpr auto observationLag = maxObservationAge + renewalTimeout;
     /// Between rollout steps while some engine is outdated.
     constexpr std::chrono::milliseconds rolloutInterval { 150 };
     /// An engine whose new weights have not been seen this long after an accepted order is queried for a report:
@@ -77,6 +81,15 @@
         this->applyLeaderKeyState(exists);
         return;
     }
+    if (key == observationKey) {
+        this->refreshObservations(); // it existed until now, as far as this instance knew
+        this->isObservationPresent = exists;
+        if (!exists)
+            this->observationLease.reset();
+        else if (record.modRevision != this->observation.revision)
+            this->observation = { record.modRevision, this->recordsAsOf() };
+        return;
+    }
     if (key.starts_with(confirmedForPrefix)) {
         auto& confirmed = this->confirmedFor[key.substr(confirmedForPrefix.size())];
         const auto version = parseVersion(record.value);
@@ -87,7 +100,7 @@
                 this->refuseRecord(key);
             confirmed.revision = record.modRevision; // an older copy, or to be written over
         } else if (record.modRevision > confirmed.revision) {
-            confirmed = { *version, record.modRevision, std::nullopt, confirmed.nextClaimAt };
+            confirmed = { *version, record.modRevision, std::nullopt, confirmed.nextClaimAt, {} };
         }
         return;
     }
@@ -96,7 +109,7 @@
         return;
     const auto model = key.substr(mayStillAnswerPrefix.size(), slash - mayStillAnswerPrefix.size());
     if (const auto version = parseVersion(std::string_view(key).substr(slash + 1)))
-        this->directory.confirmReplacedVersion(model, *version, exists);
+        this->directory.confirmReplacedVersion(model, *version, exists && record.value.ends_with(boundedSuffix));
     else
         this->refuseRecord(key);
 }
@@ -124,8 +137,10 @@
                 continue;
             // Rounded down, because the key must not exist longer than the weights may answer.
             const auto timeToLive = std::chrono::floor<std::chrono::seconds>(*end - now);
+            const auto margin
+                = this->isExtendable(model, version) ? confirmationRewriteMargin : 0 * confirmationRewriteMargin;
             if (timeToLive >= minConfirmationTtl)
-                this->confirmMayStillAnswer(model, version, timeToLive);
+                this->confirmMayStillAnswer(model, version, timeToLive, now + timeToLive - margin);
         }
     }
 }
@@ -160,7 +175,7 @@
         [this, key, model, wanted, former = confirmed.version](const store::SwapResult& result) {
             auto& claimed = this->confirmedFor[model];
             if (const auto* swapped = std::get_if<store::Swapped>(&result))
-                claimed = { wanted, swapped->modRevision, former, {} };
+                claimed = { wanted, swapped->modRevision, former, {}, this->observation };
             else if (const auto* conflict = std::get_if<store::Conflict>(&result))
                 this->applyRecord(
                     { key, conflict->current.value, conflict->current.modRevision }, conflict->current.modRevision > 0);
@@ -176,20 +191,97 @@
     const auto replacement = this->directory.replacementOf(model, version);
     if (!replacement)
         return std::nullopt;
-    const auto usableTime = this->settings.replacedWeightsGracePeriod - directory::replacedWeightsMargin;
     if (replacement->isTimeKnown())
-        return replacement->notBefore + usableTime;
+        return replacement->notBefore + this->usableTime();
     // The first leader that learns of the replacement after a restart of all instances.
-    const auto& formerVersion = this->confirmedFor.at(model).formerVersion;
-    if (!formerVersion || version < *formerVersion)
+    const auto& claim = this->confirmedFor.at(model);
+    if (!claim.formerVersion || version < *claim.formerVersion || !claim.observed.revision)
         return std::nullopt;
-    return replacement->notAfter + usableTime - maxUnobservedTime;
+    return claim.observed.existedAt - this->observationTtl() - observationLag + this->usableTime();
+}
+
+/// Whether the end of a confirmation moves on, because the observation that bounds it still exists.
+bool WeightsRollout::isExtendable(const std::string& model, uint64_t version) const
+{
+    return !this->directory.replacementOf(model, version)->isTimeKnown() && this->isObservationPresent
+        && this->confirmedFor.at(model).observed.revision == this->observation.revision;
+}
+
+/// How long requests may be sent to replaced weights.
+std::chrono::milliseconds WeightsRollout::usableTime() const
+{
+    return this->settings.replacedWeightsGracePeriod - directory::replacedWeightsMargin;
+}
+
+/// Time to live of an observation: as long as a confirmation that follows from it is still worth its calls. Zero if
+/// replaced weights may answer for too short a time.
+std::chrono::seconds WeightsRollout::observationTtl() const
+{
+    const auto left = this->usableTime() - observationLag - minConfirmationTtl - confirmationRewriteMargin;
+    return std::max(std::chrono::floor<std::chrono::seconds>(left), std::chrono::seconds(0));
+}
+
+void WeightsRollout::refreshObservations()
+{
+    if (!this->isObservationPresent)
+        return;
+    this->observation.existedAt = std::max(this->observation.existedAt, this->recordsAsOf());
+    for (auto& [model, claim] : this->confirmedFor) {
+        if (claim.observed.revision == this->observation.revision)
+            claim.observed = this->observation;
+    }
+}
+
+void WeightsRollout::publishObservation()
+{
+    const auto now = BootClock::now();
+    const auto ttl = this->observationTtl();
+    if (!this->leadership.current() || !ttl.count() || this->isObservationInFlight || this->hasUnclaimedVersions()
+        || now - this->recordsAsOf() > maxObservationAge)
+        return;
+    if (!this->observationLease) {
+        // That of a former leader may still bound the age of weights that are being replaced.
+        if (this->isObservationPresent && this->hasOutdatedEngines())
+            return;
+        this->isObservationInFlight = true;
+        this->metrics.platformCalls.Increment();
+        this->store.grantLease(ttl, Clock::now() + renewalTimeout, [this](const store::LeaseResult& result) {
+            this->isObservationInFlight = false;
+            if (const auto* lease = std::get_if<int64_t>(&result))
+                this->writeObservation(*lease);
+        });
+        return;
+    }
+    this->isObservationInFlight = true;
+    this->metrics.platformCalls.Increment();
+    this->store.renewLease(
+        *this->observationLease, Clock::now() + renewalTimeout, [this](const store::LeaseResult& result) {
+            this->isObservationInFlight = false;
+            if (const auto* failure = std::get_if<store::StoreFailure>(&result);
+                failure && *failure == store::StoreFailure::NotExecuted)
+                this->observationLease.reset();
+        });
 }
 
-void WeightsRollout::confirmMayStillAnswer(const std::string& model, uint64_t version, std::chrono::seconds timeToLive)
+void WeightsRollout::writeObservation(int64_t lease)
+{
+    if (!this->leadership.current() || this->hasUnclaimedVersions())
+        return;
+    this->isObservationInFlight = true;
+    this->metrics.platformCalls.Increment();
+    this->store.put(std::string(observationKey), this->settings.instance, lease, Clock::now() + renewalTimeout,
+        [this, lease](const store::WriteResult& result) {
+            this->isObservationInFlight = false;
+            if (std::holds_alternative<Success>(result) && this->leadership.current())
+                this->observationLease = lease;
+        });
+}
+
+void WeightsRollout::confirmMayStillAnswer(
+    const std::string& model, uint64_t version, std::chrono::seconds timeToLive, BootClock::time_point rewriteAt)
 {
     const auto key = std::string(mayStillAnswerPrefix) + model + "/" + std::to_string(version);
-    if (!this->confirmedKeys.emplace(key, BootClock::now() + timeToLive).second)
+    if (!this->confirmedKeys.emplace(key, rewriteAt).second)
         return;
     this->metrics.platformCalls.Increment();
     this->store.grantLease(timeToLive, Clock::now() + callTimeout, [this, key](const store::LeaseResult& result) {
@@ -199,7 +291,7 @@
             return;
         }
         this->metrics.platformCalls.Increment();
-        this->store.put(key, this->settings.instance, *lease, Clock::now() + callTimeout,
+        this->store.put(key, this->settings.instance + std::string(boundedSuffix), *lease, Clock::now() + callTimeout,
             [this, key](const store::WriteResult& result) {
                 if (!std::holds_alternative<Success>(result))
                     this->retryConfirmation(key);
@@ -276,8 +368,10 @@
     this->metrics.platformCalls.Increment();
     this->store.renewLease(lease, Clock::now() + renewalTimeout, [this, lease, now](const store::LeaseResult& result) {
         const bool isRenewed = std::holds_alternative<int64_t>(result);
-        if (isRenewed)
+        if (isRenewed) {
             this->leadership.renew(lease, now);
+            this->publishObservation();
+        }
         if (this->leadership.current())
             this->renewTimer.start(
                 isRenewed ? this->settings.leaderLease.leaseDuration / renewalsPerLease : renewalRetryInterval);
@@ -289,6 +383,7 @@
     this->leadership.drop();
     this->renewTimer.stop();
     this->loads.clear();
+    this->observationLease.reset(); // it ends by itself, and bounds the time until then
     logChange(LogLevel::Warning, "leadership ended: sends no more orders to engines", { { "reason", reason } });
     this->acquireTimer.start(
         acquireBackoff + std::chrono::milliseconds(QRandomGenerator::global()->bounded(acquireJitterMs)));
@@ -297,6 +392,10 @@
 void WeightsRollout::onStoreReturned()
 {
     this->confirmedKeys.clear();
+    this->observation = {};
+    this->isObservationPresent = false;
+    for (auto& [model, claim] : this->confirmedFor)
+        claim.observed = {};
     // The lease is not ended: another instance may have been granted one under the same id.
     if (this->leadership.current())
         this->endLeadership("the platform's store has returned from an older copy");
@@ -339,6 +438,7 @@
         const bool isGone = found == this->directory.targets().end() || this->isLeaving(found->second->registration);
         load = isGone ? this->loads.erase(load) : std::next(load);
     }
+    this->refreshObservations();
     this->claimConfirmations();
     this->confirmReplacedWeights();
     if (this->leadership.maySendOrders(BootClock::now())) {
@@ -349,10 +449,18 @@
         this->rolloutTimer.start(rolloutInterval);
 }
 
-RolloutPace WeightsRollout::pace() const
+RolloutPace WeightsRollout::pace(const std::string& model, uint64_t wanted) const
 {
-    return { this->settings.parallelShare, std::max(this->loadTime, this->oldestPendingOrder()),
-        this->settings.replacedWeightsGracePeriod - directory::replacedWeightsMargin };
+    auto timeToComplete = this->usableTime();
+    // After a loss of all instances part of the time is over, and what is left is known only if some leader observed
+    // it.
+    const auto replacement = this->directory.replacementOf(model, wanted - 1);
+    if (replacement && !replacement->isTimeKnown() && this->confirmedFor.contains(model)) {
+        const auto end = this->confirmationEnd(model, wanted - 1).value_or(BootClock::time_point());
+        const auto left = std::chrono::floor<std::chrono::milliseconds>(end - BootClock::now());
+        timeToComplete = std::clamp(left, std::chrono::milliseconds(1), timeToComplete);
+    }
+    return { this->settings.parallelShare, std::max(this->loadTime, this->oldestPendingOrder()), timeToComplete };
 }
 
 std::chrono::milliseconds WeightsRollout::oldestPendingOrder() const
@@ -398,7 +506,7 @@
         states.push_back({ id, target->registration.dataCentre, version, isLoading,
             target->state->inFlight.load(std::memory_order_relaxed), isLoading && load->second.isOrderPending() });
     }
-    const auto pace = this->pace();
+    const auto pace = this->pace(model, wanted);
     const auto maxLoading = maxParallelLoads(states.size(), pace);
     const auto maxPending = maxPendingOrders(states.size(), pace, this->oldestPendingOrder());
     for (const auto& id : chooseNextLoads(states, wanted, maxLoading, maxPending))
--- a/src/weights/WeightsRollout.h
+++ b/src/weights/WeightsRollout.h
@@ -38,6 +38,13 @@
     /// replaced ones. They outlast the confirmations and the instances, so that no leader confirms the same weights
     /// twice without knowing when they were replaced.
     static constexpr std::string_view confirmedForPrefix = "dragonfly/confirmed-for/";
+    /// A key under a lease that the leader renews while it knows of no wanted version that is not claimed. A leader
+    /// that finds it after a loss of all instances knows that a version which is still to be claimed was named no
+    /// longer ago than the lease lasts.
+    static constexpr std::string_view observationKey = "dragonfly/weights-observed";
+    /// Ends the value of a confirmation whose time is bounded by what some leader observed. Builds that did not write
+    /// it took the time since their own start for a bound.
+    static constexpr std::string_view boundedSuffix = " bounded";
 
     WeightsRollout(const RolloutSettings& settings, store::WatchableStore& store, const EngineApi& api,
         directory::Directory& directory, observe::Metrics& metrics);
@@ -45,6 +52,8 @@
     /// Called with the head of each answer of an engine.
     std::function<void(const directory::Registration&, const http::ResponseHead&)> onAnswer
         = [](const auto&, const auto&) {};
+    /// A moment at which the records held no newer ones than those applied; the epoch if none is known.
+    std::function<BootClock::time_point()> recordsAsOf = [] { return BootClock::time_point(); };
     /// Whether an engine is leaving: it gets no calls, and the rollout does not wait for it.
     std::function<bool(const directory::Registration&)> isLeaving = [](const auto&) { return false; };
     /// Whether an engine takes calls now. Asked again right before each call is written.
@@ -84,6 +93,12 @@
     void renewLease();
     void endLeadership(const char* reason);
 
+    /// A record below observationKey that existed at some moment.
+    struct Observation {
+        int64_t revision = 0; ///< 0: none is known
+        BootClock::time_point existedAt;
+    };
+
     /// The wanted version of a model for which the replaced ones have been confirmed.
     struct ConfirmedFor {
         uint64_t version = 0;
@@ -92,6 +107,7 @@
         /// replaced when it was written.
         std::optional<uint64_t> formerVersion;
         Deadline nextClaimAt; ///< no claim is written before
+        Observation observed; ///< the last one before this instance wrote the record
     };
 
     /// Publishes which replaced weights may still answer, and for how long, to instances that are started later and
@@ -104,8 +120,15 @@
     bool hasUnclaimedVersions() const;
     void claimConfirmation(const std::string& model, uint64_t wanted);
     std::optional<BootClock::time_point> confirmationEnd(const std::string& model, uint64_t version) const;
+    bool isExtendable(const std::string& model, uint64_t version) const;
     void retryConfirmation(const std::string& key);
-    void confirmMayStillAnswer(const std::string& model, uint64_t version, std::chrono::seconds timeToLive);
+    void confirmMayStillAnswer(
+        const std::string& model, uint64_t version, std::chrono::seconds timeToLive, BootClock::time_point rewriteAt);
+    std::chrono::milliseconds usableTime() const;
+    std::chrono::seconds observationTtl() const;
+    void refreshObservations();
+    void publishObservation();
+    void writeObservation(int64_t lease);
     void advanceRollout();
     void planModel(const std::string& model, uint64_t wanted);
     void queryReport(const directory::TargetPointer& target, const std::string& model, uint64_t version);
@@ -119,7 +142,7 @@
         std::function<void(const http::ResponseHead*, std::string_view)> done);
     bool isServing(const directory::Target& target) const;
     bool hasOutdatedEngines() const;
-    RolloutPace pace() const;
+    RolloutPace pace(const std::string& model, uint64_t wanted) const;
     /// Age of the oldest order that got no answer and has not been carried out yet.
     std::chrono::milliseconds oldestPendingOrder() const;
     void recordLoadTime(const Load& load);
@@ -139,6 +162,10 @@
     /// By key below mayStillAnswerPrefix: when it may be written again, because it has expired or could not be written.
     std::map<std::string, BootClock::time_point> confirmedKeys;
     std::map<std::string, ConfirmedFor> confirmedFor; ///< by model
+    Observation observation; ///< the latest one known
+    bool isObservationPresent = false; ///< it has not been removed
+    std::optional<int64_t> observationLease; ///< if it was written by this instance
+    bool isObservationInFlight = false;
     bool leaderExists = true; ///< whether the leader key exists, as last observed; true until it is known
     bool isAcquiring = false;
     bool stopping = false;
--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -565,6 +565,55 @@
     }
 }
 
+// How long no instance ran is not known to one that starts.
+Test(forward, replacedWeightsExpireInTimeWhenTheyWereNamedWhileNoInstanceRan, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site;
+    const std::string settings = "forwarding: { weightsTime: 10s }\n";
+    site.startEntry(true, settings);
+    runFor(6s); // until it leads, and observes the weights
+    setAll(site.engines, { { "load_ms", 60000 } });
+    site.entries[0]->kill();
+    site.setWantedWeights(2);
+    const auto replacedAt = Clock::now();
+    runFor(6500ms);
+    site.startEntry(true, settings);
+    while (Clock::now() < replacedAt + 10600ms)
+        runFor(50ms);
+    for (int i = 0; Clock::now() < replacedAt + 16s; ++i) {
+        const auto answer = site.sendAndWait({ "s" + std::to_string(i), "/once/x" }, 1);
+        cr_assert_neq(answer->status, 200, "answered %d ms after the replacement",
+            static_cast<int>((Clock::now() - replacedAt) / 1ms));
+        runFor(200ms);
+    }
+}
+
+// A short loss of all instances must not keep callers from weights that may still answer.
+Test(forward, replacedWeightsAnswerAfterAShortLossOfAllInstances, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site;
+    const std::string settings = "forwarding: { weightsTime: 15s }\n";
+    site.startEntry(true, settings);
+    runFor(6s);
+    setAll(site.engines, { { "load_ms", 60000 } });
+    site.entries[0]->kill();
+    site.setWantedWeights(2);
+    const auto replacedAt = Clock::now();
+    site.startEntry(true, settings);
+    while (Clock::now() < replacedAt + 5s)
+        runFor(50ms);
+    int served = 0;
+    for (int i = 0; Clock::now() < replacedAt + 9s; ++i, runFor(200ms))
+        served += site.sendAndWait({ "e" + std::to_string(i), "/ask/x" }, 1)->status == 200;
+    cr_assert_gt(served, 10, "%d served", served);
+    while (Clock::now() < replacedAt + 15s)
+        runFor(50ms);
+    for (int i = 0; i < 5; ++i)
+        cr_assert_neq(site.sendAndWait({ "s" + std::to_string(i), "/once/x" }, 1)->status, 200);
+}
+
 Test(forward, requestIsWithdrawnBeforeItBeginsOnUnconfirmedWeights, .timeout = 60)
 {
     const Application application;
--- a/tests/RelayTest.cpp
+++ b/tests/RelayTest.cpp
@@ -588,7 +588,8 @@
     cr_assert_eq(std::get<store::Changes>(*follower.result).revision, 30);
 }
 
-// A service that refuses at once and peers without the changes must not be queried in turn at the pace of their answers.
+// A service that refuses at once and peers without the changes must not be queried in turn at the pace of their
+// answers.
 Test(relayedSource, watchLeavesAFailingServiceForItsPeersOnce)
 {
     Follower follower;
--- a/tests/WeightsPartsTest.cpp
+++ b/tests/WeightsPartsTest.cpp
@@ -181,6 +181,15 @@
     int endedLeases = 0;
     int acquisitions = 0; ///< of leadership
     std::set<std::string> written;
+    struct Write {
+        std::string value;
+        std::chrono::seconds timeToLive { 0 };
+        BootClock::time_point at;
+    };
+    std::map<std::string, std::vector<Write>> writes; ///< under leases, by key
+    std::vector<std::string> renewals; ///< keys whose leases were renewed
+    int64_t revision = 40;
+    std::map<std::string, store::KeyValue> swapped;
 
     void compareAndSwapLeased(const std::string&, int64_t, const std::string&, int64_t, Deadline,
         std::function<void(store::LeasedSwapResult)> done) override
@@ -206,14 +215,16 @@
         this->written.insert(key);
         done(store::Swapped { current.modRevision });
     }
-    void grantLease(std::chrono::seconds, Deadline, std::function<void(store::LeaseResult)> done) override
+    void grantLease(std::chrono::seconds timeToLive, Deadline, std::function<void(store::LeaseResult)> done) override
     {
-        if (this->isLeader && this->refusedConfirmationLeases-- > 0)
+        if (this->isLeader && this->refusedConfirmationLeases-- > 0) {
             done(store::StoreFailure::NotExecuted);
-        else
-            done(++this->revision);
+            return;
+        }
+        this->leases[++this->revision] = timeToLive;
+        done(this->revision);
     }
-    void put(const std::string& key, const std::string&, int64_t, Deadline,
+    void put(const std::string& key, const std::string& value, int64_t lease, Deadline,
         std::function<void(store::WriteResult)> done) override
     {
         if (this->refusedConfirmations-- > 0) {
@@ -221,10 +232,14 @@
             return;
         }
         this->written.insert(key);
+        this->writes[key].push_back({ value, this->leases[lease], BootClock::now() });
+        this->keys[lease] = key;
         done(Success {});
     }
     void renewLease(int64_t lease, Deadline, std::function<void(store::LeaseResult)> done) override
     {
+        if (this->keys.contains(lease))
+            this->renewals.push_back(this->keys[lease]);
         done(lease);
     }
     void endLease(int64_t, Deadline, std::function<void(store::WriteResult)>) override
@@ -254,8 +269,8 @@
 
 private:
     bool isLeader = false;
-    int64_t revision = 40;
-    std::map<std::string, store::KeyValue> swapped;
+    std::map<int64_t, std::chrono::seconds> leases;
+    std::map<int64_t, std::string> keys; ///< by lease
 };
 
 int argumentCount = 0;
@@ -283,6 +298,31 @@
         return testing::waitUntil(
             [this] { return this->store.written.contains("dragonfly/may-still-answer/m/1"); }, 2s);
     }
+    /// Leads as an instance that started after version 2 was named and cannot know when.
+    void leadAfterALossOfAllInstances()
+    {
+        this->rollout.recordsAsOf = [] { return BootClock::now(); };
+        directory::Registration registration;
+        registration.id = "e0";
+        registration.service = "engines";
+        registration.weights["m"] = 1;
+        this->directory.registerTarget(registration);
+        this->directory.setWantedWeights({ "m", 2 }, {});
+        this->store.swapped["dragonfly/confirmed-for/m"] = { "dragonfly/confirmed-for/m", "1", 7 };
+        this->rollout.applyRecord(this->store.swapped["dragonfly/confirmed-for/m"], true);
+        this->rollout.applyLeaderKeyState(false);
+    }
+    /// The former leader has observed the weights until @p revision.
+    void observe(int64_t revision)
+    {
+        this->rollout.applyRecord({ observationKey, "former", revision }, true);
+    }
+    const std::vector<RefusingStore::Write>& confirmations()
+    {
+        return this->store.writes["dragonfly/may-still-answer/m/1"];
+    }
+
+    const std::string observationKey { WeightsRollout::observationKey };
 };
 
 }
@@ -372,3 +412,85 @@
     testing::runFor(1500ms);
     cr_assert_eq(fixture.store.claims, claims);
 }
+
+// A time since the start of the leader says nothing about when weights were named while no instance ran.
+Test(weightsRollout, weightsNamedWhileNoInstanceRanAreNotConfirmedWithoutAnObservation)
+{
+    RolloutFixture fixture;
+    fixture.leadAfterALossOfAllInstances();
+    testing::runFor(1500ms);
+    cr_assert_gt(fixture.store.claims, 0);
+    cr_assert(fixture.confirmations().empty(), "confirmed for %d s",
+        static_cast<int>(fixture.confirmations().front().timeToLive.count()));
+}
+
+Test(weightsRollout, weightsNamedWhileNoInstanceRanAreConfirmedWhileAnObservationBoundsTheirAge)
+{
+    RolloutFixture fixture;
+    fixture.observe(20);
+    fixture.leadAfterALossOfAllInstances();
+    testing::runFor(4s);
+    fixture.rollout.applyRecord({ fixture.observationKey, {}, 0 }, false);
+    const auto removedAt = BootClock::now();
+    testing::runFor(4s);
+    const auto& confirmations = fixture.confirmations();
+    cr_assert_geq(confirmations.size(), 3);
+    for (size_t i = 0; i < confirmations.size(); ++i) {
+        const auto& each = confirmations[i];
+        // The observation has a lease of 8 s and was made up to 1.9 s before it; 2 s of 15 s are left for queues.
+        cr_expect_leq(each.at + each.timeToLive, std::min(each.at, removedAt) + 3100ms);
+        cr_expect(each.value.ends_with(" bounded"));
+        if (i)
+            cr_expect_lt(each.at, confirmations[i - 1].at + confirmations[i - 1].timeToLive, "a gap before %zu", i);
+    }
+    cr_assert_geq(confirmations.back().at + confirmations.back().timeToLive, removedAt + 1s);
+}
+
+Test(weightsRollout, observationOfALaterLeaderBoundsNoEarlierReplacement)
+{
+    RolloutFixture fixture;
+    fixture.leadAfterALossOfAllInstances();
+    cr_assert(testing::waitUntil([&] { return fixture.store.claims > 0; }, 2s));
+    fixture.observe(fixture.store.revision + 1);
+    testing::runFor(1s);
+    cr_assert(fixture.confirmations().empty());
+}
+
+Test(weightsRollout, leaderObservesOnlyWithRecentRecordsAndWithoutUnclaimedWeights)
+{
+    const std::string key(WeightsRollout::observationKey);
+    RolloutFixture fixture;
+    auto recordsAge = 5000ms;
+    fixture.rollout.recordsAsOf = [&] { return BootClock::now() - recordsAge; };
+    fixture.lead();
+    require(fixture.isConfirmed(), "not a leader");
+    const auto renewals = [&] { return fixture.store.renewals.size(); };
+    testing::runFor(1500ms);
+    cr_assert_not(fixture.store.written.contains(key), "what the instance knows is 5 s old");
+    recordsAge = 200ms;
+    cr_assert(testing::waitUntil([&] { return fixture.store.written.contains(key); }, 2s));
+    cr_assert_eq(fixture.store.writes[key].front().timeToLive, 8s);
+    cr_assert(testing::waitUntil([&] { return renewals() > 0; }, 2s));
+    recordsAge = 5000ms;
+    const auto before = renewals();
+    testing::runFor(1500ms);
+    cr_assert_eq(renewals(), before);
+    recordsAge = 200ms;
+    fixture.store.refusedClaims = 100;
+    fixture.directory.setWantedWeights({ "m", 3 }, BootClock::now());
+    testing::runFor(1500ms);
+    cr_assert_eq(renewals(), before, "version 3 is not claimed");
+}
+
+// The build before confirmed for the time since its start, and does not read the value.
+Test(weightsRollout, confirmationOfTheBuildBeforeIsNotBelieved)
+{
+    RolloutFixture fixture;
+    const std::string key = "dragonfly/may-still-answer/m/1";
+    fixture.rollout.applyRecord({ key, "entry-9", 5 }, true);
+    cr_assert_not(fixture.directory.isReplacedVersionConfirmed("m", 1));
+    fixture.rollout.applyRecord({ key, "entry-0 bounded", 6 }, true);
+    cr_assert(fixture.directory.isReplacedVersionConfirmed("m", 1));
+    fixture.rollout.applyRecord({ key, {}, 7 }, false);
+    cr_assert_not(fixture.directory.isReplacedVersionConfirmed("m", 1));
+}
