--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -10,6 +10,7 @@
 
 using observe::logChange;
 using observe::LogLevel;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -137,8 +138,7 @@
                 continue;
             // Rounded down, because the key must not exist longer than the weights may answer.
             const auto timeToLive = std::chrono::floor<std::chrono::seconds>(*end - now);
-            const auto margin
-                = this->isExtendable(model, version) ? confirmationRewriteMargin : 0 * confirmationRewriteMargin;
+            const auto margin = this->isExtendable(model, version) ? confirmationRewriteMargin : milliseconds(0);
             if (timeToLive >= minConfirmationTtl)
                 this->confirmMayStillAnswer(model, version, timeToLive, now + timeToLive - margin);
         }
