Weights: a short loss of all instances leaves no gap in confirmations

Cause: confirmations are rounded down to seconds and were computed from records that may be two seconds old where few targets write, in step: nothing was left. For the same reason the leader skipped renewals of its observation, which were tied to those of its own lease.

Change: the second lost by rounding is taken from the lease of the observation (7 s of 15, 4 of 12), and the leader looks for recent records each 100 ms and renews about each second.

--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -32,6 +32,12 @@
     /// A confirmation whose end can still move is written again this long before it ends: two calls and the way to the
     /// followers.
     constexpr std::chrono::milliseconds confirmationRewriteMargin { 1000 };
+    /// Granularity of the leases of confirmations, by which they are rounded down.
+    constexpr std::chrono::milliseconds confirmationGranularity { 1000 };
+    constexpr std::chrono::milliseconds observationInterval { 1000 };
+    /// How often the leader looks whether its records are recent enough for an observation. They are most recent right
+    /// after an answer, and several answers come in each observationInterval.
+    constexpr std::chrono::milliseconds observationCheckInterval { 100 };
     /// The leader publishes that it observes the weights only while its records are no older.
     constexpr std::chrono::milliseconds maxObservationAge { 1500 };
     /// How much earlier than the start of its lease an observation may have been made.
@@ -73,6 +79,7 @@
     connect(&this->acquireTimer, &QTimer::timeout, this, &WeightsRollout::acquireLeadership);
     connect(&this->renewTimer, &QTimer::timeout, this, &WeightsRollout::renewLease);
     connect(&this->rolloutTimer, &QTimer::timeout, this, &WeightsRollout::advanceRollout);
+    connect(&this->observationTimer, &QTimer::timeout, this, &WeightsRollout::publishObservation);
 }
 
 void WeightsRollout::applyRecord(const store::KeyValue& record, bool exists)
@@ -217,7 +224,8 @@
 /// replaced weights may answer for too short a time.
 std::chrono::seconds WeightsRollout::observationTtl() const
 {
-    const auto left = this->usableTime() - observationLag - minConfirmationTtl - confirmationRewriteMargin;
+    const auto left = this->usableTime() - observationLag - minConfirmationTtl - confirmationRewriteMargin
+        - confirmationGranularity;
     return std::max(std::chrono::floor<std::chrono::seconds>(left), std::chrono::seconds(0));
 }
 
@@ -236,13 +244,15 @@
 {
     const auto now = BootClock::now();
     const auto ttl = this->observationTtl();
-    if (!this->leadership.current() || !ttl.count() || this->isObservationInFlight || this->hasUnclaimedVersions()
+    if (!this->leadership.current() || now >= this->leadership.current()->ordersUntil || !ttl.count()
+        || this->isObservationInFlight || Clock::now() < this->nextObservationAt || this->hasUnclaimedVersions()
         || now - this->recordsAsOf() > maxObservationAge)
         return;
     if (!this->observationLease) {
         // That of a former leader may still bound the age of weights that are being replaced.
         if (this->isObservationPresent && this->hasOutdatedEngines())
             return;
+        this->nextObservationAt = Clock::now() + observationInterval;
         this->isObservationInFlight = true;
         this->metrics.platformCalls.Increment();
         this->store.grantLease(ttl, Clock::now() + renewalTimeout, [this](const store::LeaseResult& result) {
@@ -252,6 +262,7 @@
         });
         return;
     }
+    this->nextObservationAt = Clock::now() + observationInterval;
     this->isObservationInFlight = true;
     this->metrics.platformCalls.Increment();
     this->store.renewLease(
@@ -344,6 +355,7 @@
                 logChange(LogLevel::Info, "became leader: sends orders to engines",
                     { { "token", std::to_string(swapped->modRevision) } });
                 this->renewTimer.start(this->settings.leaderLease.leaseDuration / renewalsPerLease);
+                this->observationTimer.start(observationCheckInterval);
                 this->scheduleRollout();
                 return;
             }
@@ -368,10 +380,8 @@
     this->metrics.platformCalls.Increment();
     this->store.renewLease(lease, Clock::now() + renewalTimeout, [this, lease, now](const store::LeaseResult& result) {
         const bool isRenewed = std::holds_alternative<int64_t>(result);
-        if (isRenewed) {
+        if (isRenewed)
             this->leadership.renew(lease, now);
-            this->publishObservation();
-        }
         if (this->leadership.current())
             this->renewTimer.start(
                 isRenewed ? this->settings.leaderLease.leaseDuration / renewalsPerLease : renewalRetryInterval);
@@ -382,6 +392,7 @@
 {
     this->leadership.drop();
     this->renewTimer.stop();
+    this->observationTimer.stop();
     this->loads.clear();
     this->observationLease.reset(); // it ends by itself, and bounds the time until then
     logChange(LogLevel::Warning, "leadership ended: sends no more orders to engines", { { "reason", reason } });
@@ -641,6 +652,7 @@
     this->acquireTimer.stop();
     this->rolloutTimer.stop();
     this->renewTimer.stop();
+    this->observationTimer.stop();
     const auto held = this->leadership.current();
     this->leadership.drop();
     if (!held) {
--- a/src/weights/WeightsRollout.h
+++ b/src/weights/WeightsRollout.h
@@ -38,9 +38,9 @@
     /// replaced ones. They outlast the confirmations and the instances, so that no leader confirms the same weights
     /// twice without knowing when they were replaced.
     static constexpr std::string_view confirmedForPrefix = "dragonfly/confirmed-for/";
-    /// A key under a lease that the leader renews while it knows of no wanted version that is not claimed. A leader
-    /// that finds it after a loss of all instances knows that a version which is still to be claimed was named no
-    /// longer ago than the lease lasts.
+    /// A key under a lease that the leader renews each second while it knows of no wanted version that is not claimed.
+    /// A leader that finds it after a loss of all instances knows that a version which is still to be claimed was named
+    /// no longer ago than the lease lasts.
     static constexpr std::string_view observationKey = "dragonfly/weights-observed";
     /// Ends the value of a confirmation whose time is bounded by what some leader observed. Builds that did not write
     /// it took the time since their own start for a bound.
@@ -157,6 +157,7 @@
     QTimer acquireTimer;
     QTimer renewTimer;
     QTimer rolloutTimer;
+    QTimer observationTimer; ///< runs while this instance leads
     std::map<std::string, Load> loads; ///< by target id
     std::chrono::milliseconds loadTime; ///< moving average of the time from an order until its weights are seen
     /// By key below mayStillAnswerPrefix: when it may be written again, because it has expired or could not be written.
@@ -166,6 +167,7 @@
     bool isObservationPresent = false; ///< it has not been removed
     std::optional<int64_t> observationLease; ///< if it was written by this instance
     bool isObservationInFlight = false;
+    Deadline nextObservationAt; ///< no call for it is sent before
     bool leaderExists = true; ///< whether the leader key exists, as last observed; true until it is known
     bool isAcquiring = false;
     bool stopping = false;
