--- a/tests/WeightsPartsTest.cpp
+++ b/tests/WeightsPartsTest.cpp
@@ -507,7 +507,8 @@
     const std::vector<std::string> formerPrefixes { "dragonfly/instances/", "dragonfly/order-holder", confirmations,
         "dragonfly/confirmed-for/", "dragonfly/stream-versions", "dragonfly/stream-starts/", "dragonfly/target-ends/",
         "dragonfly/sound-prompts/" };
-    for (const auto& [key, writes] : fixture.store.writes) {
+    for (const auto& entry : fixture.store.writes) {
+        const auto& key = entry.first;
         const auto isRead = [&key](const std::string& prefix) { return key.starts_with(prefix); };
         if (key == fixture.observationKey)
             cr_expect(std::ranges::none_of(formerPrefixes, isRead), "%s", key.c_str());
