--- a/tests/ForwardPartsTest.cpp
+++ b/tests/ForwardPartsTest.cpp
@@ -15,6 +15,18 @@
 
 namespace {
 
+directory::Route streamingRoute()
+{
+    directory::Route route;
+    route.name = "ask";
+    route.host = "a.example";
+    route.pathPrefix = "/";
+    route.shares = { { "engines", 1 } };
+    route.kind = directory::RequestKind::Streaming;
+    route.timeout = 8s;
+    return route;
+}
+
 /// A directory with a route to a service of engines, three in each of two regions, and a route to a plain service.
 struct Pool {
     directory::Directory directory { 4s };
@@ -30,13 +42,7 @@
     {
         directory::Deployment deployment;
         deployment.version = 1;
-        directory::Route route;
-        route.name = "ask";
-        route.host = "a.example";
-        route.pathPrefix = "/";
-        route.shares = { { "engines", 1 } };
-        route.kind = directory::RequestKind::Streaming;
-        route.timeout = 8s;
+        const auto route = streamingRoute();
         auto plain = route;
         plain.pathPrefix = "/desk/";
         plain.shares = { { "desk", 1 } };
@@ -351,12 +357,7 @@
 {
     directory::Deployment deployment;
     deployment.version = pool.directory.routes()->version() + 1;
-    directory::Route route;
-    route.name = "ask";
-    route.host = "a.example";
-    route.pathPrefix = "/";
-    route.shares = { { "engines", 1 } };
-    route.kind = directory::RequestKind::Streaming;
+    auto route = streamingRoute();
     route.timeout = std::chrono::milliseconds(routeTimeoutMs);
     deployment.routes = { route };
     deployment.services.push_back({ "engines", 100, directory::EnginePool {}, std::nullopt });
