Weights: confirmations have no gap while the observation that bounds them exists

Cause: how long the observation is known to exist followed from the records alone. A watch without changes says nothing for its 2 s, so the moment lagged by up to that; a confirmation written with records 1.65 s old lasts 2 s, and when it should have been written anew less than 2 s were left. The new line "replaced weights confirmed" showed this; before, only failures were logged. Ruled out: slow calls at the start of the leader, as the requests that failed were the last ones.

Change: while a confirmation depends on the observation, the leader asks the store about each second whether it still exists (at most eight checks after a loss of all instances; none otherwise).

The end-to-end test keeps its bounds and now says which request was refused and when.

Also: a test, with a mutation, that an observation bounds only the replacement after the last of two losses in a row.

--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -132,6 +132,7 @@
 {
     const auto now = BootClock::now();
     std::erase_if(this->confirmedKeys, [now](const auto& entry) { return entry.second <= now; });
+    bool isAnyExtendable = false;
     for (const auto& [id, target] : this->directory.targets()) {
         for (const auto& [model, version] : target->registration.weights) {
             const auto wanted = this->directory.wantedWeights(model);
@@ -145,11 +146,15 @@
                 continue;
             // Rounded down, because the key must not exist longer than the weights may answer.
             const auto timeToLive = std::chrono::floor<std::chrono::seconds>(*end - now);
-            const auto margin = this->isExtendable(model, version) ? confirmationRewriteMargin : milliseconds(0);
+            const bool isExtendable = this->isExtendable(model, version);
+            isAnyExtendable = isAnyExtendable || isExtendable;
+            const auto margin = isExtendable ? confirmationRewriteMargin : milliseconds(0);
             if (timeToLive >= minConfirmationTtl)
                 this->confirmMayStillAnswer(model, version, timeToLive, now + timeToLive - margin);
         }
     }
+    if (isAnyExtendable)
+        this->checkObservation();
 }
 
 void WeightsRollout::claimConfirmations()
@@ -231,9 +236,29 @@
 
 void WeightsRollout::refreshObservations()
 {
-    if (!this->isObservationPresent)
+    if (this->isObservationPresent)
+        this->extendObservation(this->recordsAsOf());
+}
+
+/// The changes of the records say only once a watch has ended that there was none.
+void WeightsRollout::checkObservation()
+{
+    if (Clock::now() < this->nextObservationCheckAt)
         return;
-    this->observation.existedAt = std::max(this->observation.existedAt, this->recordsAsOf());
+    this->nextObservationCheckAt = Clock::now() + observationInterval;
+    this->metrics.platformCalls.Increment();
+    this->store.checkRevision(std::string(observationKey), this->observation.revision, Clock::now() + callTimeout,
+        [this, checkedAt = BootClock::now(), revision = this->observation.revision](const store::CheckResult& result) {
+            const auto* unchanged = std::get_if<store::Unchanged>(&result);
+            if (unchanged && revision == this->observation.revision)
+                this->extendObservation(checkedAt - unchanged->age);
+        });
+}
+
+/// The observation existed at @p time.
+void WeightsRollout::extendObservation(BootClock::time_point time)
+{
+    this->observation.existedAt = std::max(this->observation.existedAt, time);
     for (auto& [model, claim] : this->confirmedFor) {
         if (claim.observed.revision == this->observation.revision)
             claim.observed = this->observation;
@@ -295,19 +320,23 @@
     if (!this->confirmedKeys.emplace(key, rewriteAt).second)
         return;
     this->metrics.platformCalls.Increment();
-    this->store.grantLease(timeToLive, Clock::now() + callTimeout, [this, key](const store::LeaseResult& result) {
-        const auto* lease = std::get_if<int64_t>(&result);
-        if (!lease) {
-            this->retryConfirmation(key);
-            return;
-        }
-        this->metrics.platformCalls.Increment();
-        this->store.put(key, this->settings.instance + std::string(boundedSuffix), *lease, Clock::now() + callTimeout,
-            [this, key](const store::WriteResult& result) {
-                if (!std::holds_alternative<Success>(result))
-                    this->retryConfirmation(key);
-            });
-    });
+    this->store.grantLease(
+        timeToLive, Clock::now() + callTimeout, [this, key, timeToLive](const store::LeaseResult& result) {
+            const auto* lease = std::get_if<int64_t>(&result);
+            if (!lease) {
+                this->retryConfirmation(key);
+                return;
+            }
+            this->metrics.platformCalls.Increment();
+            this->store.put(key, this->settings.instance + std::string(boundedSuffix), *lease,
+                Clock::now() + callTimeout, [this, key, timeToLive](const store::WriteResult& result) {
+                    if (!std::holds_alternative<Success>(result))
+                        this->retryConfirmation(key);
+                    else
+                        logChange(LogLevel::Info, "replaced weights confirmed",
+                            { { "key", key }, { "seconds", std::to_string(timeToLive.count()) } });
+                });
+        });
 }
 
 void WeightsRollout::retryConfirmation(const std::string& key)
--- a/src/weights/WeightsRollout.h
+++ b/src/weights/WeightsRollout.h
@@ -127,6 +127,8 @@
     std::chrono::milliseconds usableTime() const;
     std::chrono::seconds observationTtl() const;
     void refreshObservations();
+    void checkObservation();
+    void extendObservation(BootClock::time_point time);
     void publishObservation();
     void writeObservation(int64_t lease);
     void advanceRollout();
@@ -168,6 +170,7 @@
     std::optional<int64_t> observationLease; ///< if it was written by this instance
     bool isObservationInFlight = false;
     Deadline nextObservationAt; ///< no call for it is sent before
+    Deadline nextObservationCheckAt; ///< no check that the latest one known still exists is sent before
     bool leaderExists = true; ///< whether the leader key exists, as last observed; true until it is known
     bool isAcquiring = false;
     bool stopping = false;
--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -604,11 +604,12 @@
     site.startEntry(true, settings);
     while (Clock::now() < replacedAt + 4500ms) // a leader has had its former one's lease and 0.4 s to begin
         runFor(50ms);
-    int sent = 0;
-    int served = 0;
-    for (; Clock::now() < replacedAt + 7s; runFor(200ms))
-        served += site.sendAndWait({ "e" + std::to_string(++sent), "/ask/x" }, 1)->status == 200;
-    cr_assert_eq(served, sent, "%d of %d served", served, sent);
+    for (int i = 0; Clock::now() < replacedAt + 7s; ++i, runFor(200ms)) {
+        const auto answer = site.sendAndWait({ "e" + std::to_string(i), "/ask/x" }, 1);
+        cr_expect_eq(answer->status, 200, "request %d: %d, sent %d ms after the replacement, answered after %d ms: %s",
+            i, answer->status, static_cast<int>((answer->sentAt - replacedAt) / 1ms),
+            static_cast<int>(answer->took() / 1ms), answer->body.c_str());
+    }
     while (Clock::now() < replacedAt + 15s)
         runFor(50ms);
     for (int i = 0; i < 5; ++i)
--- a/tests/WeightsPartsTest.cpp
+++ b/tests/WeightsPartsTest.cpp
@@ -180,6 +180,8 @@
     int claims = 0;
     int endedLeases = 0;
     int acquisitions = 0; ///< of leadership
+    int checks = 0; ///< of revisions
+    int64_t observed = 0; ///< revision of the observation
     std::set<std::string> written;
     struct Write {
         std::string value;
@@ -259,8 +261,14 @@
         const std::string&, int64_t, Clock::time_point, Deadline, std::function<void(store::WatchResult)>) override
     {
     }
-    void checkRevision(const std::string&, int64_t, Deadline, std::function<void(store::CheckResult)>) override
+    void checkRevision(
+        const std::string& key, int64_t expected, Deadline, std::function<void(store::CheckResult)> done) override
     {
+        ++this->checks;
+        if (this->observed == expected)
+            done(store::Unchanged {});
+        else
+            done(store::Conflict { { key, {}, this->observed } });
     }
     Clock::time_point lastOutageEnd() const override
     {
@@ -456,6 +464,61 @@
     cr_assert(fixture.confirmations().empty());
 }
 
+// A watch without changes ends after 2 s; until then the records do not show that the observation still exists.
+Test(weightsRollout, confirmationsHaveNoGapWhileTheObservationExistsAndTheRecordsDoNotChange)
+{
+    RolloutFixture fixture;
+    fixture.observe(20);
+    fixture.store.observed = 20;
+    fixture.leadAfterALossOfAllInstances();
+    fixture.rollout.recordsAsOf = [asOf = BootClock::now()] { return asOf; };
+    const auto startedAt = BootClock::now();
+    testing::runFor(4500ms);
+    fixture.store.observed = 0;
+    const auto removedAt = BootClock::now();
+    testing::runFor(4s);
+    const auto& confirmations = fixture.confirmations();
+    cr_assert_not(confirmations.empty());
+    auto confirmedUntil = confirmations.front().at;
+    for (const auto& each : confirmations) {
+        cr_expect_leq(each.at, confirmedUntil, "a gap %d ms after the start",
+            static_cast<int>((confirmedUntil - startedAt) / 1ms));
+        cr_expect_leq(each.at + each.timeToLive, std::min(each.at, removedAt) + 4100ms);
+        confirmedUntil = each.at + each.timeToLive;
+    }
+    cr_assert_geq(confirmedUntil, removedAt + 1s);
+    cr_assert_leq(fixture.store.checks, 10, "about one a second");
+}
+
+// Weights that were replaced before an earlier loss are older than the observation that bounds the second replacement.
+Test(weightsRollout, observationBoundsOnlyTheReplacementAfterTheLastOfTwoLosses)
+{
+    RolloutFixture fixture;
+    fixture.observe(20);
+    fixture.leadAfterALossOfAllInstances();
+    require(fixture.isConfirmed(), "not a leader");
+    fixture.rollout.stop([] {});
+    const auto confirmedBefore = fixture.confirmations().size();
+    // Version 3 is named while no instance runs; the lease of the observation lasts on.
+    directory::Directory directory { 3s };
+    WeightsRollout next { { "entry-1", timings, 15s, 0.2 }, fixture.store, fixture.api, directory, fixture.metrics };
+    next.recordsAsOf = [] { return BootClock::now(); };
+    next.applyRecord({ fixture.observationKey, "former", 20 }, true);
+    next.applyRecord(fixture.store.swapped["dragonfly/confirmed-for/m"], true);
+    for (const uint64_t version : { 1, 2 }) {
+        directory::Registration registration;
+        registration.id = "e" + std::to_string(version);
+        registration.service = "engines";
+        registration.weights["m"] = version;
+        directory.registerTarget(registration);
+    }
+    directory.setWantedWeights({ "m", 3 }, {});
+    next.applyLeaderKeyState(false);
+    cr_assert(testing::waitUntil([&] { return fixture.store.writes.contains("dragonfly/may-still-answer/m/2"); }, 3s));
+    testing::runFor(1500ms);
+    cr_assert_eq(fixture.confirmations().size(), confirmedBefore);
+}
+
 Test(weightsRollout, leaderObservesOnlyWithRecentRecordsAndWithoutUnclaimedWeights)
 {
     const std::string key(WeightsRollout::observationKey);
