Tests: a late answer to a check of the observation; one start for two tests of replaced weights

Two tests of ForwardTest also began with the same lines.

Change: weightsRollout/lateAnswerToACheckOfTheObservationExtendsNoConfirmation holds the answer for 1.5 s and applies the removal first. The bound is that of the observation, counted from the moment at which the check was sent. replaceWeightsWhileNoInstanceRuns() takes the place of the repeated lines; the checks are as they were.

Result: the product holds; with the check dated by its answer (mutation check-dated-by-its-answer) the test fails. A leader that stands still between its claim and its first confirmation stays not proved (docs/PROOF.md).

--- a/tests/ForwardTest.cpp
+++ b/tests/ForwardTest.cpp
@@ -565,18 +565,29 @@
     }
 }
 
-// How long no instance ran is not known to one that starts.
-Test(forward, replacedWeightsExpireInTimeWhenTheyWereNamedWhileNoInstanceRan, .timeout = 60)
+namespace {
+
+/// Kills the only instance once it leads and observes the weights, then names version 2, which no engine finishes to
+/// load. Returns when it was named.
+Clock::time_point replaceWeightsWhileNoInstanceRuns(ForwardSite& site, const std::string& settings)
 {
-    const Application application;
-    ForwardSite site;
-    const std::string settings = "forwarding: { weightsTime: 10s }\n";
     site.startEntry(true, settings);
     runFor(6s); // until it leads, and observes the weights
     setAll(site.engines, { { "load_ms", 60000 } });
     site.entries[0]->kill();
     site.setWantedWeights(2);
-    const auto replacedAt = Clock::now();
+    return Clock::now();
+}
+
+}
+
+// How long no instance ran is not known to one that starts.
+Test(forward, replacedWeightsExpireInTimeWhenTheyWereNamedWhileNoInstanceRan, .timeout = 60)
+{
+    const Application application;
+    ForwardSite site;
+    const std::string settings = "forwarding: { weightsTime: 10s }\n";
+    const auto replacedAt = replaceWeightsWhileNoInstanceRuns(site, settings);
     runFor(6500ms);
     site.startEntry(true, settings);
     while (Clock::now() < replacedAt + 10600ms)
@@ -595,12 +606,7 @@
     const Application application;
     ForwardSite site;
     const std::string settings = "forwarding: { weightsTime: 15s }\n";
-    site.startEntry(true, settings);
-    runFor(6s);
-    setAll(site.engines, { { "load_ms", 60000 } });
-    site.entries[0]->kill();
-    site.setWantedWeights(2);
-    const auto replacedAt = Clock::now();
+    const auto replacedAt = replaceWeightsWhileNoInstanceRuns(site, settings);
     site.startEntry(true, settings);
     while (Clock::now() < replacedAt + 4500ms) // a leader has had its former one's lease and 0.4 s to begin
         runFor(50ms);
--- a/tests/WeightsPartsTest.cpp
+++ b/tests/WeightsPartsTest.cpp
@@ -181,6 +181,8 @@
     int endedLeases = 0;
     int acquisitions = 0; ///< of leadership
     int checks = 0; ///< of revisions
+    bool holdsChecks = false; ///< their answers are on the way for as long as a test likes
+    std::vector<std::function<void(store::CheckResult)>> heldChecks;
     int64_t observed = 0; ///< revision of the observation
     std::set<std::string> written;
     struct Write {
@@ -265,7 +267,9 @@
         const std::string& key, int64_t expected, Deadline, std::function<void(store::CheckResult)> done) override
     {
         ++this->checks;
-        if (this->observed == expected)
+        if (this->holdsChecks)
+            this->heldChecks.push_back(std::move(done));
+        else if (this->observed == expected)
             done(store::Unchanged {});
         else
             done(store::Conflict { { key, {}, this->observed } });
@@ -490,6 +494,26 @@
     cr_assert_leq(fixture.store.checks, 10, "about one a second");
 }
 
+// The answer to a check says only that the observation existed when the check was sent.
+Test(weightsRollout, lateAnswerToACheckOfTheObservationExtendsNoConfirmation)
+{
+    RolloutFixture fixture;
+    fixture.observe(20);
+    fixture.store.holdsChecks = true;
+    fixture.leadAfterALossOfAllInstances();
+    fixture.rollout.recordsAsOf = [asOf = BootClock::now()] { return asOf; };
+    cr_assert(testing::waitUntil([&] { return !fixture.store.heldChecks.empty(); }, 3s));
+    const auto checkedAt = BootClock::now();
+    fixture.store.holdsChecks = false;
+    testing::runFor(1500ms);
+    fixture.rollout.applyRecord({ fixture.observationKey, {}, 0 }, false);
+    fixture.store.heldChecks.front()(store::Unchanged {});
+    testing::runFor(3s);
+    cr_assert_not(fixture.confirmations().empty());
+    for (const auto& each : fixture.confirmations())
+        cr_expect_leq(each.at + each.timeToLive, checkedAt + 4100ms);
+}
+
 // Weights that were replaced before an earlier loss are older than the observation that bounds the second replacement.
 Test(weightsRollout, observationBoundsOnlyTheReplacementAfterTheLastOfTwoLosses)
 {
