--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -106,7 +106,7 @@
                 {
                     const std::lock_guard lock(mutex);
                     auto& counts = bySecond[named < 0 || from < named ? -1 : (from - named) / 1000];
-                    if (answer.status == 200 && answer.isComplete)
+                    if (answer.status == 200 && answer.isComplete && answer.isStamped)
                         ++counts.served;
                     else if (answer.status == 503)
                         ++counts.refused;
--- a/review/stand-ins-2/site.h
+++ b/review/stand-ins-2/site.h
@@ -784,7 +784,6 @@
     {
         return this->settings.id;
     }
-    std::atomic<int64_t> workMs { -1 }; ///< in place of the settings'
 
 private:
     void beat()
@@ -874,7 +873,7 @@
         ++this->active;
         this->runs.add({ nowMs(), attempt, this->settings.id, this->weights });
         headers.emplace_back("X-Dragonflyarch-Response-Stamp", "stamp." + attempt);
-        const auto until = Clock::now() + Ms(this->workMs >= 0 ? this->workMs.load() : this->settings.workMs);
+        const auto until = Clock::now() + Ms(this->settings.workMs);
         bool isKept = true;
         while (isKept && Clock::now() < until) {
             sleepMs(std::min<int64_t>(20, std::max<int64_t>(1, std::chrono::duration_cast<Ms>(until - Clock::now()).count())));
@@ -1017,11 +1016,6 @@
     Process(const Process&) = delete;
     Process& operator=(const Process&) = delete;
 
-    void signal(int number) const
-    {
-        if (this->id > 0)
-            ::kill(this->id, number);
-    }
     void kill()
     {
         if (this->id <= 0)
@@ -1030,28 +1024,6 @@
         ::waitpid(this->id, nullptr, 0);
         this->id = 0;
     }
-    /// Whether the process has ended by itself.
-    bool hasEnded()
-    {
-        int status = 0;
-        if (this->id > 0 && ::waitpid(this->id, &status, WNOHANG) == this->id)
-            this->id = 0;
-        return this->id <= 0;
-    }
-    /// Resident memory in bytes; 0 if the process has ended.
-    int64_t residentBytes() const
-    {
-        std::ifstream file("/proc/" + std::to_string(this->id) + "/status");
-        std::string word;
-        while (file >> word) {
-            if (word == "VmRSS:") {
-                int64_t kilobytes = 0;
-                file >> kilobytes;
-                return kilobytes * 1024;
-            }
-        }
-        return 0;
-    }
 
 private:
     pid_t id = -1;
