--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -58,15 +58,20 @@
         desks.push_back(std::make_unique<Engine>(settings, store, runs, record));
     }
     // Another writer's entries: all fields are as they should be, but the service is not one of the configuration, and
-    // nobody listens at the address.
+    // nobody listens at the address. They are written again each heartbeat, as engines do, so that they stay.
     for (int i = 0; isTroubled && i < strayCount; ++i) {
         const auto key = "servers/i-stray" + std::to_string(i);
-        store.put(key,
-            "{\"service\":\"not-in-the-configuration\",\"address\":\"" + freeEndpoint() + "\",\"zone\":\""
-                + zones[static_cast<size_t>(i)] + "\",\"version\":\"v1\",\"slots\":128,\"state\":\"ready\","
-                + "\"cold_remaining_ms\":0,\"stage\":\"unified\",\"models\":[{\"name\":\"m0\",\"version\":1,"
-                  "\"adapters\":[]}],\"seq\":4,\"born\":1700000000000}");
-        record.line("another writer writes " + key + " with the service not-in-the-configuration");
+        const auto content = "{\"service\":\"not-in-the-configuration\",\"address\":\"" + refusingEndpoint()
+            + "\",\"zone\":\"" + zones[static_cast<size_t>(i)]
+            + "\",\"version\":\"v1\",\"slots\":128,\"state\":\"ready\",\"cold_remaining_ms\":0,\"stage\":\"unified\","
+              "\"models\":[{\"name\":\"m0\",\"version\":1,\"adapters\":[]}],\"born\":1700000000000";
+        record.line("another writer writes " + key + " each 1,200 ms with the service not-in-the-configuration");
+        std::thread([&store, key, content] {
+            for (int64_t sequence = 1; true; ++sequence) {
+                store.beat(key, content, sequence, Ms(1200));
+                sleepMs(1200);
+            }
+        }).detach();
     }
     std::vector<std::unique_ptr<Instance>> instances;
     for (size_t i = 0; i < zones.size(); ++i) {
--- a/review/stand-ins-2/site.h
+++ b/review/stand-ins-2/site.h
@@ -480,7 +480,7 @@
         while (true) {
             Request request;
             std::string first;
-            const auto until = Clock::now() + std::chrono::seconds(60);
+            const auto until = Clock::now() + std::chrono::seconds(300); // longer than a case, so none is announced
             if (!readHead(stream, until, first, request.headers))
                 return;
             const auto space = first.find(' ');
@@ -522,10 +522,17 @@
         this->write(key, value, 0);
         return nowMs();
     }
-    void remove(const std::string& key)
+    /// What an engine, or another writer, writes each @p interval under servers/. The entry changes when more than "seq"
+    /// changes, and is removed after three intervals of silence.
+    void beat(const std::string& key, const std::string& content, int64_t sequence, Ms interval)
     {
         const std::lock_guard lock(this->mutex);
-        this->erase(key);
+        auto& known = this->beats[key];
+        known.silentFrom = Clock::now() + 3 * interval;
+        if (known.content == content && this->items.count(key))
+            return;
+        known.content = content;
+        this->write(key, content + ",\"seq\":" + std::to_string(sequence) + "}", 0);
     }
 
 private:
@@ -540,6 +547,10 @@
         int64_t revision;
         std::optional<Item> item;
     };
+    struct Beat {
+        std::string content;
+        Clock::time_point silentFrom;
+    };
     struct Lease {
         Ms ttl;
         Clock::time_point end;
@@ -566,6 +577,14 @@
     void expire()
     {
         const auto now = Clock::now();
+        for (auto beat = this->beats.begin(); beat != this->beats.end();) {
+            if (beat->second.silentFrom > now) {
+                ++beat;
+                continue;
+            }
+            this->erase(beat->first);
+            beat = this->beats.erase(beat);
+        }
         for (auto lease = this->leases.begin(); lease != this->leases.end();) {
             if (lease->second.end > now) {
                 ++lease;
@@ -634,6 +653,8 @@
             return this->transact(parseJson(request.body));
         if (path == "/api/kv-lease") {
             const Ms ttl(parseJson(request.body)["ttl_ms"].integer());
+            if (ttl < Ms(1000) || ttl > std::chrono::minutes(10))
+                return { 400, "{}" };
             this->leases[++this->lastLease] = { ttl, Clock::now() + ttl };
             return { 200,
                 "{\"lease\":" + std::to_string(this->lastLease) + ",\"ttl_ms\":" + std::to_string(ttl.count()) + "}" };
@@ -652,6 +673,17 @@
     std::pair<int, std::string> transact(const Json& body)
     {
         this->expire();
+        const auto isReserved = [](const std::string& key) { return key.rfind("op/", 0) == 0 || key.rfind("servers/", 0) == 0; };
+        if (body["expected"].list.size() + body["writes"].list.size() + body["remove"].list.size() > 32)
+            return { 400, "{}" };
+        for (const auto& row : body["writes"].list) {
+            if (isReserved(row["key"].text))
+                return { 403, "{}" };
+        }
+        for (const auto& key : body["remove"].list) {
+            if (isReserved(key.text))
+                return { 403, "{}" };
+        }
         std::string found;
         bool matches = true;
         for (const auto& row : body["expected"].list) {
@@ -668,12 +700,8 @@
             if (lease && !this->leases.count(lease))
                 return { 404, "{}" };
         }
-        for (const auto& row : body["writes"].list) {
-            const auto& key = row["key"].text;
-            if (key.rfind("op/", 0) == 0 || key.rfind("servers/", 0) == 0)
-                return { 403, "{}" };
-            this->write(key, decodeBase64(row["value"].text), row["lease"].integer());
-        }
+        for (const auto& row : body["writes"].list)
+            this->write(row["key"].text, decodeBase64(row["value"].text), row["lease"].integer());
         for (const auto& key : body["remove"].list)
             this->erase(key.text);
         return { 200, "{\"revision\":" + std::to_string(this->revision) + "}" };
@@ -707,6 +735,7 @@
     std::condition_variable changed;
     std::map<std::string, Item> items;
     std::map<int64_t, Lease> leases;
+    std::map<std::string, Beat> beats;
     std::deque<Event> history; ///< all of it: a case is shorter than many histories
     int64_t revision = 1;
     int64_t lastLease = 70000;
@@ -792,11 +821,12 @@
         std::string models;
         if (!this->settings.model.empty())
             models = "\"stage\":\"unified\",\"models\":[" + this->modelText() + "],";
-        this->store.put("servers/" + this->settings.id,
+        this->store.beat("servers/" + this->settings.id,
             "{\"service\":" + quoted(this->settings.service) + ",\"address\":" + quoted(this->server.endpoint)
                 + ",\"zone\":" + quoted(this->settings.zone) + ",\"version\":\"v1\",\"slots\":"
                 + std::to_string(this->settings.slots) + ",\"state\":\"ready\",\"cold_remaining_ms\":0," + models
-                + "\"seq\":" + std::to_string(++this->beats) + ",\"born\":" + std::to_string(this->born) + "}");
+                + "\"born\":" + std::to_string(this->born),
+            ++this->sequence, Ms(this->settings.beatMs));
     }
     std::string modelText() const
     {
@@ -837,6 +867,8 @@
         const auto token = body["fencing_token"].integer();
         this->record.line("order at " + this->settings.id + " (service " + this->settings.service + ") from "
             + body["holder"].text + " with token " + std::to_string(token) + ": version " + std::to_string(wanted));
+        if (body["holder"].text.empty() || body["fencing_token"].kind != Json::Kind::Number)
+            return this->answer(stream, 400, {}, "");
         if (token < this->highestToken)
             return this->answer(stream, 412, {}, "");
         this->highestToken = token;
@@ -918,7 +950,7 @@
     std::atomic<int> ordersReceived { 0 };
     std::atomic<int64_t> accepted { 0 };
     int64_t highestToken = 0;
-    int64_t beats = 0;
+    int64_t sequence = 0;
     std::mutex beatMutex;
     std::mutex orderMutex;
     Server server;
@@ -1040,6 +1072,15 @@
     return endpoint;
 }
 
+/// An address that refuses connections as long as this program runs: bound, but not listening.
+inline std::string refusingEndpoint()
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    auto address = addressOf("127.0.0.1:0");
+    ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    return nameOf(descriptor);
+}
+
 struct InstanceSettings {
     std::string name;
     std::string zone;
