Weights: only targets of services with engines take part in a roll-out

Cause: WeightsRollout took each entry that names the model for an engine of it. The chooser of targets asked for the service, the roll-out did not. An entry of a configured service without engines did the same.

Change: RouteTable::runsModels() is the one answer; the roll-out (plans, places, confirmations, what is left to do), the choice of a target and the newest weights ask it. A configuration that comes into force schedules a step; a service that is removed gives its places back. Without a configuration no orders are sent, and the observation of a former leader is left alone. Log line for each target left out, "routed" for each target in /status.

The store of that test moved to tests/support for RolloutTest.

No record and no message changed.

--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -86,7 +86,10 @@
             { "platform", this->settings.platform.front().toString() },
             { "proof_validity_ms", std::to_string(this->settings.forwarding.proofValidity.count()) } });
     this->directory.lateResumption = this->settings.forwarding.lateResumption;
-    this->directory.onRoutesChanged = [this] { this->applyRoutes(); };
+    this->directory.onRoutesChanged = [this] {
+        this->applyRoutes();
+        this->rollout.scheduleRollout();
+    };
     this->directory.onWeightsChanged = [this] {
         this->forwarder.updateBeginDeadlines();
         this->rollout.scheduleRollout();
@@ -294,6 +297,7 @@
     for (const auto& [id, target] : this->directory.targets())
         targets.append(QJsonObject { { "id", toQString(id) }, { "service", toQString(target->registration.service) },
             { "data_centre", toQString(target->registration.dataCentre) },
+            { "routed", this->directory.isRouted(target->registration) },
             { "draining", target->registration.isDraining }, { "leaving", this->gate.isLeaving(target->registration) },
             { "usable", target->isUsable(now) }, { "in_flight", static_cast<int>(target->state->inFlight.load()) } });
     status["targets"] = targets;
--- a/src/directory/Directory.h
+++ b/src/directory/Directory.h
@@ -56,6 +56,18 @@
     {
         return this->byId;
     }
+    /// Whether @p registration is that of an engine under the configuration in force. The list of targets may also hold
+    /// entries of services that are not configured, which name models all the same. Without a configuration no target
+    /// is known as an engine.
+    bool isEngine(const Registration& registration) const
+    {
+        return this->table && this->table->runsModels(registration.service);
+    }
+    /// Whether requests may be sent to the target of @p registration under the configuration in force.
+    bool isRouted(const Registration& registration) const
+    {
+        return this->table && this->table->isRouted(registration.service);
+    }
     void registerTarget(Registration registration);
     void removeTarget(const std::string& id);
     /// Removes every target whose id is not in @p ids.
--- a/src/directory/RouteTable.cpp
+++ b/src/directory/RouteTable.cpp
@@ -39,9 +39,17 @@
         this->organisationsByName[organisation.name] = &organisation;
     }
     this->commonCacheScope = commonScopeOf(this->deployment.organisations);
-    for (const auto& service : this->deployment.services)
+    for (const auto& service : this->deployment.services) {
         this->servicesByName[service.name] = &service;
+        if (service.engines)
+            this->engineServices.insert(service.name);
+    }
     for (const auto& route : this->deployment.routes) {
+        for (const auto& share : route.shares) {
+            this->routedServices.insert(share.service);
+            if (!this->findService(share.service))
+                this->engineServices.insert(share.service);
+        }
         if (!route.isResumableStream())
             continue;
         this->longestTimeout = std::max(this->longestTimeout, route.timeout);
--- a/src/directory/RouteTable.h
+++ b/src/directory/RouteTable.h
@@ -32,6 +32,17 @@
     /// The organisation that owns @p apiKey, or null.
     const Organisation* findOrganisation(std::string_view apiKey) const;
     const Service* findService(std::string_view name) const;
+    /// Whether any route leads to @p service.
+    bool isRouted(std::string_view service) const
+    {
+        return this->routedServices.contains(service);
+    }
+    /// Whether targets of @p service are engines: the configuration describes its engines, or a route leads to it and
+    /// nothing describes it.
+    bool runsModels(std::string_view service) const
+    {
+        return this->engineServices.contains(service);
+    }
     /// Name of the scope within which the requests of @p organisation share cached prefixes; null: anonymous requests.
     ///
     /// The common scope has another name for each set of isolated organisations. What an organisation left in it before
@@ -62,6 +73,8 @@
     std::string commonCacheScope; ///< depends on the names of the isolated organisations only
     std::unordered_map<std::string, const Service*> servicesByName;
     std::set<std::string> servicesOfResumableRoutes;
+    std::set<std::string, std::less<>> routedServices;
+    std::set<std::string, std::less<>> engineServices;
     std::chrono::milliseconds longestTimeout { 0 }; ///< of the resumable routes
 };
 
--- a/src/forward/TargetChooser.cpp
+++ b/src/forward/TargetChooser.cpp
@@ -171,7 +171,7 @@
         uint64_t newest = 0;
         for (const auto& [id, target] : query.directory.targets()) {
             const auto& service = target->registration.service;
-            if (std::find(services.begin(), services.end(), service) != services.end())
+            if (std::ranges::find(services, service) != services.end() && query.routes.runsModels(service))
                 newest = std::max(newest, target->weightsOf(query.metadata.model));
         }
         return newest;
@@ -185,18 +185,10 @@
             || (query.origins && !mayStreamAt(*query.origins, query.softwareVersions, target));
     }
 
-    /// Whether a request that names a model needs a target of @p service that runs the model. Plain services ignore
-    /// the model.
-    bool runsModels(const ChoiceQuery& query, const std::string& service)
-    {
-        const auto* found = query.routes.findService(service);
-        return !found || found->engines;
-    }
-
     void addCandidates(CandidateSet& set, const ChoiceQuery& query, const std::string& service, uint64_t newest)
     {
         const auto& model = query.metadata.model;
-        const bool needsWeights = !model.empty() && runsModels(query, service);
+        const bool needsWeights = !model.empty() && query.routes.runsModels(service);
         const auto seed = rankSeed(query);
         for (auto& target : query.directory.targetsOf(service)) {
             const bool isUsable = target->isUsable(query.now) || (query.isLate && target->mayResumeLate(query.now));
@@ -363,7 +355,7 @@
     const auto& model = query.metadata.model;
     std::optional<NextSend> earliest;
     for (const auto& service : services) {
-        const bool needsWeights = !model.empty() && runsModels(query, service);
+        const bool needsWeights = !model.empty() && query.routes.runsModels(service);
         for (const auto& target : query.directory.targetsOf(service)) {
             const auto& registration = target->registration;
             const auto opensAt = query.gate.nextSendAt(registration, query.now);
@@ -386,7 +378,7 @@
     const auto services = serviceOrder(query.route, query.random);
     const auto newest = newestWeights(query, services);
     return std::ranges::any_of(services, [&](const std::string& service) {
-        return runsModels(query, service)
+        return query.routes.runsModels(service)
             && std::ranges::any_of(query.directory.targetsOf(service), [&](const auto& target) {
                    const auto& registration = target->registration;
                    const bool isGone
--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -136,7 +136,7 @@
     for (const auto& [id, target] : this->directory.targets()) {
         for (const auto& [model, version] : target->registration.weights) {
             const auto wanted = this->directory.wantedWeights(model);
-            if (version >= wanted)
+            if (version >= wanted || !this->directory.isEngine(target->registration))
                 continue;
             const auto confirmed = this->confirmedFor.find(model);
             if (confirmed == this->confirmedFor.end() || confirmed->second.version < wanted)
@@ -275,7 +275,7 @@
         return;
     if (!this->observationLease) {
         // That of a former leader may still bound the age of weights that are being replaced.
-        if (this->isObservationPresent && this->hasOutdatedEngines())
+        if (this->isObservationPresent && (this->hasOutdatedEngines() || !this->directory.routes()))
             return;
         this->nextObservationAt = Clock::now() + observationInterval;
         this->isObservationInFlight = true;
@@ -458,7 +458,8 @@
     for (const auto& [model, wanted] : this->directory.allWantedWeights()) {
         for (const auto& [id, target] : this->directory.targets()) {
             const auto version = target->weightsOf(model);
-            if (version && version < wanted && this->isServing(*target))
+            if (version && version < wanted && this->isServing(*target)
+                && this->directory.isEngine(target->registration))
                 return true;
         }
     }
@@ -475,9 +476,11 @@
     }
     for (auto load = this->loads.begin(); load != this->loads.end();) {
         const auto found = this->directory.targets().find(load->first);
-        const bool isGone = found == this->directory.targets().end() || this->isLeaving(found->second->registration);
+        const bool isGone = found == this->directory.targets().end() || this->isLeaving(found->second->registration)
+            || !this->directory.isEngine(found->second->registration);
         load = isGone ? this->loads.erase(load) : std::next(load);
     }
+    this->logTargetsLeftOut();
     this->refreshObservations();
     this->claimConfirmations();
     this->confirmReplacedWeights();
@@ -489,6 +492,27 @@
         this->rolloutTimer.start(rolloutInterval);
 }
 
+/// Logs each target once whose weights are outdated but which takes no part in the rollout, as its service has no
+/// engines.
+void WeightsRollout::logTargetsLeftOut()
+{
+    std::erase_if(this->leftOut, [this](const std::string& id) {
+        const auto found = this->directory.targets().find(id);
+        return found == this->directory.targets().end() || this->directory.isEngine(found->second->registration);
+    });
+    for (const auto& [id, target] : this->directory.targets()) {
+        const auto& registration = target->registration;
+        const bool isOutdated = std::ranges::any_of(registration.weights,
+            [this](const auto& weights) { return weights.second < this->directory.wantedWeights(weights.first); });
+        if (!isOutdated || !this->directory.routes() || this->directory.isEngine(registration)
+            || !this->leftOut.insert(id).second)
+            continue;
+        logChange(LogLevel::Warning, "target left out of the roll-out: its service has no engines",
+            { { "target", id }, { "service", registration.service }, { "address", registration.endpoint.toString() },
+                { "config", std::to_string(this->directory.routes()->version()) } });
+    }
+}
+
 RolloutPace WeightsRollout::pace(const std::string& model, uint64_t wanted) const
 {
     auto timeToComplete = this->usableTime();
@@ -529,7 +553,7 @@
     std::vector<EngineState> states;
     for (const auto& [id, target] : this->directory.targets()) {
         const auto version = target->weightsOf(model);
-        if (!version || !this->isServing(*target))
+        if (!version || !this->isServing(*target) || !this->directory.isEngine(target->registration))
             continue;
         auto load = this->loads.find(id);
         if (load != this->loads.end() && version >= load->second.version) {
@@ -623,7 +647,8 @@
     }
     if (const auto load = this->loads.find(id); load != this->loads.end())
         load->second.isBusy = report.isBusy;
-    if (report.isBusy || !this->leadership.maySendOrders(BootClock::now()) || !this->mayCall(target->registration))
+    if (report.isBusy || !this->leadership.maySendOrders(BootClock::now()) || !this->mayCall(target->registration)
+        || !this->directory.isEngine(target->registration))
         return;
     const auto token = this->leadership.current()->fencingToken;
     this->sendOrder(target, { id, model, version, this->settings.instance, token, report.ordersAccepted });
--- a/src/weights/WeightsRollout.h
+++ b/src/weights/WeightsRollout.h
@@ -15,6 +15,7 @@
 
 #include <QObject>
 #include <QTimer>
+#include <set>
 
 namespace dragonfly::weights {
 
@@ -66,7 +67,7 @@
     /// Ends leadership and forgets what was written, because the platform's service has returned from an older copy.
     void onStoreReturned();
     /// Schedules a rollout step if this instance is the leader and some engine is outdated. To be called when
-    /// the wanted weights or those of a target have changed.
+    /// the wanted weights, those of a target or the configuration have changed.
     void scheduleRollout();
     /// Ends leadership and calls @p done, even if the platform's service does not answer.
     void stop(std::function<void()> done);
@@ -144,6 +145,7 @@
         std::function<void(const http::ResponseHead*, std::string_view)> done);
     bool isServing(const directory::Target& target) const;
     bool hasOutdatedEngines() const;
+    void logTargetsLeftOut();
     RolloutPace pace(const std::string& model, uint64_t wanted) const;
     /// Age of the oldest order that got no answer and has not been carried out yet.
     std::chrono::milliseconds oldestPendingOrder() const;
@@ -161,6 +163,7 @@
     QTimer rolloutTimer;
     QTimer observationTimer; ///< runs while this instance leads
     std::map<std::string, Load> loads; ///< by target id
+    std::set<std::string> leftOut; ///< ids of the targets that logTargetsLeftOut() has logged
     std::chrono::milliseconds loadTime; ///< moving average of the time from an order until its weights are seen
     /// By key below mayStillAnswerPrefix: when it may be written again, because it has expired or could not be written.
     std::map<std::string, BootClock::time_point> confirmedKeys;
--- a/tests/ForwardPartsTest.cpp
+++ b/tests/ForwardPartsTest.cpp
@@ -46,7 +46,10 @@
         auto plain = route;
         plain.pathPrefix = "/desk/";
         plain.shares = { { "desk", 1 } };
-        deployment.routes = { route, plain };
+        auto mixed = route;
+        mixed.pathPrefix = "/mixed/";
+        mixed.shares = { { "engines", 1 }, { "desk", 1 } };
+        deployment.routes = { route, plain, mixed };
         deployment.services.push_back({ "engines", 100, directory::EnginePool {}, std::nullopt });
         directory::CacheStore store { { "10.0.0.9", 80 }, "north-a", 1000000 };
         deployment.services.push_back({ "desk", 100, std::nullopt, std::nullopt });
@@ -511,6 +514,17 @@
     cr_assert_not(pool.choose().has_value());
 }
 
+// A target of a plain service that names a model made the weights of the engines count as outdated.
+Test(targetChooser, modelsOfTargetsThatAreNoEnginesSayNothingAboutWeights)
+{
+    Pool pool;
+    pool.directory.setWantedWeights({ "m", 2 }, BootClock::time_point());
+    pool.add("d0", "desk", "north-a", { { "m", 2 } });
+    const auto choice = pool.choose(0, "/mixed/x");
+    cr_assert(choice.has_value());
+    cr_assert_eq(choice->target->registration.service, "engines");
+}
+
 Test(targetChooser, weightsReplacedBeforeStartExpireNoLaterThanIfReplacedAtTheStart)
 {
     Pool pool;
--- /dev/null
+++ b/tests/RolloutTest.cpp
@@ -0,0 +1,226 @@
+// The roll-out of weights to engines that behave in any way, beside entries of the list of targets that are no engines.
+
+#include "platform/Platform.h"
+#include "tests/support/RefusingStore.h"
+#include "tests/support/ScriptedTarget.h"
+#include "tests/support/Site.h"
+#include "weights/WeightsRollout.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <criterion/criterion.h>
+
+using namespace testing;
+using namespace dragonfly;
+using namespace dragonfly::weights;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr LeaderLeaseTimings timings { 300ms, 30ms };
+constexpr std::chrono::milliseconds loadTime { 100 };
+
+enum class Behaviour {
+    Loads,
+    AnswersNoReport,
+    AnswersNoOrder,
+    RefusesOrders,
+    AcceptsOnly, ///< accepts each order and carries out none
+    StaysBusy, ///< accepts an order and reports for ever that it carries it out
+};
+
+/// An engine that registers itself in the directory of the test.
+class FakeEngine {
+public:
+    FakeEngine(const std::string& id, const std::string& service, directory::Directory& directory)
+        : directory(directory)
+        , target(
+              "X-Unused", [this](const ScriptedRequest& request, QTcpSocket& socket) { this->answer(request, socket); })
+    {
+        this->registration.id = id;
+        this->registration.service = service;
+        this->registration.endpoint = this->target.address();
+        this->registration.dataCentre = "north-a";
+        this->registration.weights["m"] = 1;
+        this->show();
+    }
+
+    void show()
+    {
+        this->directory.registerTarget(this->registration);
+    }
+    uint64_t version() const
+    {
+        return this->registration.weights.at("m");
+    }
+
+    Behaviour behaviour = Behaviour::Loads;
+    int reports = 0; ///< queries for a report
+    int orders = 0;
+    bool isLoading = false;
+    directory::Registration registration;
+
+private:
+    static void respond(QTcpSocket& socket, const std::string& status, const std::string& body)
+    {
+        ScriptedTarget::write(
+            socket, "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+
+    void answer(const ScriptedRequest& request, QTcpSocket& socket)
+    {
+        if (request.path == "/api/report") {
+            ++this->reports;
+            if (this->behaviour == Behaviour::AnswersNoReport)
+                return;
+            const auto busy = this->isLoading || (this->behaviour == Behaviour::StaysBusy && this->orders);
+            respond(socket, "200 OK",
+                "{\"seq\":" + std::to_string(this->orders) + ",\"busy\":" + (busy ? "true" : "false")
+                    + ",\"models\":[{\"name\":\"m\",\"version\":" + std::to_string(this->version()) + "}]}");
+            return;
+        }
+        if (this->behaviour == Behaviour::RefusesOrders) {
+            respond(socket, "400 Bad Request", "");
+            return;
+        }
+        ++this->orders;
+        if (this->behaviour == Behaviour::AnswersNoOrder)
+            return;
+        respond(socket, "202 Accepted", "");
+        if (this->behaviour != Behaviour::Loads)
+            return;
+        this->isLoading = true;
+        const auto wanted = this->directory.wantedWeights("m");
+        QTimer::singleShot(loadTime, &this->timers, [this, wanted] {
+            this->isLoading = false;
+            this->registration.weights["m"] = wanted;
+            this->show();
+        });
+    }
+
+    directory::Directory& directory;
+    ScriptedTarget target;
+    QObject timers;
+};
+
+struct Rollout {
+    Application application;
+    RefusingStore store;
+    platform::EngineCodec api;
+    observe::Metrics metrics;
+    directory::Directory directory { 3s };
+    WeightsRollout rollout { { "entry-0", timings, 6s, 0.2 }, store, api, directory, metrics };
+    std::map<std::string, std::unique_ptr<FakeEngine>> engines; ///< by id
+
+    Rollout()
+    {
+        const auto schedule = [this] { this->rollout.scheduleRollout(); };
+        this->directory.onWeightsChanged = schedule;
+        this->directory.onRoutesChanged = schedule;
+        this->configure({ "engines" });
+    }
+    /// Puts a configuration in force in which just @p services run models, beside a plain service "desk".
+    void configure(const std::vector<std::string>& services)
+    {
+        directory::Deployment deployment;
+        deployment.version = ++this->configVersion;
+        for (const auto& service : services)
+            deployment.services.push_back({ service, 100, directory::EnginePool {}, std::nullopt });
+        deployment.services.push_back({ "desk", 100, std::nullopt, std::nullopt });
+        this->directory.apply(std::move(deployment));
+    }
+    FakeEngine& add(const std::string& id, const std::string& service = "engines")
+    {
+        return *(this->engines[id] = std::make_unique<FakeEngine>(id, service, this->directory));
+    }
+    void addSound(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            this->sound.push_back(&this->add("sound-" + std::to_string(i)));
+    }
+    void name(uint64_t version)
+    {
+        this->directory.setWantedWeights({ "m", version }, BootClock::now());
+        this->rollout.applyLeaderKeyState(false);
+    }
+    /// Whether all sound engines run @p version within @p timeout.
+    bool isCompleted(uint64_t version, std::chrono::milliseconds timeout)
+    {
+        return waitUntil(
+            [&] {
+                return std::ranges::all_of(this->sound, [&](const auto* each) { return each->version() == version; });
+            },
+            timeout);
+    }
+
+    std::vector<FakeEngine*> sound;
+    uint64_t configVersion = 0;
+};
+
+/// Until a leader may send orders, and five loads one after the other. Far below the time of replaced weights.
+constexpr std::chrono::milliseconds rolloutTime { 4000 };
+
+}
+
+// Entries of services without engines held all places, so that no engine got an order for the next weights.
+Test(rollout, entriesOfServicesWithoutEnginesTakeNoPart, .timeout = 30)
+{
+    Rollout site;
+    site.addSound(5);
+    auto& unknown = site.add("a-unknown", "not-configured");
+    auto& plain = site.add("b-plain", "desk");
+    for (auto* stray : { &unknown, &plain })
+        stray->behaviour = Behaviour::AcceptsOnly;
+    for (const uint64_t version : { 2, 3 }) {
+        site.name(version);
+        cr_assert(site.isCompleted(version, rolloutTime), "version %d", static_cast<int>(version));
+    }
+    for (const auto* stray : { &unknown, &plain }) {
+        cr_expect_eq(stray->reports, 0);
+        cr_expect_eq(stray->orders, 0);
+    }
+}
+
+// An entry that names no engine must not become one for ever: its service may be configured later.
+Test(rollout, engineWhoseServiceIsConfiguredDuringARolloutTakesPart, .timeout = 30)
+{
+    Rollout site;
+    site.addSound(2);
+    auto& later = site.add("later", "renamed");
+    site.name(2);
+    cr_assert(site.isCompleted(2, rolloutTime));
+    cr_assert_eq(later.orders, 0);
+    site.configure({ "engines", "renamed" });
+    cr_assert(waitUntil([&] { return later.version() == 2; }, rolloutTime));
+}
+
+// A service that is removed with orders on their way held its places for ever.
+Test(rollout, engineWhoseServiceIsRemovedDuringItsLoadHoldsNoPlace, .timeout = 30)
+{
+    Rollout site;
+    auto& removed = site.add("a-removed", "removed");
+    removed.behaviour = Behaviour::StaysBusy;
+    site.configure({ "engines", "removed" });
+    site.name(2);
+    cr_assert(waitUntil([&] { return removed.orders == 1; }, rolloutTime));
+    site.addSound(4);
+    site.configure({ "engines" });
+    cr_assert(site.isCompleted(2, rolloutTime));
+    cr_assert_eq(removed.orders, 1);
+    removed.behaviour = Behaviour::Loads;
+    site.configure({ "engines", "removed" });
+    cr_assert(waitUntil([&] { return removed.version() == 2; }, rolloutTime));
+}
+
+// A leader without a configuration cannot tell engines from other targets.
+Test(rollout, noOrdersAreSentBeforeTheFirstConfiguration, .timeout = 30)
+{
+    Rollout site;
+    directory::Directory unconfigured { 3s };
+    FakeEngine engine("e", "engines", unconfigured);
+    WeightsRollout rollout { { "entry-0", timings, 6s, 0.2 }, site.store, site.api, unconfigured, site.metrics };
+    unconfigured.setWantedWeights({ "m", 2 }, BootClock::now());
+    rollout.applyLeaderKeyState(false);
+    runFor(1500ms);
+    cr_assert_eq(engine.reports, 0);
+}
--- a/tests/WeightsPartsTest.cpp
+++ b/tests/WeightsPartsTest.cpp
@@ -1,6 +1,7 @@
 // Unit tests of leader election, rollout planning and the confirmation of replaced weights.
 
 #include "tests/support/Process.h"
+#include "tests/support/RefusingStore.h"
 #include "weights/LeaderLease.h"
 #include "weights/RolloutPlan.h"
 #include "weights/WeightsRollout.h"
@@ -12,6 +13,7 @@
 
 using namespace dragonfly;
 using namespace dragonfly::weights;
+using testing::RefusingStore;
 using testing::require;
 using namespace std::chrono_literals;
 
@@ -171,122 +173,17 @@
     }
 };
 
-/// Answers at once. Refuses calls as told.
-class RefusingStore : public store::WatchableStore {
-public:
-    int refusedConfirmationLeases = 0; ///< how many are refused
-    int refusedConfirmations = 0; ///< how many writes of confirmations are refused
-    int refusedClaims = 0;
-    int claims = 0;
-    int endedLeases = 0;
-    int acquisitions = 0; ///< of leadership
-    int checks = 0; ///< of revisions
-    bool holdsChecks = false; ///< their answers are on the way for as long as a test likes
-    std::vector<std::function<void(store::CheckResult)>> heldChecks;
-    int64_t observed = 0; ///< revision of the observation
-    std::set<std::string> written;
-    struct Write {
-        std::string value;
-        std::chrono::seconds timeToLive { 0 };
-        BootClock::time_point at;
-    };
-    std::map<std::string, std::vector<Write>> writes; ///< under leases, by key
-    std::vector<std::string> renewals; ///< keys whose leases were renewed
-    int64_t revision = 40;
-    std::map<std::string, store::KeyValue> swapped;
-
-    void compareAndSwapLeased(const std::string&, int64_t, const std::string&, int64_t, Deadline,
-        std::function<void(store::LeasedSwapResult)> done) override
-    {
-        this->isLeader = true;
-        ++this->acquisitions;
-        done(store::Swapped { ++this->revision });
-    }
-    void compareAndSwap(const std::string& key, int64_t expected, const std::string& value, Deadline,
-        std::function<void(store::SwapResult)> done) override
-    {
-        ++this->claims;
-        if (this->refusedClaims-- > 0) {
-            done(store::StoreFailure::NotExecuted);
-            return;
-        }
-        auto& current = this->swapped[key];
-        if (current.modRevision != expected) {
-            done(store::Conflict { current });
-            return;
-        }
-        current = { key, value, ++this->revision };
-        this->written.insert(key);
-        done(store::Swapped { current.modRevision });
-    }
-    void grantLease(std::chrono::seconds timeToLive, Deadline, std::function<void(store::LeaseResult)> done) override
-    {
-        if (this->isLeader && this->refusedConfirmationLeases-- > 0) {
-            done(store::StoreFailure::NotExecuted);
-            return;
-        }
-        this->leases[++this->revision] = timeToLive;
-        done(this->revision);
-    }
-    void put(const std::string& key, const std::string& value, int64_t lease, Deadline,
-        std::function<void(store::WriteResult)> done) override
-    {
-        if (this->refusedConfirmations-- > 0) {
-            done(store::StoreFailure::NotExecuted);
-            return;
-        }
-        this->written.insert(key);
-        this->writes[key].push_back({ value, this->leases[lease], BootClock::now() });
-        this->keys[lease] = key;
-        done(Success {});
-    }
-    void renewLease(int64_t lease, Deadline, std::function<void(store::LeaseResult)> done) override
-    {
-        if (this->keys.contains(lease))
-            this->renewals.push_back(this->keys[lease]);
-        done(lease);
-    }
-    void endLease(int64_t, Deadline, std::function<void(store::WriteResult)>) override
-    {
-        ++this->endedLeases;
-    }
-    void read(const std::vector<store::ReadRequest>&, Deadline, std::function<void(store::ReadResult)>) override
-    {
-    }
-    void remove(const std::string&, Deadline, std::function<void(store::WriteResult)>) override
-    {
-    }
-    void readPage(const std::string&, const std::string&, Deadline, std::function<void(store::PageResult)>) override
-    {
-    }
-    void watch(
-        const std::string&, int64_t, Clock::time_point, Deadline, std::function<void(store::WatchResult)>) override
-    {
-    }
-    void checkRevision(
-        const std::string& key, int64_t expected, Deadline, std::function<void(store::CheckResult)> done) override
-    {
-        ++this->checks;
-        if (this->holdsChecks)
-            this->heldChecks.push_back(std::move(done));
-        else if (this->observed == expected)
-            done(store::Unchanged {});
-        else
-            done(store::Conflict { { key, {}, this->observed } });
-    }
-    Clock::time_point lastOutageEnd() const override
-    {
-        return {};
-    }
-
-private:
-    bool isLeader = false;
-    std::map<int64_t, std::chrono::seconds> leases;
-    std::map<int64_t, std::string> keys; ///< by lease
-};
-
 int argumentCount = 0;
 
+/// Puts a configuration in force whose service "engines" runs models.
+void configureEngines(directory::Directory& directory)
+{
+    directory::Deployment deployment;
+    deployment.version = 1;
+    deployment.services.push_back({ "engines", 100, directory::EnginePool {}, std::nullopt });
+    directory.apply(std::move(deployment));
+}
+
 struct RolloutFixture {
     QCoreApplication application { argumentCount, nullptr };
     RefusingStore store;
@@ -295,6 +192,10 @@
     directory::Directory directory { 3s };
     WeightsRollout rollout { { "entry-0", timings, 15s, 0.2 }, store, api, directory, metrics };
 
+    RolloutFixture()
+    {
+        configureEngines(this->directory);
+    }
     void lead()
     {
         directory::Registration registration;
@@ -389,6 +290,7 @@
     testing::runFor(1s);
     // All instances restart; the replacement may be as old as its first leader was.
     directory::Directory directory { 3s };
+    configureEngines(directory);
     WeightsRollout next { { "entry-1", timings, 15s, 0.2 }, fixture.store, fixture.api, directory, fixture.metrics };
     directory.setWantedWeights({ "m", 2 }, {});
     directory::Registration registration;
@@ -525,6 +427,7 @@
     const auto confirmedBefore = fixture.confirmations().size();
     // Version 3 is named while no instance runs; the lease of the observation lasts on.
     directory::Directory directory { 3s };
+    configureEngines(directory);
     WeightsRollout next { { "entry-1", timings, 15s, 0.2 }, fixture.store, fixture.api, directory, fixture.metrics };
     next.recordsAsOf = [] { return BootClock::now(); };
     next.applyRecord({ fixture.observationKey, "former", 20 }, true);
