Paths: entries that get no requests are no targets to hear, to probe or to tunnel to

What callers saw (test): beside two entries of a service that is not configured, an instance that lost its links to its two targets served 0 of 120 requests; without the entries they go through the other instance.

All entries counted as targets among which silence is counted, and were probed, so a connection to the address of an entry passed for a path to the targets. Tunnels were opened to the address of any entry, whoever wrote it.

The set of targets is composed only if any is silent.

No message changed.

--- a/src/forward/Forwarder.cpp
+++ b/src/forward/Forwarder.cpp
@@ -44,16 +44,22 @@
     };
     paths.targets = [this] {
         std::vector<Endpoint> endpoints;
-        for (const auto& [id, target] : this->context.directory.targets())
-            endpoints.push_back(target->registration.endpoint);
+        const auto& directory = this->context.directory;
+        for (const auto& [id, target] : directory.targets()) {
+            if (directory.isRouted(target->registration))
+                endpoints.push_back(target->registration.endpoint);
+        }
         return endpoints;
     };
 }
 
 bool Forwarder::isTargetAt(const Endpoint& endpoint) const
 {
-    return std::ranges::any_of(this->context.directory.targets(),
-        [&](const auto& each) { return each.second->registration.endpoint == endpoint; });
+    const auto& directory = this->context.directory;
+    return std::ranges::any_of(directory.targets(), [&](const auto& each) {
+        const auto& registration = each.second->registration;
+        return registration.endpoint == endpoint && directory.isRouted(registration);
+    });
 }
 
 Status Forwarder::authenticate(ForwardRequest& request, BootClock::time_point now) const
--- a/src/paths/TargetPaths.cpp
+++ b/src/paths/TargetPaths.cpp
@@ -101,6 +101,8 @@
     auto silent = this->silentTargets(now);
     for (const auto& [name, at] : this->failedAt)
         silent.insert(name);
+    if (silent.empty())
+        return;
     const auto heardAgo = std::chrono::duration_cast<milliseconds>(now - this->heardAt);
     if (!arePathsLost({ silent.size(), this->targets().size(), heardAgo }))
         return;
--- a/src/paths/TargetPaths.h
+++ b/src/paths/TargetPaths.h
@@ -57,7 +57,7 @@
 
     /// Targets with a request on the own path that has been open for silenceTime and without an answer.
     std::function<std::set<std::string>(Clock::time_point now)> silentTargets;
-    std::function<std::vector<Endpoint>()> targets; ///< all registered ones
+    std::function<std::vector<Endpoint>()> targets; ///< all to which requests may be sent
     std::function<std::vector<Endpoint>()> peers; ///< where other instances open tunnels, the preferred first
 
 private:
--- a/src/paths/TunnelServer.h
+++ b/src/paths/TunnelServer.h
@@ -14,7 +14,7 @@
 /// How a request for a tunnel is answered.
 enum class TunnelAnswer {
     Open,
-    NoTarget, ///< no registered target has the address, or it takes no connection
+    NoTarget, ///< no target to which requests may be sent has the address, or it takes no connection
     NoPath, ///< this instance has no path of its own, or carries as much as it may
 };
 
--- a/tests/PartitionedInstanceTest.cpp
+++ b/tests/PartitionedInstanceTest.cpp
@@ -49,7 +49,15 @@
     int sent = 0;
 
     PartitionSite()
+        : PartitionSite({ "", "" })
     {
+    }
+    /// With one engine for each of @p softwareVersions.
+    explicit PartitionSite(const QStringList& softwareVersions, const std::function<void(ForwardSite&)>& prepare = {})
+        : site(softwareVersions)
+    {
+        if (prepare)
+            prepare(this->site);
         const auto file = this->folder.filePath("partition").toLocal8Bit();
         qputenv("PARTITION_FILE", file);
         qputenv("LD_PRELOAD", BUILD_FOLDER "/libpartition.so");
@@ -79,8 +87,11 @@
         std::vector<AnswerPointer> answers;
         const auto end = Clock::now() + duration;
         while (Clock::now() < end) {
-            for (const auto* path : { "/ask/x", "/book/x", "/read/x" })
+            for (const auto* path : { "/ask/x", "/book/x", "/read/x" }) {
+                if (this->site.engines.empty() && std::string_view(path) == "/ask/x")
+                    continue;
                 answers.push_back(this->site.send({ .id = "r" + std::to_string(++this->sent), .path = path }));
+            }
             runFor(50ms);
         }
         require(waitForAll(answers, 10s), "no answer");
@@ -140,3 +151,20 @@
     site.sendFor(contactTime);
     expectServed(site.sendFor(2s), "after the kill");
 }
+
+// Entries of services that are not configured counted as targets that are not silent, and a connection to the address
+// of one as a path to the targets.
+Test(partitionedInstance, callersAreServedBesideEntriesOfUnknownServices, .timeout = 60)
+{
+    std::unique_ptr<QTcpServer> elsewhere;
+    PartitionSite site(QStringList {}, [&](ForwardSite& prepared) {
+        elsewhere = std::make_unique<QTcpServer>();
+        require(elsewhere->listen(QHostAddress::LocalHost), "cannot listen");
+        for (const auto* id : { "stray-0", "stray-1" })
+            prepared.registerTarget(id, "not-configured", "m", { "127.0.0.1", elsewhere->serverPort() });
+    });
+    expectServed(site.sendFor(500ms), "before");
+    site.partition("reset");
+    site.sendFor(contactTime);
+    expectServed(site.sendFor(3s), "partitioned");
+}
--- a/tests/WithheldAttemptTest.cpp
+++ b/tests/WithheldAttemptTest.cpp
@@ -182,3 +182,16 @@
     cr_assert(told >= 3.9 && told <= 5.1, "told %g s of 4 s", told);
     cr_assert_eq(site.targets[0].arrivals + site.targets[1].arrivals, 0);
 }
+
+// Instances opened tunnels to the address of any entry, whoever wrote it.
+Test(withheldAttempt, tunnelsLeadToTargetsOfRoutedServicesOnly)
+{
+    InProcessSite site;
+    directory::Registration stray;
+    stray.id = "stray";
+    stray.service = "not-configured";
+    stray.endpoint = { "10.0.0.1", 22 };
+    site.directory.registerTarget(stray);
+    cr_assert(site.forwarder.isTargetAt(site.targets[0].endpoint));
+    cr_assert_not(site.forwarder.isTargetAt(stray.endpoint));
+}
