Weights: an engine that does not load holds no place in a roll-out for ever

Cause: a place among the engines that load together ended only when the entry went, the engine left or its weights were seen. One that is not reached, refuses, accepts and never loads, or stays busy kept it; with two engines the bound of pending orders kept the other one out as well.

Change: EngineLoad holds the place with its deadline (three average loads, at most half of the time to complete; half of that time for a pending order). It ends at once when a call shows that the engine does not load. Engines that failed are tried again after 0.4 to 2 s in places apart from the others'.

No record and no message changed.

--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -79,6 +79,10 @@
     , peerBytes(counter(*registry, "dragonfly_peer_bytes_total", "Bytes sent to peers"))
     , peerMessagesRefused(counter(*registry, "dragonfly_peer_messages_refused_total", "Invalid messages from peers"))
     , probes(counter(*registry, "dragonfly_probes_total", "Probes sent to targets"))
+    , outdatedEngines(gauge(*registry, "dragonfly_outdated_engines",
+          "Engines without the wanted weights, if this instance rolls them out"))
+    , enginesNotLoading(gauge(*registry, "dragonfly_engines_not_loading",
+          "Engines that did not load the wanted weights when they should, if this instance rolls them out"))
     , claimsPending(gauge(*registry, "dragonfly_claims_pending", "Claim operations waiting for the platform's service"))
     , claimsGranted(gauge(*registry, "dragonfly_claims_granted", "Claims granted since the start"))
     , claimWrites(gauge(*registry, "dragonfly_claim_writes", "Writes of claim documents since the start"))
--- a/src/observe/Metrics.h
+++ b/src/observe/Metrics.h
@@ -57,6 +57,8 @@
     prometheus::Counter& peerBytes;
     prometheus::Counter& peerMessagesRefused;
     prometheus::Counter& probes;
+    prometheus::Gauge& outdatedEngines;
+    prometheus::Gauge& enginesNotLoading;
     prometheus::Gauge& claimsPending;
     prometheus::Gauge& claimsGranted;
     prometheus::Gauge& claimWrites;
--- a/src/weights/RolloutPlan.cpp
+++ b/src/weights/RolloutPlan.cpp
@@ -62,7 +62,7 @@
     while (loading < maxLoading && loading + pending < std::max(maxLoading, maxPending) && !waiting.empty()) {
         const auto rank = [&](const EngineState* engine) {
             // Replaced weights may answer only for a limited time, which ends first for the oldest.
-            return std::tuple(engine->version, loadingByDataCentre[engine->dataCentre],
+            return std::tuple(engine->failures, engine->version, loadingByDataCentre[engine->dataCentre],
                 updatedByDataCentre[engine->dataCentre], engine->inFlight);
         };
         const auto best = std::min_element(waiting.begin(), waiting.end(),
--- a/src/weights/RolloutPlan.h
+++ b/src/weights/RolloutPlan.h
@@ -19,6 +19,7 @@
     /// Its orders got no answer and it reports that it carries out none: it serves, but may begin to load at any time.
     /// Such an engine counts as loading, too.
     bool isOrderPending = false;
+    uint32_t failures = 0; ///< loads that it did not complete
 };
 
 /// What decides how many engines load at the same time.
--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -423,6 +423,7 @@
     this->renewTimer.stop();
     this->observationTimer.stop();
     this->loads.clear();
+    this->updateMetrics();
     this->observationLease.reset(); // it ends by itself, and bounds the time until then
     logChange(LogLevel::Warning, "leadership ended: sends no more orders to engines", { { "reason", reason } });
     this->acquireTimer.start(
@@ -443,6 +444,7 @@
 
 void WeightsRollout::scheduleRollout()
 {
+    this->updateMetrics();
     const bool hasWork = this->hasOutdatedEngines() || this->hasUnclaimedVersions();
     if (this->leadership.current() && !this->rolloutTimer.isActive() && hasWork)
         this->rolloutTimer.start(0);
@@ -453,17 +455,30 @@
     return !target.registration.isDraining && !this->isLeaving(target.registration);
 }
 
+bool WeightsRollout::isOutdated(const directory::Target& target) const
+{
+    return std::ranges::any_of(target.registration.weights,
+               [this](const auto& weights) {
+                   return weights.second && weights.second < this->directory.wantedWeights(weights.first);
+               })
+        && this->isServing(target) && this->directory.isEngine(target.registration);
+}
+
 bool WeightsRollout::hasOutdatedEngines() const
 {
-    for (const auto& [model, wanted] : this->directory.allWantedWeights()) {
-        for (const auto& [id, target] : this->directory.targets()) {
-            const auto version = target->weightsOf(model);
-            if (version && version < wanted && this->isServing(*target)
-                && this->directory.isEngine(target->registration))
-                return true;
-        }
-    }
-    return false;
+    return std::ranges::any_of(
+        this->directory.targets(), [this](const auto& entry) { return this->isOutdated(*entry.second); });
+}
+
+void WeightsRollout::updateMetrics()
+{
+    ptrdiff_t outdated = 0;
+    if (this->leadership.current())
+        outdated = std::ranges::count_if(
+            this->directory.targets(), [this](const auto& entry) { return this->isOutdated(*entry.second); });
+    const auto failed = std::ranges::count_if(this->loads, [](const auto& entry) { return entry.second.failures > 0; });
+    this->metrics.outdatedEngines.Set(static_cast<double>(outdated));
+    this->metrics.enginesNotLoading.Set(static_cast<double>(failed));
 }
 
 void WeightsRollout::advanceRollout()
@@ -484,10 +499,12 @@
     this->refreshObservations();
     this->claimConfirmations();
     this->confirmReplacedWeights();
+    this->endOverduePlaces(Clock::now());
     if (this->leadership.maySendOrders(BootClock::now())) {
         for (const auto& [model, wanted] : this->directory.allWantedWeights())
             this->planModel(model, wanted);
     }
+    this->updateMetrics();
     if (this->hasOutdatedEngines() || this->hasUnclaimedVersions())
         this->rolloutTimer.start(rolloutInterval);
 }
@@ -531,23 +548,67 @@
 {
     std::chrono::milliseconds oldest { 0 };
     for (const auto& [id, load] : this->loads) {
-        if (load.unansweredSince)
+        if (load.holdsPlace && load.unansweredSince)
             oldest = std::max(
                 oldest, std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - *load.unansweredSince));
     }
     return oldest;
 }
 
-void WeightsRollout::recordLoadTime(const Load& load)
+void WeightsRollout::recordLoadTime(const EngineLoad& load)
 {
     const auto since = load.unansweredSince ? load.unansweredSince : load.orderedAt;
     if (!since)
         return;
     const auto sample = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - *since);
-    this->loadTime += (sample - this->loadTime) / loadTimeSmoothingDivisor;
+    // An engine that returns long after its place has ended says nothing about the time of a load.
+    if (load.holdsPlace || sample <= this->usableTime())
+        this->loadTime += (sample - this->loadTime) / loadTimeSmoothingDivisor;
 }
 
-void WeightsRollout::planModel(const std::string& model, uint64_t wanted)
+void WeightsRollout::onLoadCompleted(const std::string& targetId)
+{
+    const auto load = this->loads.find(targetId);
+    if (load == this->loads.end())
+        return;
+    this->recordLoadTime(load->second);
+    if (load->second.failures)
+        logChange(LogLevel::Info, "engine has loaded weights after all",
+            { { "target", targetId }, { "version", std::to_string(load->second.version) },
+                { "failures", std::to_string(load->second.failures) } });
+    this->loads.erase(load);
+}
+
+void WeightsRollout::onLoadFailed(const std::string& targetId, const char* reason)
+{
+    const auto found = this->loads.find(targetId);
+    if (found == this->loads.end() || !found->second.holdsPlace)
+        return;
+    auto& load = found->second;
+    const auto now = Clock::now();
+    releasePlace(load, now);
+    if (load.failures == 1)
+        logChange(LogLevel::Warning, "engine does not load weights: the roll-out goes on without it",
+            { { "target", targetId }, { "version", std::to_string(load.version) }, { "reason", reason },
+                { "retry_ms", std::to_string(remaining(load.checkAt, now).count()) } });
+    this->updateMetrics();
+}
+
+void WeightsRollout::endOverduePlaces(Clock::time_point now)
+{
+    std::vector<std::string> overdue;
+    for (const auto& [id, load] : this->loads) {
+        if (load.holdsPlace && now >= load.placeUntil)
+            overdue.push_back(id);
+    }
+    for (const auto& id : overdue)
+        this->onLoadFailed(
+            id, this->loads.at(id).isOrderPending() ? "its order is pending" : "its load takes too long");
+}
+
+/// The engines of @p model that have failed to load or have not, in as far as they load or may be ordered to now.
+/// @param count receives the number of all such engines
+std::vector<EngineState> WeightsRollout::statesOf(const std::string& model, bool haveFailed, size_t& count)
 {
     const auto now = Clock::now();
     std::vector<EngineState> states;
@@ -555,26 +616,51 @@
         const auto version = target->weightsOf(model);
         if (!version || !this->isServing(*target) || !this->directory.isEngine(target->registration))
             continue;
-        auto load = this->loads.find(id);
-        if (load != this->loads.end() && version >= load->second.version) {
-            this->recordLoadTime(load->second);
-            this->loads.erase(load);
-            load = this->loads.end();
-        }
-        const bool isLoading = load != this->loads.end();
-        const bool mayCall = this->mayCall(target->registration);
-        if (!isLoading && !mayCall)
+        const auto found = this->loads.find(id);
+        const auto load = found == this->loads.end() ? EngineLoad {} : found->second;
+        if (haveFailed != (load.failures > 0))
+            continue;
+        if (!load.holdsPlace && !this->mayCall(target->registration))
+            continue;
+        ++count;
+        if (!load.holdsPlace && (load.isCallInFlight || now < load.checkAt))
+            continue;
+        states.push_back({ id, target->registration.dataCentre, version, load.holdsPlace,
+            target->state->inFlight.load(std::memory_order_relaxed), load.isOrderPending(), load.failures });
+    }
+    return states;
+}
+
+void WeightsRollout::planModel(const std::string& model, uint64_t wanted)
+{
+    const auto now = Clock::now();
+    std::vector<directory::TargetPointer> due;
+    for (const auto& [id, target] : this->directory.targets()) {
+        const auto version = target->weightsOf(model);
+        const auto load = this->loads.find(id);
+        if (!version || load == this->loads.end() || !this->isServing(*target))
             continue;
-        if (isLoading && mayCall && !load->second.isCallInFlight && now >= load->second.checkAt)
-            this->queryReport(target, model, wanted);
-        states.push_back({ id, target->registration.dataCentre, version, isLoading,
-            target->state->inFlight.load(std::memory_order_relaxed), isLoading && load->second.isOrderPending() });
+        if (version >= load->second.version)
+            this->onLoadCompleted(id);
+        else if (load->second.holdsPlace && !load->second.isCallInFlight && now >= load->second.checkAt
+            && this->mayCall(target->registration))
+            due.push_back(target);
     }
+    for (const auto& target : due)
+        this->queryReport(target, model, wanted);
     const auto pace = this->pace(model, wanted);
-    const auto maxLoading = maxParallelLoads(states.size(), pace);
-    const auto maxPending = maxPendingOrders(states.size(), pace, this->oldestPendingOrder());
-    for (const auto& id : chooseNextLoads(states, wanted, maxLoading, maxPending))
-        this->queryReport(this->directory.targets().at(id), model, wanted);
+    // Places apart, so that engines that fail again and again leave those of the others alone, and those that return
+    // together do not all load at once.
+    for (const bool haveFailed : { false, true }) {
+        size_t count = 0;
+        const auto states = this->statesOf(model, haveFailed, count);
+        const auto maxLoading = maxParallelLoads(count, pace);
+        const auto maxPending = maxPendingOrders(count, pace, this->oldestPendingOrder());
+        for (const auto& id : chooseNextLoads(states, wanted, maxLoading, maxPending)) {
+            takePlace(this->loads[id], wanted, now + maxPlaceTime(this->loadTime, pace.timeToComplete));
+            this->queryReport(this->directory.targets().at(id), model, wanted);
+        }
+    }
 }
 
 void WeightsRollout::callEngine(const directory::Target& target, const http::Request& request,
@@ -604,10 +690,11 @@
     const auto& id = target->registration.id;
     auto& queried = this->loads[id];
     if (queried.version != version) {
-        // Orders that were not answered stay pending when a newer version is named.
-        const auto pendingSince = queried.orderedAt ? std::nullopt : queried.unansweredSince;
-        queried = Load {};
-        queried.unansweredSince = pendingSince;
+        // The place lasts as long as before, and orders that were not answered stay pending.
+        if (queried.orderedAt)
+            queried.unansweredSince.reset();
+        queried.orderedAt.reset();
+        queried.isBusy = false;
     }
     queried.version = version;
     queried.checkAt = Clock::now() + reportRetryInterval;
@@ -619,15 +706,20 @@
             if (load == this->loads.end())
                 return;
             load->second.isCallInFlight = false;
-            load->second.checkAt = Clock::now() + reportRetryInterval;
-            if (!head)
+            if (load->second.holdsPlace)
+                load->second.checkAt = Clock::now() + reportRetryInterval;
+            const auto report = head ? this->api.readReport(*head, body)
+                                     : Error { ErrorKind::TargetFailed, "no answer", Execution::NotRun, {} };
+            const auto* error = errorOf(report);
+            if (!error) {
+                this->onReport(target, model, version, std::get<EngineReport>(report));
                 return;
-            const auto report = this->api.readReport(*head, body);
-            if (const auto* error = errorOf(report))
+            }
+            if (head && !load->second.failures)
                 logChange(LogLevel::Warning, "invalid report from engine",
                     { { "target", target->registration.id }, { "reason", error->detail } });
-            else
-                this->onReport(target, model, version, std::get<EngineReport>(report));
+            if (!load->second.mayBeLoading())
+                this->onLoadFailed(target->registration.id, "no report");
         });
 }
 
@@ -638,17 +730,14 @@
     const auto running = report.weights.find(model);
     if (running != report.weights.end() && running->second >= version) {
         target->registration.weights[model] = running->second;
-        if (const auto load = this->loads.find(id); load != this->loads.end()) {
-            this->recordLoadTime(load->second);
-            this->loads.erase(load);
-        }
+        this->onLoadCompleted(id);
         this->scheduleRollout();
         return;
     }
-    if (const auto load = this->loads.find(id); load != this->loads.end())
-        load->second.isBusy = report.isBusy;
-    if (report.isBusy || !this->leadership.maySendOrders(BootClock::now()) || !this->mayCall(target->registration)
-        || !this->directory.isEngine(target->registration))
+    auto& load = this->loads.at(id);
+    load.isBusy = report.isBusy;
+    if (report.isBusy || !load.holdsPlace || !this->leadership.maySendOrders(BootClock::now())
+        || !this->mayCall(target->registration) || !this->directory.isEngine(target->registration))
         return;
     const auto token = this->leadership.current()->fencingToken;
     this->sendOrder(target, { id, model, version, this->settings.instance, token, report.ordersAccepted });
@@ -675,12 +764,14 @@
     if (load == this->loads.end())
         return;
     load->second.isCallInFlight = false;
-    if (outcome == OrderOutcome::Unknown && !load->second.unansweredSince)
-        load->second.unansweredSince = sentAt;
+    const auto pace = this->pace(order.model, order.version);
     switch (outcome) {
     case OrderOutcome::Accepted:
-        load->second.orderedAt = Clock::now();
-        load->second.checkAt = *load->second.orderedAt + loadCheckDelay;
+        if (!load->second.orderedAt) {
+            load->second.orderedAt = Clock::now();
+            load->second.placeUntil = Clock::now() + maxPlaceTime(this->loadTime, pace.timeToComplete);
+        }
+        load->second.checkAt = Clock::now() + loadCheckDelay;
         break;
     case OrderOutcome::AlreadyDone:
         target->registration.weights[order.model] = order.version;
@@ -689,13 +780,20 @@
     case OrderOutcome::Fenced:
         this->endLeadership("an engine has seen a newer fencing token");
         return;
+    case OrderOutcome::Unknown:
+        if (!load->second.unansweredSince) {
+            load->second.unansweredSince = sentAt;
+            load->second.placeUntil = std::max(load->second.placeUntil, pendingPlaceEnd(sentAt, pace.timeToComplete));
+        }
+        [[fallthrough]];
     case OrderOutcome::Busy:
     case OrderOutcome::Refused:
-    case OrderOutcome::Unknown:
         logChange(LogLevel::Warning, "order not accepted by engine",
             { { "target", order.targetId }, { "version", std::to_string(order.version) },
                 { "unknown", outcome == OrderOutcome::Unknown ? "yes" : "no" } });
         load->second.checkAt = Clock::now() + reportRetryInterval;
+        if (outcome == OrderOutcome::Refused && !load->second.mayBeLoading())
+            this->onLoadFailed(order.targetId, "it refuses the order");
         break;
     }
 }
@@ -709,6 +807,7 @@
     this->observationTimer.stop();
     const auto held = this->leadership.current();
     this->leadership.drop();
+    this->updateMetrics();
     if (!held) {
         done();
         return;
--- a/src/weights/WeightsRollout.h
+++ b/src/weights/WeightsRollout.h
@@ -10,6 +10,7 @@
 #include "observe/Metrics.h"
 #include "store/KeyValueStore.h"
 #include "weights/EngineApi.h"
+#include "weights/EngineLoad.h"
 #include "weights/LeaderLease.h"
 #include "weights/RolloutPlan.h"
 
@@ -73,22 +74,6 @@
     void stop(std::function<void()> done);
 
 private:
-    /// A load of new weights by one engine, from before its order is sent until the weights are seen.
-    struct Load {
-        uint64_t version = 0;
-        std::optional<Clock::time_point> orderedAt; ///< when an order was accepted
-        std::optional<Clock::time_point> unansweredSince; ///< when the first order that got no answer was sent
-        Deadline checkAt; ///< query the engine again if its new weights have not been seen by then
-        bool isCallInFlight = false; ///< a report query or an order is in flight
-        bool isBusy = false; ///< the engine's last report says that it carries out an order
-
-        /// Whether an order may be carried out later. The engine serves until then.
-        bool isOrderPending() const
-        {
-            return this->unansweredSince && !this->orderedAt && !this->isBusy;
-        }
-    };
-
     void acquireLeadership();
     void writeLeaderKey(int64_t lease, BootClock::time_point leaseRequestedAt);
     void renewLease();
@@ -144,12 +129,19 @@
     void callEngine(const directory::Target& target, const http::Request& request,
         std::function<void(const http::ResponseHead*, std::string_view)> done);
     bool isServing(const directory::Target& target) const;
+    bool isOutdated(const directory::Target& target) const;
     bool hasOutdatedEngines() const;
     void logTargetsLeftOut();
     RolloutPace pace(const std::string& model, uint64_t wanted) const;
-    /// Age of the oldest order that got no answer and has not been carried out yet.
+    /// Age of the oldest order that got no answer, has not been carried out yet and holds a place.
     std::chrono::milliseconds oldestPendingOrder() const;
-    void recordLoadTime(const Load& load);
+    std::vector<EngineState> statesOf(const std::string& model, bool haveFailed, size_t& count);
+    void endOverduePlaces(Clock::time_point now);
+    /// Ends the place of an engine that does not load, so that the others do not wait for it.
+    void onLoadFailed(const std::string& targetId, const char* reason);
+    void onLoadCompleted(const std::string& targetId);
+    void recordLoadTime(const EngineLoad& load);
+    void updateMetrics();
 
     RolloutSettings settings;
     store::WatchableStore& store;
@@ -162,7 +154,7 @@
     QTimer renewTimer;
     QTimer rolloutTimer;
     QTimer observationTimer; ///< runs while this instance leads
-    std::map<std::string, Load> loads; ///< by target id
+    std::map<std::string, EngineLoad> loads; ///< by target id: engines with a place, and those that failed to load
     std::set<std::string> leftOut; ///< ids of the targets that logTargetsLeftOut() has logged
     std::chrono::milliseconds loadTime; ///< moving average of the time from an order until its weights are seen
     /// By key below mayStillAnswerPrefix: when it may be written again, because it has expired or could not be written.
--- a/tests/RolloutTest.cpp
+++ b/tests/RolloutTest.cpp
@@ -19,6 +19,9 @@
 
 constexpr LeaderLeaseTimings timings { 300ms, 30ms };
 constexpr std::chrono::milliseconds loadTime { 100 };
+/// How long replaced weights may answer, and how long requests are sent to them.
+constexpr std::chrono::milliseconds weightsTime { 8000 };
+constexpr auto usableTime = weightsTime - directory::replacedWeightsMargin;
 
 enum class Behaviour {
     Loads,
@@ -109,7 +112,7 @@
     platform::EngineCodec api;
     observe::Metrics metrics;
     directory::Directory directory { 3s };
-    WeightsRollout rollout { { "entry-0", timings, 6s, 0.2 }, store, api, directory, metrics };
+    WeightsRollout rollout { { "entry-0", timings, weightsTime, 0.2 }, store, api, directory, metrics };
     std::map<std::string, std::unique_ptr<FakeEngine>> engines; ///< by id
 
     Rollout()
@@ -218,9 +221,141 @@
     Rollout site;
     directory::Directory unconfigured { 3s };
     FakeEngine engine("e", "engines", unconfigured);
-    WeightsRollout rollout { { "entry-0", timings, 6s, 0.2 }, site.store, site.api, unconfigured, site.metrics };
+    WeightsRollout rollout { { "entry-0", timings, weightsTime, 0.2 }, site.store, site.api, unconfigured,
+        site.metrics };
     unconfigured.setWantedWeights({ "m", 2 }, BootClock::now());
     rollout.applyLeaderKeyState(false);
     runFor(1500ms);
     cr_assert_eq(engine.reports, 0);
 }
+
+namespace {
+
+/// Two engines of seven behave like that in two roll-outs; the others must be loaded while replaced weights may answer.
+void expectOthersAreLoaded(Behaviour behaviour)
+{
+    Rollout site;
+    for (const auto* id : { "a-bad", "b-bad" })
+        site.add(id).behaviour = behaviour;
+    site.addSound(5);
+    for (const uint64_t version : { 2, 3 }) {
+        site.name(version);
+        cr_expect(site.isCompleted(version, usableTime), "version %d", static_cast<int>(version));
+    }
+}
+
+}
+
+// An engine that never loads held its place for ever, so that the others got no orders for the next weights.
+Test(rollout, enginesThatAnswerNoReportDoNotHoldUpTheOthers, .timeout = 40)
+{
+    expectOthersAreLoaded(Behaviour::AnswersNoReport);
+}
+
+Test(rollout, enginesThatAnswerNoOrderDoNotHoldUpTheOthers, .timeout = 40)
+{
+    expectOthersAreLoaded(Behaviour::AnswersNoOrder);
+}
+
+Test(rollout, enginesThatRefuseOrdersDoNotHoldUpTheOthers, .timeout = 40)
+{
+    expectOthersAreLoaded(Behaviour::RefusesOrders);
+}
+
+Test(rollout, enginesThatAcceptOrdersAndNeverLoadDoNotHoldUpTheOthers, .timeout = 40)
+{
+    expectOthersAreLoaded(Behaviour::AcceptsOnly);
+}
+
+Test(rollout, enginesThatStayBusyDoNotHoldUpTheOthers, .timeout = 40)
+{
+    expectOthersAreLoaded(Behaviour::StaysBusy);
+}
+
+// With two engines the bound of pending orders left the other one no place.
+Test(rollout, pendingOrderOfOneOfTwoEnginesDoesNotHoldUpTheOther, .timeout = 40)
+{
+    Rollout site;
+    site.add("a-bad").behaviour = Behaviour::AnswersNoOrder;
+    site.addSound(1);
+    site.name(2);
+    cr_assert(site.isCompleted(2, usableTime));
+}
+
+// The roll-out goes on without an engine that fails, and must not forget it.
+Test(rollout, engineThatFailedIsLoadedWhenItCanBeReachedAgain, .timeout = 40)
+{
+    for (const auto behaviour : { Behaviour::AnswersNoReport, Behaviour::AnswersNoOrder, Behaviour::RefusesOrders,
+             Behaviour::AcceptsOnly, Behaviour::StaysBusy }) {
+        Rollout site;
+        auto& failing = site.add("a-failing");
+        failing.behaviour = behaviour;
+        site.addSound(1);
+        site.name(2);
+        cr_assert(site.isCompleted(2, usableTime));
+        failing.behaviour = Behaviour::Loads;
+        cr_expect(waitUntil([&] { return failing.version() == 2; }, rolloutTime), "%d", static_cast<int>(behaviour));
+    }
+}
+
+// Engines that were lost together get their orders in turn when they return together: the others have to serve.
+Test(rollout, enginesThatReturnTogetherDoNotAllLoadAtOnce, .timeout = 40)
+{
+    Rollout site;
+    std::vector<FakeEngine*> lost;
+    for (int i = 0; i < 9; ++i)
+        lost.push_back(&site.add("lost-" + std::to_string(i)));
+    for (auto* each : lost)
+        each->behaviour = Behaviour::AnswersNoReport;
+    site.addSound(6);
+    site.name(2);
+    cr_assert(site.isCompleted(2, usableTime));
+    for (auto* each : lost)
+        each->behaviour = Behaviour::Loads;
+    ptrdiff_t most = 0;
+    cr_assert(waitUntil(
+        [&] {
+            most = std::max(most, std::ranges::count_if(lost, [](const auto* each) { return each->isLoading; }));
+            return std::ranges::all_of(lost, [](const auto* each) { return each->version() == 2; });
+        },
+        10s));
+    cr_assert_leq(most, 6, "%d of 15 loaded at once, four tenths may", static_cast<int>(most));
+}
+
+// The leader asked an engine that it cannot reach several times a second, for ever.
+Test(rollout, engineThatIsNotReachedIsAskedRarely, .timeout = 40)
+{
+    Rollout site;
+    auto& lost = site.add("a-lost");
+    lost.behaviour = Behaviour::AnswersNoReport;
+    site.addSound(1);
+    site.name(2);
+    cr_assert(site.isCompleted(2, usableTime));
+    runFor(4s);
+    const auto before = lost.reports;
+    runFor(8s);
+    cr_assert_leq(lost.reports - before, 4, "%d in 8 s", lost.reports - before);
+    cr_assert_eq(site.metrics.outdatedEngines.Value(), 1);
+    cr_assert_eq(site.metrics.enginesNotLoading.Value(), 1);
+}
+
+Test(engineLoad, placeEndsInTimeForOthersToFollow)
+{
+    cr_expect_eq(maxPlaceTime(1500ms, 13s), 4500ms);
+    cr_expect_eq(maxPlaceTime(2800ms, 13s), 6500ms, "half of the time to complete");
+    cr_expect_eq(maxPlaceTime(2800ms, 1ms), 2800ms, "an average load has to fit");
+    const auto now = Clock::now();
+    cr_expect_eq(pendingPlaceEnd(now, 13s), now + 6500ms);
+    EngineLoad load;
+    takePlace(load, 2, now + 4s);
+    auto last = 0ms;
+    for (int i = 0; i < 5; ++i) {
+        releasePlace(load, now);
+        const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(load.checkAt - now);
+        cr_expect(delay >= last && delay <= 2s);
+        last = delay;
+        cr_expect_not(load.holdsPlace);
+        takePlace(load, 2, now + 4s);
+    }
+    cr_expect_eq(load.failures, 5);
+}
