Rollout tests: the bound of engines that return together is tight enough to fail

The mutation rollout-failed-engines-together stayed green: loads of 0.1 s end before the next engine is asked. With 15 lost engines of 21 and loads of 2 s the bound (four tenths) shows it.

--- a/tests/RolloutTest.cpp
+++ b/tests/RolloutTest.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr LeaderLeaseTimings timings { 300ms, 30ms };
-constexpr std::chrono::milliseconds loadTime { 100 };
 /// How long replaced weights may answer, and how long requests are sent to them.
 constexpr std::chrono::milliseconds weightsTime { 8000 };
 constexpr auto usableTime = weightsTime - directory::replacedWeightsMargin;
@@ -58,6 +57,7 @@
     }
 
     Behaviour behaviour = Behaviour::Loads;
+    std::chrono::milliseconds loadTime { 100 };
     int reports = 0; ///< queries for a report
     int orders = 0;
     bool isLoading = false;
@@ -94,7 +94,7 @@
             return;
         this->isLoading = true;
         const auto wanted = this->directory.wantedWeights("m");
-        QTimer::singleShot(loadTime, &this->timers, [this, wanted] {
+        QTimer::singleShot(this->loadTime, &this->timers, [this, wanted] {
             this->isLoading = false;
             this->registration.weights["m"] = wanted;
             this->show();
@@ -303,10 +303,12 @@
 {
     Rollout site;
     std::vector<FakeEngine*> lost;
-    for (int i = 0; i < 9; ++i)
+    for (int i = 0; i < 15; ++i)
         lost.push_back(&site.add("lost-" + std::to_string(i)));
-    for (auto* each : lost)
+    for (auto* each : lost) {
         each->behaviour = Behaviour::AnswersNoReport;
+        each->loadTime = 2s; // as long as it may take until all have been asked again
+    }
     site.addSound(6);
     site.name(2);
     cr_assert(site.isCompleted(2, usableTime));
@@ -318,8 +320,8 @@
             most = std::max(most, std::ranges::count_if(lost, [](const auto* each) { return each->isLoading; }));
             return std::ranges::all_of(lost, [](const auto* each) { return each->version() == 2; });
         },
-        10s));
-    cr_assert_leq(most, 6, "%d of 15 loaded at once, four tenths may", static_cast<int>(most));
+        20s));
+    cr_assert_leq(most, 8, "%d of 21 loaded at once, four tenths may", static_cast<int>(most));
 }
 
 // The leader asked an engine that it cannot reach several times a second, for ever.
