HTTP client: a reset that a write of the request meets is no orderly end of the answer

Cause: a notifier told a reset from an orderly close. If a write of the request is the first to meet the reset, the socket discards what it received and closes its descriptor before the notifier can fire, and the end passed for orderly. A whole refusal that had arrived and was not read yet was lost the same way.

Change: the connection writes its request itself. A failed write is remembered; what was received is read first, and the end after it is not orderly. A connection whose answer is whole before its request is written is closed instead of kept.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -214,15 +214,39 @@
     }
     this->sent = true;
     ++this->requestsWritten;
-    this->socket.write(this->outgoing.data(), static_cast<qint64>(this->outgoing.size()));
-    this->socket.flush(); // not only when the event loop gets to it
-    this->outgoing.clear();
+    this->written = 0;
+    this->writeMore();
     this->armTimer();
     const auto handlers = this->events;
     if (handlers && handlers->onSent)
         handlers->onSent();
 }
 
+/// Writes as much of the request as the system takes, in one call, so that a long one leaves time for other events.
+void ClientConnection::writeMore()
+{
+    const auto rest = std::string_view(this->outgoing).substr(this->written);
+    const auto count = ::send(
+        static_cast<int>(this->socket.socketDescriptor()), rest.data(), rest.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (count >= 0)
+        this->written += static_cast<size_t>(count);
+    else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+        this->hasWriteFailed = true; // the end of the connection is read after what was received before it
+    if (this->hasWriteFailed || this->written == this->outgoing.size()) {
+        this->outgoing = {};
+        this->written = 0;
+        if (this->writeNotifier)
+            this->writeNotifier->setEnabled(false);
+        return;
+    }
+    if (this->writeNotifier) {
+        this->writeNotifier->setEnabled(true);
+        return;
+    }
+    this->writeNotifier = std::make_unique<QSocketNotifier>(this->socket.socketDescriptor(), QSocketNotifier::Write);
+    connect(this->writeNotifier.get(), &QSocketNotifier::activated, this, &ClientConnection::writeMore);
+}
+
 void ClientConnection::readMore()
 {
     if (!this->number) {
@@ -303,8 +327,10 @@
 
 void ClientConnection::complete()
 {
-    const bool keep = !this->closesAfterAnswer && this->parser->keep_alive() && this->unparsed.empty()
-        && !this->socket.bytesAvailable() && this->socket.state() == QAbstractSocket::ConnectedState;
+    // The rest of a request whose answer came early is not written before the next one.
+    const bool keep = this->outgoing.empty() && !this->hasWriteFailed && !this->closesAfterAnswer
+        && this->parser->keep_alive() && this->unparsed.empty() && !this->socket.bytesAvailable()
+        && this->socket.state() == QAbstractSocket::ConnectedState;
     const auto finished = std::exchange(this->events, nullptr);
     this->becameIdle = Clock::now();
     this->idleDeadline = idleDeadlineFrom(this->parser->head, this->becameIdle);
@@ -320,6 +346,7 @@
 
 void ClientConnection::onDisconnected()
 {
+    this->writeNotifier.reset(); // its descriptor is closed
     if (!this->number) {
         this->close();
         return;
@@ -342,7 +369,9 @@
     if (this->headReported && this->parser->head.endsWithConnection)
         this->completeAtEndOfStream();
     else if (this->sent)
-        this->fail(CallFailureKind::Closed, "the connection was closed before the answer was complete");
+        this->fail(CallFailureKind::Closed,
+            this->hasWriteFailed ? "the connection was reset while the request was written"
+                                 : "the connection was closed before the answer was complete");
     else
         this->fail(CallFailureKind::ConnectFailed, this->socket.errorString().toStdString());
 }
@@ -361,10 +390,13 @@
 void ClientConnection::completeAtEndOfStream()
 {
     boost::beast::error_code failure;
-    if (!this->wasReset)
+    const bool isOrderly = !this->wasReset && !this->hasWriteFailed;
+    if (isOrderly)
         this->parser->put_eof(failure);
-    if (this->wasReset || failure)
-        this->fail(CallFailureKind::Closed, "the connection was reset before the answer was complete");
+    if (!isOrderly || failure)
+        this->fail(CallFailureKind::Closed,
+            this->hasWriteFailed ? "the connection was reset while the request was written, within the answer"
+                                 : "the connection was reset before the answer was complete");
     else
         this->complete();
 }
@@ -454,6 +486,7 @@
     this->events.reset();
     this->timer.stop();
     this->resetNotifier.reset();
+    this->writeNotifier.reset();
     this->pool->removeIdle(this);
     this->socket.disconnect(this);
     discardUndelivered(this->socket);
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -107,6 +107,7 @@
     void onConnected();
     void readTunnelAnswer();
     void writeRequest();
+    void writeMore();
     void prepareParser();
     bool skipInterimAnswer();
     void readMore();
@@ -136,6 +137,13 @@
     Deadline connectDeadline;
     uint64_t number = 0; ///< number of the current call; zero while idle
     std::string outgoing; ///< the serialized request until it is written
+    size_t written = 0; ///< bytes of outgoing
+    /// Enabled while the system takes no more of the request. The socket's own buffer is not used for it: the socket
+    /// answers a failed write by discarding what has been received.
+    std::unique_ptr<QSocketNotifier> writeNotifier;
+    /// A write failed, so the connection was reset, or given up by the system. What was received can still be read; its
+    /// end then looks orderly.
+    bool hasWriteFailed = false;
     std::string unparsed; ///< received bytes that the parser has not consumed
     std::unique_ptr<internal::ResponseParser> parser;
     std::shared_ptr<CallEvents> events; ///< shared, so that a callback may cancel its own call
--- a/tests/ClientAnswerTest.cpp
+++ b/tests/ClientAnswerTest.cpp
@@ -5,11 +5,17 @@
 #include "tests/support/RawServer.h"
 
 #include <QCoreApplication>
+#include <QSocketNotifier>
 #include <QTimer>
+#include <array>
+#include <atomic>
 #include <criterion/criterion.h>
+#include <netinet/in.h>
 #include <optional>
 #include <sstream>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace testing;
 using namespace dragonfly;
@@ -387,3 +393,156 @@
         cr_assert_not(failure->requestSent);
     }
 }
+
+namespace {
+
+/// A target that reads an upload, answers in the midst of it and resets the connection, each when it is told to.
+class ResettingTarget {
+public:
+    explicit ResettingTarget(std::string answer)
+        : listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        require(!::bind(this->listener, reinterpret_cast<sockaddr*>(&address), length) && !::listen(this->listener, 1)
+                && !::getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &length),
+            "the target cannot listen");
+        this->endpoint = { "127.0.0.1", ntohs(address.sin_port) };
+        this->thread = std::jthread([this, text = std::move(answer)] { this->run(text); });
+    }
+    ~ResettingTarget()
+    {
+        this->mayAnswer = this->mayReset = true;
+        this->thread.join();
+        ::close(this->listener);
+    }
+
+    Endpoint endpoint;
+    std::atomic<size_t> received = 0;
+    std::atomic<bool> mayAnswer = false;
+    std::atomic<bool> mayReset = false;
+    std::atomic<bool> hasReset = false;
+    std::atomic<bool> hasEnded = false; ///< the caller closed the connection
+
+private:
+    void run(const std::string& answer)
+    {
+        const int connection = ::accept(this->listener, nullptr, nullptr);
+        this->readUntil(connection, this->mayAnswer);
+        ::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+        this->readUntil(connection, this->mayReset);
+        const linger immediately { 1, 0 };
+        ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+        ::close(connection);
+        this->hasReset = true;
+    }
+
+    void readUntil(int connection, const std::atomic<bool>& isTold)
+    {
+        std::array<char, 16 << 10> bytes {};
+        while (!isTold) {
+            const auto count = ::recv(connection, bytes.data(), bytes.size(), MSG_DONTWAIT);
+            this->received += count > 0 ? static_cast<size_t>(count) : 0;
+            const bool isEnd = !count || (count < 0 && errno != EAGAIN);
+            this->hasEnded = this->hasEnded || isEnd;
+        }
+    }
+
+    int listener;
+    std::jthread thread;
+};
+
+enum class AnswerRead {
+    BeforeTheReset,
+    AfterTheReset,
+};
+
+/// Calls a target that answers in the midst of an upload and resets the connection. The event loop is kept from turning
+/// while the target does the last of it, at a time when it has found that more of the request can be written, so that
+/// in most cases a write is the first to meet the reset.
+Outcome callWithUploadThatMeetsAReset(const std::string& answer, AnswerRead read)
+{
+    ensureApplication();
+    constexpr size_t uploadBytes = 64u << 20;
+    constexpr size_t bytesBeforeTheAnswer = 4u << 20;
+    ResettingTarget target(answer);
+    Outcome outcome;
+    int ends[2];
+    require(!::pipe(ends) && ::write(ends[1], "x", 1) == 1, "no pipe");
+    QSocketNotifier alwaysReady(ends[0], QSocketNotifier::Read);
+    QObject::connect(&alwaysReady, &QSocketNotifier::activated, [&] {
+        if (target.received < bytesBeforeTheAnswer || target.hasReset)
+            return;
+        target.mayAnswer = true;
+        if (read == AnswerRead::BeforeTheReset && outcome.body.empty())
+            return;
+        target.mayReset = true;
+        while (!target.hasReset)
+            std::this_thread::yield();
+    });
+    http::ClientPool pool;
+    http::CallEvents events;
+    events.onHead = [&](const http::ResponseHead& head) { outcome.status = head.status; };
+    events.onBody = [&](std::string_view bytes) { outcome.body.append(bytes); };
+    events.onComplete = [&] { outcome.ended = outcome.complete = true; };
+    events.onFailure = [&](const http::CallFailure& failure) {
+        outcome.ended = true;
+        outcome.failure = failure;
+    };
+    const auto now = Clock::now();
+    pool.send(target.endpoint, { "POST", "/", {}, std::string(uploadBytes, 'u') }, { now + 5s, now + 5s }, events);
+    waitUntil([&] { return outcome.ended; }, 6s);
+    ::close(ends[0]);
+    ::close(ends[1]);
+    return outcome;
+}
+
+constexpr int uploads = 20;
+constexpr const char* refusalOfAnUpload = "HTTP/1.1 413 Too Large\r\nContent-Length: 5\r\n\r\nhello";
+
+}
+
+// A part of an answer without a length was passed on as whole when a write of the request was the first to meet the
+// reset.
+Test(clientAnswer, withoutLengthIsIncompleteWhenAWriteOfTheRequestMeetsTheReset, .timeout = 120)
+{
+    for (int i = 0; i < uploads; ++i) {
+        const auto outcome = callWithUploadThatMeetsAReset(answerWithoutLength, AnswerRead::BeforeTheReset);
+        cr_assert(outcome.ended);
+        cr_assert_eq(outcome.body, "hello");
+        cr_expect_not(outcome.complete, "upload %d", i);
+    }
+}
+
+// A whole answer was lost when a write of the request met the reset after it before the answer was read.
+Test(clientAnswer, withLengthIsWholeWhenAWriteOfTheRequestMeetsTheResetAfterIt, .timeout = 120)
+{
+    for (int i = 0; i < uploads; ++i) {
+        const auto outcome = callWithUploadThatMeetsAReset(refusalOfAnUpload, AnswerRead::AfterTheReset);
+        cr_assert(outcome.ended);
+        cr_expect(outcome.complete, "upload %d: %s", i, outcome.failure ? outcome.failure->detail.c_str() : "");
+        cr_expect_eq(outcome.body, "hello");
+    }
+}
+
+// The next request waited behind the rest of an upload whose answer was whole.
+Test(clientAnswer, connectionIsClosedIfItsAnswerIsWholeBeforeItsRequestIsWritten, .timeout = 30)
+{
+    ensureApplication();
+    ResettingTarget target(refusalOfAnUpload);
+    http::ClientPool pool;
+    bool isComplete = false;
+    http::CallEvents events;
+    events.onComplete = [&] { isComplete = true; };
+    events.onFailure = [](const http::CallFailure& failure) { cr_assert_fail("%s", failure.detail.c_str()); };
+    const auto now = Clock::now();
+    const std::string upload(256u << 20, 'u');
+    pool.send(target.endpoint, { "POST", "/", {}, upload }, { now + 5s, now + 5s }, events);
+    require(waitUntil([&] { return target.received > 0; }, 5s), "no upload");
+    target.mayAnswer = true;
+    cr_assert(waitUntil([&] { return isComplete; }, 5s));
+    cr_assert(waitUntil([&] { return target.hasEnded.load(); }, 1s));
+    cr_assert_lt(target.received, upload.size());
+}
