HTTP client: a head with an invalid status or an unknown transfer coding is no answer

Cause: the parser reads any three digits and any coding, and nobody asked what they mean. The answer to a request for a tunnel opened one if it began with "HTTP/1.1 200".

Change: problemOf() checks each head in the client, before it is reported or skipped; such a call fails as malformed, as bytes that are no answer do. A tunnel opens on a whole head only.

Evidence: headThatIsNoAnswerFailsAsMalformed failed before (each of its 28 heads with such a status and each of its 7 codings), headsThatOnlyBeginLikeAnOpenTunnelOpenNone too (3 of 4). Heads with any one byte changed, and 20,000 with several, are taken only if a check of the tests' own allows them; the names that the users saw held before. ClientAnswerTest 24 of 24, TargetPathsTest 15 of 15.

No record and no message changed.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -23,6 +23,11 @@
 
     /// Interim answers (1xx) accepted before the final answer.
     constexpr int maxInterimAnswers = 8;
+    /// RFC 9110, section 15: lower and higher ones are invalid, and those below firstFinalStatus precede an answer.
+    constexpr int lowestStatus = 100;
+    constexpr int firstFinalStatus = 200;
+    constexpr int highestStatus = 599;
+    constexpr int statusSwitchingProtocols = 101; ///< only in answer to a request to switch, which is never sent
     /// Subtracted from the target's idle timeout, so that no request is on its way when the target closes.
     constexpr std::chrono::milliseconds idleMargin { 700 };
 
@@ -63,6 +68,11 @@
         ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
     }
 
+    bool isChunked(std::string_view transferEncoding)
+    {
+        return boost::beast::iequals({ transferEncoding.data(), transferEncoding.size() }, "chunked");
+    }
+
     std::string serialize(const Endpoint& endpoint, const Request& request)
     {
         std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
@@ -80,6 +90,23 @@
 
 }
 
+namespace internal {
+
+    std::optional<std::string_view> problemOf(const ResponseParser& parser)
+    {
+        const auto& head = parser.head;
+        if (head.status < lowestStatus || head.status > highestStatus || head.status == statusSwitchingProtocols)
+            return "a status that no answer has";
+        for (const auto& field : head.headers) {
+            // A coding that is not known hides where the body ends (RFC 9112, section 6.3). None was asked for.
+            if (beast::string_to_field(field.name) == beast::field::transfer_encoding && !isChunked(field.value))
+                return "an unknown transfer coding";
+        }
+        return std::nullopt;
+    }
+
+}
+
 ClientConnection::ClientConnection(ClientPool* pool, Endpoint endpoint, std::optional<Endpoint> via)
     : QObject(pool)
     , pool(pool)
@@ -145,10 +172,7 @@
 /// that of an interim answer.
 bool ClientConnection::skipInterimAnswer()
 {
-    constexpr int firstFinalStatus = 200;
-    constexpr int switchingProtocols = 101;
-    const auto status = this->parser->head.status;
-    if (!this->parser->headComplete || status >= firstFinalStatus || status == switchingProtocols)
+    if (!this->parser->headComplete || this->parser->head.status >= firstFinalStatus)
         return false;
     ++this->interimAnswers;
     this->prepareParser();
@@ -177,10 +201,10 @@
     if (!this->tunnelHead.ends_with("\r\n\r\n") && this->tunnelHead.size() < maxTunnelHeadBytes)
         return;
     int status = 0;
-    if (this->tunnelHead.starts_with(version))
-        std::from_chars(this->tunnelHead.data() + version.size(),
-            this->tunnelHead.data() + std::min(version.size() + statusDigits, this->tunnelHead.size()), status);
-    if (status != statusOpen) {
+    const auto statusText = std::string_view(this->tunnelHead).substr(0, version.size() + statusDigits + 1);
+    if (statusText.starts_with(version) && statusText.ends_with(' '))
+        std::from_chars(statusText.data() + version.size(), statusText.data() + statusText.size() - 1, status);
+    if (status != statusOpen || !this->tunnelHead.ends_with("\r\n\r\n")) {
         this->tunnelStatus = status;
         this->fail(CallFailureKind::ConnectFailed, "no path through " + this->via->toString());
         return;
@@ -281,6 +305,12 @@
             this->fail(CallFailureKind::Malformed, failure.message());
             return;
         }
+        if (this->parser->headComplete && !this->headReported) {
+            if (const auto problem = internal::problemOf(*this->parser)) {
+                this->fail(CallFailureKind::Malformed, std::string(*problem));
+                return;
+            }
+        }
         if (this->skipInterimAnswer()) {
             if (this->interimAnswers <= maxInterimAnswers)
                 continue;
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -59,6 +59,9 @@
         }
     };
 
+    /// Why the head that @p parser has completed is none of an answer, though it could be parsed; nothing if it is one.
+    std::optional<std::string_view> problemOf(const ResponseParser& parser);
+
 }
 
 class ClientConnection : public QObject {
--- a/tests/ClientAnswerTest.cpp
+++ b/tests/ClientAnswerTest.cpp
@@ -1,5 +1,6 @@
 // The HTTP client with answers that are delimited, interrupted or delayed in every way that a target can.
 
+#include "http/ClientConnection.h"
 #include "http/Http.h"
 #include "tests/support/Process.h"
 #include "tests/support/RawServer.h"
@@ -9,9 +10,11 @@
 #include <QTimer>
 #include <array>
 #include <atomic>
+#include <boost/asio/buffer.hpp>
 #include <criterion/criterion.h>
 #include <netinet/in.h>
 #include <optional>
+#include <random>
 #include <sstream>
 #include <sys/socket.h>
 #include <thread>
@@ -546,3 +549,151 @@
     cr_assert(waitUntil([&] { return target.hasEnded.load(); }, 1s));
     cr_assert_lt(target.received, upload.size());
 }
+
+// Heads with such a status, or with a coding that hides the end of the body, were passed on as answers.
+Test(clientAnswer, headThatIsNoAnswerFailsAsMalformed, .timeout = 60)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for (const auto* status : { "000", "001", "099", "101", "600", "700", "999" }) {
+        const auto line = "HTTP/1.1 " + std::string(status) + " Status\r\n";
+        for (const auto& bytes : { line + "\r\nok", line + "Content-Length: 2\r\n\r\nok", line + "\r\n" + answer,
+                 "HTTP/1.1 100 Continue\r\n\r\n" + line + "Content-Length: 2\r\n\r\nok" }) {
+            const RawServer server({ { bytes, Ending::Close } });
+            const auto outcome = call(server);
+            cr_expect(
+                outcome.failure && outcome.failure->kind == http::CallFailureKind::Malformed, "%s", bytes.c_str());
+            cr_expect_eq(outcome.status, 0, "%s", bytes.c_str());
+        }
+    }
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    for (const auto* fields : { "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n",
+             "Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked, gzip\r\n", "Transfer-Encoding: \r\n",
+             "Transfer-Encoding: identity\r\n", "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" }) {
+        const RawServer server({ { head + fields + "\r\nok", Ending::Close } });
+        const auto outcome = call(server);
+        cr_expect(outcome.failure.has_value() && !outcome.complete, "%s", fields);
+        cr_expect_eq(outcome.status, 0, "%s", fields);
+    }
+}
+
+namespace {
+
+bool isToken(std::string_view text)
+{
+    return !text.empty() && std::ranges::all_of(text, [](unsigned char c) {
+        return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+            || (c && std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(c)) != std::string_view::npos);
+    });
+}
+
+bool isText(std::string_view text)
+{
+    return std::ranges::all_of(text, [](unsigned char c) { return c == '\t' || (c >= ' ' && c != 127); });
+}
+
+/// Whether RFC 9110 and 9112 allow @p head as that of an answer of HTTP/1, its last empty line included. Written apart
+/// from the parser.
+bool isHeadOfAnAnswer(std::string_view head)
+{
+    std::vector<std::string_view> lines;
+    for (size_t at = 0; at < head.size();) {
+        const auto end = head.find("\r\n", at);
+        if (end == std::string_view::npos)
+            return false;
+        lines.push_back(head.substr(at, end - at));
+        at = end + 2;
+    }
+    if (lines.size() < 2 || !lines.back().empty())
+        return false;
+    const auto status = lines.front();
+    const auto isDigit = [&](size_t at) { return status[at] >= '0' && status[at] <= '9'; };
+    const bool isLine = status.size() >= 12 && (status.starts_with("HTTP/1.1 ") || status.starts_with("HTTP/1.0 "))
+        && isDigit(9) && isDigit(10) && isDigit(11) && (status.size() == 12 || status[12] == ' ') && isText(status);
+    if (!isLine || status[9] < '1' || status[9] > '5' || status.substr(9, 3) == "101")
+        return false;
+    for (size_t i = 1; i + 1 < lines.size(); ++i) {
+        const auto line = lines[i];
+        if (i > 1 && (line.starts_with(' ') || line.starts_with('\t'))) {
+            if (!isText(line))
+                return false;
+            continue; // a value on several lines
+        }
+        const auto colon = line.find(':');
+        if (colon == std::string_view::npos || !isToken(line.substr(0, colon)) || !isText(line.substr(colon + 1)))
+            return false;
+    }
+    return true;
+}
+
+/// Whether the client takes @p head for one of an answer.
+bool isTaken(const std::string& head)
+{
+    http::internal::ResponseParser parser;
+    boost::beast::error_code failure;
+    auto rest = head;
+    while (!rest.empty() && !parser.headComplete) {
+        const auto used = parser.put(boost::asio::buffer(rest), failure);
+        rest.erase(0, used);
+        if (failure || !used)
+            break;
+    }
+    return parser.headComplete && (!failure || failure == boost::beast::http::error::need_more)
+        && !http::internal::problemOf(parser);
+}
+
+const std::string soundHead = "HTTP/1.1 200 OK\r\nX-Name: a value\r\nX-Other: b\r\nContent-Length: 5\r\n\r\n";
+
+}
+
+// An answer in whose head the name of a field held a blank or a control byte reached the client.
+Test(clientAnswer, headWithAnyOneByteChangedIsTakenOnlyIfItIsAnAnswer)
+{
+    cr_assert(isTaken(soundHead) && isHeadOfAnAnswer(soundHead));
+    int taken = 0;
+    for (size_t at = 0; at < soundHead.size(); ++at) {
+        for (int value = 0; value < 256; ++value) {
+            for (const bool isInserted : { false, true }) {
+                auto head = soundHead;
+                if (isInserted)
+                    head.insert(at, 1, static_cast<char>(value));
+                else
+                    head[at] = static_cast<char>(value);
+                if (!isTaken(head))
+                    continue;
+                ++taken;
+                // The head may end earlier than the bytes.
+                cr_expect(isHeadOfAnAnswer(head.substr(0, head.find("\r\n\r\n") + 4)), "byte %d at %zu%s", value, at,
+                    isInserted ? ", inserted" : "");
+            }
+        }
+    }
+    cr_expect_gt(taken, 1000, "names and values may hold most bytes");
+}
+
+Test(clientAnswer, headWithSeveralBytesChangedIsTakenOnlyIfItIsAnAnswer)
+{
+    const std::string bytes("\0\t\r\n :;,\x01\x1f\x7f\x80\xff"
+                            "0129aZ-_",
+        23);
+    for (uint32_t seed = 1; seed <= 20000; ++seed) {
+        std::mt19937 random(seed);
+        const auto below
+            = [&random](size_t bound) { return std::uniform_int_distribution<size_t>(0, bound - 1)(random); };
+        auto head = soundHead;
+        for (auto changes = 1 + below(4); changes; --changes) {
+            const auto at = below(head.size());
+            switch (below(3)) {
+            case 0:
+                head[at] = bytes[below(bytes.size())];
+                break;
+            case 1:
+                head.insert(at, 1, bytes[below(bytes.size())]);
+                break;
+            default:
+                head.erase(at, 1 + below(3));
+            }
+        }
+        if (isTaken(head))
+            cr_expect(isHeadOfAnAnswer(head.substr(0, head.find("\r\n\r\n") + 4)), "seed %u", seed);
+    }
+}
--- a/tests/TargetPathsTest.cpp
+++ b/tests/TargetPathsTest.cpp
@@ -323,3 +323,15 @@
         cr_expect(!received.startsWith("HTTP/1.1 200"), "%s", received.constData());
     }
 }
+
+// Whatever began like the answer of an instance opened a tunnel, so that a request was written to some other process.
+Test(tunnel, headsThatOnlyBeginLikeAnOpenTunnelOpenNone, .timeout = 20)
+{
+    for (const auto& head : { std::string("HTTP/1.1 2000 OK\r\n\r\n"), std::string("HTTP/1.1 200x\r\n\r\n"),
+             "HTTP/1.1 200 OK\r\nX: " + std::string(400, 'x'), std::string("HTTP/1.1 20\r\n\r\n") }) {
+        const Application application;
+        const RawServer elsewhere({ { head, Ending::KeepOpen } });
+        const auto outcome = callThrough(first, elsewhere.address());
+        cr_expect(outcome.failure && !outcome.failure->requestSent, "%s", head.substr(0, 20).c_str());
+    }
+}
