Weights: an engine that sends no first report lets the others go before after 0.3 s

RolloutTest rollout/enginesThatReturnTogetherDoNotAllLoadAtOnce failed once in a run of all tests beside a build: the six sound engines of 21 were not loaded within 6 s, when replaced weights end. Traced: the 15 lost ones take the places in turn, each for the 0.8 s of a call; 5.9 to 6.0 s in three single runs. So the bound was right, and the others waited for engines that are lost.

--- a/src/weights/EngineLoad.h
+++ b/src/weights/EngineLoad.h
@@ -19,6 +19,7 @@
     Deadline checkAt; ///< the next call to the engine is made then
     bool isCallInFlight = false; ///< a report query or an order is in flight
     bool isBusy = false; ///< the engine's last report says that it carries out an order
+    bool hasReported = false; ///< since it took its place
     bool holdsPlace = false;
     Deadline placeUntil; ///< the end of the place, if it holds one
     uint32_t failures = 0; ///< places that ended without the weights, since the engine last had the wanted ones
@@ -40,6 +41,9 @@
 /// @param timeToComplete from the first order until no replaced weights may answer
 std::chrono::milliseconds maxPlaceTime(std::chrono::milliseconds loadTime, std::chrono::milliseconds timeToComplete);
 
+/// The same for an engine until its first report.
+std::chrono::milliseconds maxTimeToReport(const EngineLoad& load, std::chrono::milliseconds placeTime);
+
 /// Until when an engine holds a place with an order that was sent at @p sentAt and not answered. It serves meanwhile.
 Deadline pendingPlaceEnd(Clock::time_point sentAt, std::chrono::milliseconds timeToComplete);
 
--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -601,9 +601,11 @@
         if (load.holdsPlace && now >= load.placeUntil)
             overdue.push_back(id);
     }
-    for (const auto& id : overdue)
-        this->onLoadFailed(
-            id, this->loads.at(id).isOrderPending() ? "its order is pending" : "its load takes too long");
+    for (const auto& id : overdue) {
+        const auto& load = this->loads.at(id);
+        const auto* waitsFor = load.isOrderPending() ? "its order is pending" : "its load takes too long";
+        this->onLoadFailed(id, load.hasReported ? waitsFor : "no report");
+    }
 }
 
 /// The engines of @p model that have failed to load or have not, in as far as they load or may be ordered to now.
@@ -657,7 +659,8 @@
         const auto maxLoading = maxParallelLoads(count, pace);
         const auto maxPending = maxPendingOrders(count, pace, this->oldestPendingOrder());
         for (const auto& id : chooseNextLoads(states, wanted, maxLoading, maxPending)) {
-            takePlace(this->loads[id], wanted, now + maxPlaceTime(this->loadTime, pace.timeToComplete));
+            auto& load = this->loads[id];
+            takePlace(load, wanted, now + maxTimeToReport(load, maxPlaceTime(this->loadTime, pace.timeToComplete)));
             this->queryReport(this->directory.targets().at(id), model, wanted);
         }
     }
@@ -736,6 +739,8 @@
     }
     auto& load = this->loads.at(id);
     load.isBusy = report.isBusy;
+    if (!std::exchange(load.hasReported, true))
+        load.placeUntil = Clock::now() + maxPlaceTime(this->loadTime, this->pace(model, version).timeToComplete);
     if (report.isBusy || !load.holdsPlace || !this->leadership.maySendOrders(BootClock::now())
         || !this->mayCall(target->registration) || !this->directory.isEngine(target->registration))
         return;
--- a/tests/RolloutTest.cpp
+++ b/tests/RolloutTest.cpp
@@ -349,6 +349,10 @@
     const auto now = Clock::now();
     cr_expect_eq(pendingPlaceEnd(now, 13s), now + 6500ms);
     EngineLoad load;
+    cr_expect_eq(maxTimeToReport(load, 4500ms), 300ms);
+    load.failures = 1;
+    cr_expect_eq(maxTimeToReport(load, 4500ms), 4500ms);
+    load.failures = 0;
     takePlace(load, 2, now + 4s);
     auto last = 0ms;
     for (int i = 0; i < 5; ++i) {
