--- a/tests/ClientAnswerTest.cpp
+++ b/tests/ClientAnswerTest.cpp
@@ -23,6 +23,7 @@
 using namespace testing;
 using namespace dragonfly;
 using namespace std::chrono_literals;
+using namespace std::string_view_literals;
 
 namespace {
 
@@ -672,9 +673,8 @@
 
 Test(clientAnswer, headWithSeveralBytesChangedIsTakenOnlyIfItIsAnAnswer)
 {
-    const std::string bytes("\0\t\r\n :;,\x01\x1f\x7f\x80\xff"
-                            "0129aZ-_",
-        23);
+    constexpr std::string_view bytes = "\0\t\r\n :;,\x01\x1f\x7f\x80\xff"
+                                       "0129aZ-_"sv;
     for (uint32_t seed = 1; seed <= 20000; ++seed) {
         std::mt19937 random(seed);
         const auto below
