Weights: the load of one model is not taken for that of another

What was seen (unit test): four engines run two models, weights of both are named; one model is loaded and the other is not within the 6 s in which its replaced weights may be used.

Cause: a load was kept by engine with a version and without its model, so the versions of two models were compared.

Change: EngineLoad names its model; steps, reports and answers to orders concern that model only, and an engine that loads one waits with the next.

Evidence: rollout/enginesOfSeveralModelsLoadEachOfThem failed on and on (three of four engines got one order of two), passes. An entry that is overwritten by turns held before and has a test now.

--- a/src/weights/EngineLoad.cpp
+++ b/src/weights/EngineLoad.cpp
@@ -46,10 +46,11 @@
     return sentAt + timeToComplete / placesPerRollout;
 }
 
-void takePlace(EngineLoad& load, uint64_t version, Deadline until)
+void takePlace(EngineLoad& load, const std::string& model, uint64_t version, Deadline until)
 {
     const auto failures = load.failures;
     load = EngineLoad {};
+    load.model = model;
     load.version = version;
     load.holdsPlace = true;
     load.placeUntil = until;
--- a/src/weights/EngineLoad.h
+++ b/src/weights/EngineLoad.h
@@ -9,10 +9,12 @@
 #include "base/Base.h"
 
 #include <optional>
+#include <string>
 
 namespace dragonfly::weights {
 
 struct EngineLoad {
+    std::string model; ///< an engine with several models loads one after the other
     uint64_t version = 0; ///< of the weights that were ordered or are to be
     std::optional<Clock::time_point> orderedAt; ///< when an order was first accepted
     std::optional<Clock::time_point> unansweredSince; ///< when the first order that got no answer was sent
@@ -47,8 +49,8 @@
 /// Until when an engine holds a place with an order that was sent at @p sentAt and not answered. It serves meanwhile.
 Deadline pendingPlaceEnd(Clock::time_point sentAt, std::chrono::milliseconds timeToComplete);
 
-/// Takes a place for a load of @p version that is to end by @p until.
-void takePlace(EngineLoad& load, uint64_t version, Deadline until);
+/// Takes a place for a load of @p version of @p model that is to end by @p until.
+void takePlace(EngineLoad& load, const std::string& model, uint64_t version, Deadline until);
 
 /// Ends the place of a load that was not completed, and sets when the engine is tried again.
 void releasePlace(EngineLoad& load, Clock::time_point now);
--- a/src/weights/WeightsRollout.cpp
+++ b/src/weights/WeightsRollout.cpp
@@ -625,6 +625,8 @@
         if (!load.holdsPlace && !this->mayCall(target->registration))
             continue;
         ++count;
+        if (load.holdsPlace && load.model != model)
+            continue; // its turn for this model comes next
         if (!load.holdsPlace && (load.isCallInFlight || now < load.checkAt))
             continue;
         states.push_back({ id, target->registration.dataCentre, version, load.holdsPlace,
@@ -640,7 +642,7 @@
     for (const auto& [id, target] : this->directory.targets()) {
         const auto version = target->weightsOf(model);
         const auto load = this->loads.find(id);
-        if (!version || load == this->loads.end() || !this->isServing(*target))
+        if (!version || load == this->loads.end() || load->second.model != model || !this->isServing(*target))
             continue;
         if (version >= load->second.version)
             this->onLoadCompleted(id);
@@ -660,7 +662,8 @@
         const auto maxPending = maxPendingOrders(count, pace, this->oldestPendingOrder());
         for (const auto& id : chooseNextLoads(states, wanted, maxLoading, maxPending)) {
             auto& load = this->loads[id];
-            takePlace(load, wanted, now + maxTimeToReport(load, maxPlaceTime(this->loadTime, pace.timeToComplete)));
+            takePlace(
+                load, model, wanted, now + maxTimeToReport(load, maxPlaceTime(this->loadTime, pace.timeToComplete)));
             this->queryReport(this->directory.targets().at(id), model, wanted);
         }
     }
@@ -706,7 +709,7 @@
     this->callEngine(*target, this->api.reportRequest(id),
         [this, target, model, version](const http::ResponseHead* head, std::string_view body) {
             const auto load = this->loads.find(target->registration.id);
-            if (load == this->loads.end())
+            if (load == this->loads.end() || load->second.model != model)
                 return;
             load->second.isCallInFlight = false;
             if (load->second.holdsPlace)
@@ -766,7 +769,7 @@
     const directory::TargetPointer& target, const LoadOrder& order, OrderOutcome outcome, Clock::time_point sentAt)
 {
     const auto load = this->loads.find(order.targetId);
-    if (load == this->loads.end())
+    if (load == this->loads.end() || load->second.model != order.model)
         return;
     load->second.isCallInFlight = false;
     const auto pace = this->pace(order.model, order.version);
--- a/tests/RolloutTest.cpp
+++ b/tests/RolloutTest.cpp
@@ -78,8 +78,8 @@
                 return;
             const auto busy = this->isLoading || (this->behaviour == Behaviour::StaysBusy && this->orders);
             respond(socket, "200 OK",
-                "{\"seq\":" + std::to_string(this->orders) + ",\"busy\":" + (busy ? "true" : "false")
-                    + ",\"models\":[{\"name\":\"m\",\"version\":" + std::to_string(this->version()) + "}]}");
+                "{\"seq\":" + std::to_string(this->orders) + ",\"busy\":" + (busy ? "true" : "false") + ",\"models\":["
+                    + this->models() + "]}");
             return;
         }
         if (this->behaviour == Behaviour::RefusesOrders) {
@@ -93,12 +93,22 @@
         if (this->behaviour != Behaviour::Loads)
             return;
         this->isLoading = true;
-        const auto wanted = this->directory.wantedWeights("m");
-        QTimer::singleShot(this->loadTime, &this->timers, [this, wanted] {
-            this->isLoading = false;
-            this->registration.weights["m"] = wanted;
-            this->show();
-        });
+        const auto order = QJsonDocument::fromJson(QByteArray::fromStdString(request.body)).object();
+        QTimer::singleShot(this->loadTime, &this->timers,
+            [this, model = order["model"].toString().toStdString(), version = order["version"].toInteger()] {
+                this->isLoading = false;
+                this->registration.weights[model] = static_cast<uint64_t>(version);
+                this->show();
+            });
+    }
+
+    std::string models() const
+    {
+        std::string list;
+        for (const auto& [model, version] : this->registration.weights)
+            list += (list.empty() ? "" : ",") + ("{\"name\":\"" + model) + "\",\"version\":" + std::to_string(version)
+                + "}";
+        return list;
     }
 
     directory::Directory& directory;
@@ -341,6 +351,53 @@
     cr_assert_eq(site.metrics.enginesNotLoading.Value(), 1);
 }
 
+// The load of one model was taken for that of another, whose versions are other numbers.
+Test(rollout, enginesOfSeveralModelsLoadEachOfThem, .timeout = 40)
+{
+    Rollout site;
+    site.addSound(4);
+    for (auto* engine : site.sound) {
+        engine->registration.weights["n"] = 6;
+        engine->loadTime = 300ms;
+        engine->show();
+    }
+    site.directory.setWantedWeights({ "n", 7 }, BootClock::now());
+    site.name(2);
+    cr_expect(site.isCompleted(2, usableTime));
+    const auto isComplete = [&] {
+        return std::ranges::all_of(
+            site.sound, [](const auto* each) { return each->registration.weights.at("n") == 7; });
+    };
+    cr_expect(waitUntil(isComplete, usableTime));
+    for (const auto* each : site.sound)
+        cr_expect_eq(each->orders, 2, "%s got %d orders", each->registration.id.c_str(), each->orders);
+}
+
+// Another writer's entry under an engine's key names no engine, until the engine writes the next one.
+Test(rollout, engineWhoseEntryIsOverwrittenByTurnsIsLoaded, .timeout = 40)
+{
+    Rollout site;
+    auto& engine = site.add("a-overwritten");
+    engine.loadTime = 1s;
+    site.addSound(4);
+    auto other = engine.registration;
+    other.service = "not-configured";
+    QTimer writers;
+    bool isOther = false;
+    QObject::connect(&writers, &QTimer::timeout, [&] {
+        isOther = !isOther;
+        if (isOther)
+            site.directory.registerTarget(other);
+        else
+            engine.show();
+    });
+    writers.start(170);
+    site.name(2);
+    cr_expect(site.isCompleted(2, usableTime));
+    cr_expect(waitUntil([&] { return engine.version() == 2; }, usableTime));
+    cr_expect_eq(engine.orders, 1);
+}
+
 Test(engineLoad, placeEndsInTimeForOthersToFollow)
 {
     cr_expect_eq(maxPlaceTime(1500ms, 13s), 4500ms);
@@ -353,7 +410,7 @@
     load.failures = 1;
     cr_expect_eq(maxTimeToReport(load, 4500ms), 4500ms);
     load.failures = 0;
-    takePlace(load, 2, now + 4s);
+    takePlace(load, "m", 2, now + 4s);
     auto last = 0ms;
     for (int i = 0; i < 5; ++i) {
         releasePlace(load, now);
@@ -361,7 +418,7 @@
         cr_expect(delay >= last && delay <= 2s);
         last = delay;
         cr_expect_not(load.holdsPlace);
-        takePlace(load, 2, now + 4s);
+        takePlace(load, "m", 2, now + 4s);
     }
     cr_expect_eq(load.failures, 5);
 }
--- a/tests/support/ScriptedTarget.h
+++ b/tests/support/ScriptedTarget.h
@@ -19,6 +19,7 @@
     int connection; ///< counted from 0 in the order in which connections were accepted
     int number; ///< on its connection, from 0
     std::string head; ///< the request line and the header fields
+    std::string body = {};
 };
 
 class ScriptedTarget {
@@ -80,7 +81,8 @@
                 received->append(socket->readAll().toStdString());
                 while (const auto length = requestLength(*received)) {
                     const ScriptedRequest request { this->idOf(*received), pathOf(*received), connection, (*number)++,
-                        received->substr(0, received->find("\r\n\r\n") + 2) };
+                        received->substr(0, received->find("\r\n\r\n") + 2),
+                        received->substr(received->find("\r\n\r\n") + 4, length - received->find("\r\n\r\n") - 4) };
                     received->erase(0, length);
                     ++this->arrivals[request.id];
                     this->script(request, *socket);
