--- a/tests/support/Process.cpp
+++ b/tests/support/Process.cpp
@@ -1,6 +1,7 @@
 #include "tests/support/Process.h"
 
 #include <QCoreApplication>
+#include <QDir>
 #include <QEventLoop>
 #include <QThread>
 #include <QTimer>
@@ -12,6 +13,7 @@
 #include <iostream>
 #include <netinet/in.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -194,6 +196,19 @@
     return pages * static_cast<uint64_t>(sysconf(_SC_PAGESIZE));
 }
 
+void Process::limitDescriptors(size_t limit)
+{
+    const rlimit limits { limit, limit };
+    const auto id = static_cast<pid_t>(this->process.processId());
+    require(!prlimit(id, RLIMIT_NOFILE, &limits, nullptr), "the number of descriptors cannot be limited");
+}
+
+size_t Process::descriptorCount() const
+{
+    const QDir folder("/proc/" + QString::number(this->process.processId()) + "/fd");
+    return folder.entryList(QDir::AllEntries | QDir::System | QDir::Hidden | QDir::NoDotAndDotDot).size();
+}
+
 uint64_t Process::peakResidentBytes() const
 {
     std::ifstream file("/proc/" + std::to_string(this->process.processId()) + "/status");
--- a/tests/support/Process.h
+++ b/tests/support/Process.h
@@ -63,6 +63,10 @@
     uint64_t residentBytes() const;
     /// The most resident memory that the process has had, in bytes.
     uint64_t peakResidentBytes() const;
+    /// Limits the number of descriptors that the process may open.
+    void limitDescriptors(size_t limit);
+    /// The number of open descriptors.
+    size_t descriptorCount() const;
     /// Processor time used so far, user and system, in seconds.
     double processorSeconds() const;
     /// Standard error up to now.
