HTTP server: a connection keeps no buffers of its own

Callers of a small instance saw it end for want of memory while some hundred others held connections with small bodies open. Cause: Qt's socket keeps a block of 16 KiB for each direction once it was used, and each connection kept the capacity of its last read. StreamSocket reads into a buffer that all connections share and holds only what the system does not take of an answer. A head that arrives in many pieces is searched for its end once, not with each piece; bytes that a paused connection has not read are counted.

A first form read 64 KiB behind an open answer instead of 512; CallerGoneTest failed, since the end of a connection stays unseen behind what is not read.

--- a/src/http/RequestChecks.cpp
+++ b/src/http/RequestChecks.cpp
@@ -1,5 +1,6 @@
 #include "http/RequestChecks.h"
 
+#include <algorithm>
 #include <boost/beast/core/string.hpp>
 
 namespace dragonfly::http {
@@ -61,11 +62,14 @@
     return std::nullopt;
 }
 
-bool hasFoldedLine(std::string_view bytes)
+bool hasFoldedLine(std::string_view bytes, size_t& searched)
 {
-    const auto head = bytes.substr(0, bytes.find("\r\n\r\n"));
-    if (head.size() == bytes.size())
+    constexpr std::string_view end = "\r\n\r\n";
+    const auto found = bytes.find(end, searched - std::min(searched, end.size() - 1));
+    searched = bytes.size();
+    if (found == std::string_view::npos)
         return false;
+    const auto head = bytes.substr(0, found);
     return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
 }
 
--- a/src/http/RequestChecks.h
+++ b/src/http/RequestChecks.h
@@ -17,6 +17,8 @@
 
 /// Whether the head at the beginning of @p bytes contains a folded header line (obs-fold). The parser joins
 /// such lines, so they are detected before parsing. False while the head is incomplete.
-bool hasFoldedLine(std::string_view bytes);
+/// @param searched bytes in which the end of the head was looked for before; updated, so that a head that arrives in
+/// many pieces is searched once
+bool hasFoldedLine(std::string_view bytes, size_t& searched);
 
 }
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -16,6 +16,8 @@
 namespace {
 
     constexpr int listenBacklog = 1024;
+    /// Read from a connection at a time.
+    constexpr size_t readBufferBytes = 64 << 10;
 
     QString peerAddressOf(qintptr descriptor)
     {
@@ -63,6 +65,7 @@
     : QTcpServer(parent)
     , limits(limits)
     , received(receivedLimitOf(limits))
+    , readBuffer(readBufferBytes)
     , handler(std::move(handler))
 {
 }
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -150,6 +150,7 @@
 
     ServerLimits limits;
     BufferBudget received;
+    std::vector<char> readBuffer; ///< of the connection that is reading
     Handler handler;
     QHash<QString, int> connectionsByAddress;
     std::atomic<int> openConnections { 0 };
--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -3,9 +3,13 @@
 #include "http/RequestChecks.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
+#include <charconv>
 #include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -16,10 +20,8 @@
 
 namespace {
 
-    constexpr qint64 readBufferBytes = 256 << 10;
-    /// Of a connection that is not read any more; 0 would mean no limit.
-    constexpr qint64 minReadBufferBytes = 1;
-    constexpr size_t maxUnparsedBytes = 64 << 10;
+    /// Of requests behind an open answer. While they are read, the end of the connection is noticed.
+    constexpr size_t maxUnparsedBytes = 512 << 10;
     /// How often a caller's close is looked for while reading is paused, which hides it from the event loop. A fraction
     /// of the half second within which a target's work for a caller that has left has to end.
     constexpr std::chrono::milliseconds closeCheckInterval { 100 };
@@ -49,34 +51,26 @@
     : QObject(server)
     , server(server)
     , address(std::move(address))
+    , socket(static_cast<int>(descriptor))
     , firstRequestDeadline(Clock::now() + firstRequestTimeout)
     , receivedShare(server->received, [this] { this->giveUpInput(); })
 {
-    this->socket.setSocketDescriptor(descriptor);
-    this->socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    this->socket.setReadBufferSize(readBufferBytes);
+    const int on = 1;
+    ::setsockopt(this->socket.descriptor(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     this->timer.setSingleShot(true);
     connect(&this->timer, &QTimer::timeout, this, &ServerConnection::checkDeadline);
-    connect(&this->socket, &QTcpSocket::readyRead, this, &ServerConnection::readMore);
-    connect(&this->socket, &QTcpSocket::bytesWritten, this, [this] {
+    this->socket.onReadable = [this] { this->readMore(); };
+    this->socket.onWritten = [this] {
         if (auto current = this->exchange.lock(); current && current->onDrained)
             current->onDrained();
         this->endSending();
-    });
-    connect(&this->socket, &QTcpSocket::disconnected, this, [this] {
-        this->state = State::Closed;
-        auto current = this->exchange.lock();
-        this->endRequest();
-        this->deleteLater();
-        if (current && current->onCallerGone)
-            current->onCallerGone();
-    });
+    };
+    this->socket.onEnd = [this] { this->onEnd(); };
     this->setDeadline(server->limits.idleTimeout);
 }
 
 ServerConnection::~ServerConnection()
 {
-    this->socket.disconnect(this);
     this->endRequest();
     this->reportDiscarded();
     this->server->release(this->address);
@@ -114,25 +108,55 @@
     case State::Answering:
         if (this->unparsed.size() < maxUnparsedBytes)
             break;
-        if (this->hasCallerClosed())
-            this->socket.abort();
-        else
-            this->setDeadline(closeCheckInterval);
+        if (this->hasCallerClosed()) {
+            this->onEnd();
+            break;
+        }
+        this->updateShare();
+        this->setDeadline(closeCheckInterval);
         break;
     case State::Closed:
         break;
     }
 }
 
+/// The caller has left.
+void ServerConnection::onEnd()
+{
+    this->state = State::Closed;
+    this->socket.close();
+    auto current = this->exchange.lock();
+    this->endRequest();
+    this->deleteLater();
+    if (current && current->onCallerGone)
+        current->onCallerGone();
+}
+
 void ServerConnection::readMore()
 {
-    if (this->state == State::ClosingUnread)
+    switch (this->state) {
+    case State::Closing:
+        this->discardAvailable();
+        return;
+    case State::ClosingUnread:
+    case State::Closed:
         return;
+    case State::Idle:
+    case State::Headers:
+    case State::Body:
+    case State::Answering:
+        break;
+    }
     this->readAvailable();
-    if (this->state != State::Headers && this->state != State::Body)
-        this->unparsed.shrink_to_fit(); // a connection may be kept for long
+    this->updateShare();
+}
+
+void ServerConnection::updateShare()
+{
     const auto parsed = this->parser ? this->parser->capacityBytes() : 0;
-    this->receivedShare.set(this->unparsed.capacity() + parsed + static_cast<size_t>(this->socket.bytesAvailable()));
+    // While a connection is read, nothing stays with the system for long.
+    const auto unread = this->isReadingPaused ? this->socket.unreadBytes() : 0;
+    this->receivedShare.set(this->unparsed.capacity() + parsed + unread);
 }
 
 /// Called for the connection that holds most when all together hold more than allowed.
@@ -160,26 +184,50 @@
 void ServerConnection::reset()
 {
     const linger immediately { 1, 0 };
-    ::setsockopt(
-        static_cast<int>(this->socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
-    this->socket.abort();
+    ::setsockopt(this->socket.descriptor(), SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+    this->onEnd();
 }
 
 void ServerConnection::readAvailable()
 {
     if (this->state == State::Answering && this->unparsed.size() >= maxUnparsedBytes) {
+        this->isReadingPaused = true;
+        this->socket.setReading(false);
         this->setDeadline(closeCheckInterval);
         return;
     }
-    const auto bytes = this->socket.readAll();
-    if (this->state == State::Closing) {
-        recordDiscarded(this->discarded, { bytes.constData(), static_cast<size_t>(bytes.size()) });
-        if (this->discarded.count > maxDiscardedBytes)
-            this->drop();
+    this->isReadingPaused = false;
+    this->socket.setReading(true);
+    auto& buffer = this->server->readBuffer;
+    const auto count = this->socket.read(buffer.data(), buffer.size());
+    if (this->state == State::Answering) {
+        this->unparsed.append(buffer.data(), count);
         return;
     }
-    this->unparsed.append(bytes.constData(), static_cast<size_t>(bytes.size()));
-    this->parse();
+    if (this->unparsed.empty()) {
+        this->input = { buffer.data(), count };
+        this->parse();
+        this->unparsed = this->input;
+    } else {
+        auto held = std::exchange(this->unparsed, {});
+        held.append(buffer.data(), count);
+        this->input = held;
+        this->parse();
+        held.erase(0, held.size() - this->input.size());
+        held.shrink_to_fit();
+        this->unparsed = std::move(held);
+    }
+    this->input = {};
+}
+
+/// Reads what arrives on a connection that closes in order.
+void ServerConnection::discardAvailable()
+{
+    auto& buffer = this->server->readBuffer;
+    const auto count = this->socket.read(buffer.data(), buffer.size());
+    recordDiscarded(this->discarded, { buffer.data(), count });
+    if (this->discarded.count > maxDiscardedBytes)
+        this->drop();
 }
 
 void ServerConnection::reportDiscarded()
@@ -215,12 +263,13 @@
 void ServerConnection::parse()
 {
     const auto isReading = [this] { return this->state <= State::Body; };
-    while (!this->unparsed.empty() && isReading()) {
+    while (!this->input.empty() && isReading()) {
         if (this->state == State::Idle) {
             this->parser.emplace();
             this->parser->header_limit(this->server->limits.headerBytes);
             this->parser->body_limit(this->server->limits.bodyBytes);
             this->state = State::Headers;
+            this->searchedBytes = 0;
             this->firstRequestDeadline = {};
             this->setDeadline(this->server->limits.headerTimeout);
         }
@@ -232,7 +281,7 @@
 /// Passes the received bytes to the parser; false when it needs more bytes or the request was refused.
 bool ServerConnection::feedParser()
 {
-    if (this->state == State::Headers && hasFoldedLine(this->unparsed)) {
+    if (this->state == State::Headers && hasFoldedLine(this->input, this->searchedBytes)) {
         this->refuse(ErrorKind::BadRequest, "folded header lines are not supported");
         return false;
     }
@@ -241,13 +290,13 @@
     size_t consumed = 0;
     // The parser consumes one chunk at a time, which may be as short as a byte.
     do {
-        consumed = this->parser->put(boost::asio::buffer(this->unparsed) + used, failure);
+        consumed = this->parser->put(boost::asio::buffer(this->input) + used, failure);
         used += consumed;
     } while (
-        this->state == State::Body && consumed && !failure && !this->parser->is_done() && used < this->unparsed.size());
-    this->unparsed.erase(0, used);
+        this->state == State::Body && consumed && !failure && !this->parser->is_done() && used < this->input.size());
+    this->input.remove_prefix(used);
     if (failure == beast::error::need_more) {
-        if (this->unparsed.size() <= this->server->limits.headerBytes)
+        if (this->input.size() <= this->server->limits.headerBytes)
             return false;
         // The parser has a limit of its own for heads, but none for what it does not consume of a chunked body.
         if (this->state == State::Headers)
@@ -306,7 +355,7 @@
         headers.add("Retry-After", std::to_string(retryAfter.count()));
     auto text = this->headText(answerFor(kind).status, headers, "Content-Length: " + std::to_string(body.size()));
     text.append(body);
-    this->socket.write(text.data(), static_cast<qint64>(text.size()));
+    this->socket.write(std::move(text));
     this->closeInOrder(CloseReason::Refused);
 }
 
@@ -319,22 +368,26 @@
     this->closeReason = reason;
     this->endRequest();
     this->parser.reset();
+    recordDiscarded(this->discarded, this->input);
     recordDiscarded(this->discarded, this->unparsed);
-    this->unparsed.clear();
+    this->input = {};
+    this->unparsed = {};
     this->unsentAtCheck = unsent;
     this->setDeadline(this->server->limits.sendTimeout);
     this->endSending();
-    this->readMore();
+    this->isReadingPaused = false;
+    this->socket.setReading(true);
+    this->updateShare();
 }
 
 void ServerConnection::endSending()
 {
     const bool isClosing = this->state == State::Closing || this->state == State::ClosingUnread;
-    if (!isClosing || this->sendingEnded || this->socket.bytesToWrite())
+    if (!isClosing || this->sendingEnded || this->socket.unsentBytes())
         return;
     this->sendingEnded = true;
     this->unsentAtCheck = this->unacknowledgedBytes();
-    ::shutdown(static_cast<int>(this->socket.socketDescriptor()), SHUT_WR);
+    ::shutdown(this->socket.descriptor(), SHUT_WR);
     if (this->state == State::Closing)
         this->setDeadline(this->server->limits.lingerTimeout);
     else
@@ -358,15 +411,15 @@
 int64_t ServerConnection::unacknowledgedBytes() const
 {
     int inSystem = 0;
-    ::ioctl(static_cast<int>(this->socket.socketDescriptor()), SIOCOUTQ, &inSystem);
-    return this->socket.bytesToWrite() + inSystem;
+    ::ioctl(this->socket.descriptor(), SIOCOUTQ, &inSystem);
+    return static_cast<int64_t>(this->socket.unsentBytes()) + inSystem;
 }
 
 /// Whether the connection may carry another request: one that waits behind this answer, or one that comes later.
 bool ServerConnection::mayKeep() const
 {
     const bool mayBeIdle = this->server->limits.idleTimeout.count() > 0 && !this->server->closing;
-    return mayBeIdle || !this->unparsed.empty() || this->hasWaitingInput();
+    return mayBeIdle || !this->input.empty() || !this->unparsed.empty() || this->hasWaitingInput();
 }
 
 std::string ServerConnection::headText(int status, const Headers& headers, std::string_view framing) const
@@ -387,7 +440,7 @@
     this->keepAlive = this->keepAlive && this->mayKeep();
     auto text = this->headText(status, headers, "Content-Length: " + std::to_string(body.size()));
     text.append(body);
-    this->socket.write(text.data(), static_cast<qint64>(text.size()));
+    this->socket.write(std::move(text));
     this->onAnswerSent();
 }
 
@@ -397,17 +450,19 @@
         return;
     this->keepAlive = this->keepAlive && this->mayKeep();
     this->isHeadSent = true;
-    const auto text = this->headText(status, headers, "Transfer-Encoding: chunked");
-    this->socket.write(text.data(), static_cast<qint64>(text.size()));
+    auto text = this->headText(status, headers, "Transfer-Encoding: chunked");
+    this->socket.write(std::move(text));
 }
 
 void ServerConnection::sendChunk(std::string_view chunk)
 {
     if (this->state != State::Answering || chunk.empty())
         return;
-    auto text = QByteArray::number(static_cast<qulonglong>(chunk.size()), 16);
-    text.append("\r\n").append(chunk.data(), static_cast<qsizetype>(chunk.size())).append("\r\n");
-    this->socket.write(text);
+    std::array<char, 2 * sizeof(size_t)> digits {};
+    const auto* const end = std::to_chars(digits.data(), digits.data() + digits.size(), chunk.size(), 16).ptr;
+    std::string text(digits.data(), static_cast<size_t>(end - digits.data()));
+    text.append("\r\n").append(chunk).append("\r\n");
+    this->socket.write(std::move(text));
 }
 
 void ServerConnection::sendLastChunk()
@@ -467,7 +522,7 @@
 {
     this->state = State::Closed;
     this->endRequest();
-    this->socket.abort();
+    this->socket.close();
     this->deleteLater();
 }
 
@@ -492,7 +547,7 @@
 void ServerConnection::closeBehindAnswer()
 {
     this->state = State::ClosingUnread;
-    this->socket.setReadBufferSize(minReadBufferBytes);
+    this->socket.setReading(false);
     this->unsentAtCheck = this->unacknowledgedBytes();
     this->deliveryDeadline = Clock::now() + this->server->limits.sendTimeout;
     this->endSending();
@@ -516,7 +571,7 @@
 
 bool ServerConnection::hasCallerClosed() const
 {
-    pollfd descriptor { static_cast<int>(this->socket.socketDescriptor()), POLLRDHUP, 0 };
+    pollfd descriptor { this->socket.descriptor(), POLLRDHUP, 0 };
     return this->state == State::Closed || ::poll(&descriptor, 1, 0) > 0;
 }
 
@@ -530,8 +585,7 @@
 bool ServerConnection::hasWaitingInput() const
 {
     char byte = 0;
-    const auto descriptor = static_cast<int>(this->socket.socketDescriptor());
-    return this->socket.bytesAvailable() || ::recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+    return ::recv(this->socket.descriptor(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 }
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -4,8 +4,8 @@
 #include "http/DiscardedBytes.h"
 #include "http/RequestParser.h"
 #include "http/Server.h"
+#include "http/StreamSocket.h"
 
-#include <QTcpSocket>
 #include <optional>
 
 namespace dragonfly::http {
@@ -31,7 +31,7 @@
 
     int64_t unsentBytes() const
     {
-        return this->socket.bytesToWrite();
+        return static_cast<int64_t>(this->socket.unsentBytes());
     }
     std::string addressText() const
     {
@@ -60,8 +60,11 @@
 
     void readMore();
     void readAvailable();
+    void discardAvailable();
+    void updateShare();
     void giveUpInput();
     void reset();
+    void onEnd();
     void reportDiscarded();
     void endRequest();
     void parse();
@@ -85,7 +88,7 @@
 
     Server* server;
     QString address;
-    QTcpSocket socket;
+    StreamSocket socket;
     QTimer timer;
     Deadline deadline;
     Clock::time_point idleSince = Clock::now(); ///< valid in Idle
@@ -95,8 +98,11 @@
     /// Received bytes that are not parsed yet. Before Answering, at most a read more than ServerLimits::headerBytes; a
     /// pipelined request stays here until the current answer has ended.
     std::string unparsed;
+    size_t searchedBytes = 0; ///< of a head, those in which its end was looked for
+    std::string_view input; ///< in parse(): what it has not consumed, instead of `unparsed`
     BufferShare receivedShare; ///< of what was received and is not handed on
     std::weak_ptr<Exchange> exchange;
+    bool isReadingPaused = false; ///< in Answering: as much is unparsed as may be
     bool isRequestOpen = false; ///< from a request received whole to the end of its answer, or of its connection
     bool isHeadSent = false; ///< in Answering: of a stream
     bool hasCallerAskedToClose = false; ///< with its last request
