--- a/tests/PlatformAdapterTest.cpp
+++ b/tests/PlatformAdapterTest.cpp
@@ -36,6 +36,8 @@
             { "X-Dragonflyarch-Prompt-Prefix", "5c1e:800,91bd:410,e440:250" },
             { "X-Dragonflyarch-Deadline-Ms", "8000" }, { "Authorization", "Bearer secret" }, { "X-Other", "kept" },
             { "Connection", "keep-alive, X-Hop" }, { "X-Hop", "this connection only" },
+            { "connection", "X-Other-Hop ,x-third-hop" }, { "x-other-hop", "this connection only" },
+            { "X-Third-Hop", "this connection only" },
             { "X-Dragonflyarch-Tenant", "forged" }, { "x-dragonflyarch-cache-salt", "forged" },
             { "X-Dragonflyarch-Hold", "forged" }, { "Kv-From", "forged" }, { "X-Dragonflyarch-Kv-Backup", "forged" },
             { "X-Dragonflyarch-Pin-Ms", "forged" }, { "X-Dragonflyarch-Request-Urgency", "0" } },
