HTTP client: a request shares its body with the attempts to send it

Callers saw an instance end for want of memory while others sent large bodies that waited at their targets: each open request held its body twice from the first attempt on, three times while it was serialized. Copies of a request share the body now, and the client writes it from there, behind the head.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -1,5 +1,7 @@
 #include "http/ClientConnection.h"
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <cerrno>
@@ -8,6 +10,7 @@
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 
 namespace dragonfly::http {
 
@@ -73,7 +76,7 @@
         return boost::beast::iequals({ transferEncoding.data(), transferEncoding.size() }, "chunked");
     }
 
-    std::string serialize(const Endpoint& endpoint, const Request& request)
+    std::string serializeHead(const Endpoint& endpoint, const Request& request)
     {
         std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
         if (!request.headers.find("Host"))
@@ -84,8 +87,7 @@
         const bool sendsContentLength = !request.body.empty() || request.method == "POST" || request.method == "PUT";
         if (sendsContentLength)
             text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
-        text.append("\r\n").append(request.body.text());
-        return text;
+        return text.append("\r\n");
     }
 
 }
@@ -146,7 +148,8 @@
     this->events = std::make_shared<CallEvents>(std::move(events));
     this->deadline = options.deadline;
     this->connectDeadline = std::min(options.connectDeadline, options.deadline);
-    this->outgoing = serialize(this->endpoint, request);
+    this->outgoing = serializeHead(this->endpoint, request);
+    this->outgoingBody = request.body;
     this->prepareParser();
     this->interimAnswers = 0;
     this->headReported = false;
@@ -250,15 +253,24 @@
 /// Writes as much of the request as the system takes, in one call, so that a long one leaves time for other events.
 void ClientConnection::writeMore()
 {
-    const auto rest = std::string_view(this->outgoing).substr(this->written);
-    const auto count = ::send(
-        static_cast<int>(this->socket.socketDescriptor()), rest.data(), rest.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    const auto& body = this->outgoingBody.text();
+    const auto head = std::string_view(this->outgoing).substr(std::min(this->written, this->outgoing.size()));
+    const auto bodyWritten = this->written - std::min(this->written, this->outgoing.size());
+    // The system does not change what it sends.
+    std::array<iovec, 2> parts { { { const_cast<char*>(head.data()), head.size() },
+        { const_cast<char*>(body.data()) + bodyWritten, body.size() - bodyWritten } } };
+    msghdr message {};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = parts.size();
+    const auto count
+        = ::sendmsg(static_cast<int>(this->socket.socketDescriptor()), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
     if (count >= 0)
         this->written += static_cast<size_t>(count);
     else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
         this->hasWriteFailed = true; // the end of the connection is read after what was received before it
-    if (this->hasWriteFailed || this->written == this->outgoing.size()) {
+    if (this->hasWriteFailed || this->written == this->outgoing.size() + body.size()) {
         this->outgoing = {};
+        this->outgoingBody = {};
         this->written = 0;
         if (this->writeNotifier)
             this->writeNotifier->setEnabled(false);
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -139,8 +139,9 @@
     Deadline deadline;
     Deadline connectDeadline;
     uint64_t number = 0; ///< number of the current call; zero while idle
-    std::string outgoing; ///< the serialized request until it is written
-    size_t written = 0; ///< bytes of outgoing
+    std::string outgoing; ///< the serialized head of the request, until the request is written
+    Body outgoingBody; ///< shared with the request, until it is written
+    size_t written = 0; ///< bytes of both
     /// Enabled while the system takes no more of the request. The socket's own buffer is not used for it: the socket
     /// answers a failed write by discarding what has been received.
     std::unique_ptr<QSocketNotifier> writeNotifier;
