HTTP headers: a field takes no more memory than its line

A field still took 12 bytes beside its text, so that a legal head of lines of four bytes took four times its size, for as long as its request was open. Sizes stand before each name and value now, a byte for each seven bits.

--- a/src/http/Headers.h
+++ b/src/http/Headers.h
@@ -1,13 +1,12 @@
 #pragma once
-// Header fields in one buffer, since callers choose how many there are.
+// Header fields in one buffer that is no larger than their lines, since callers choose how many there are.
 
-#include <cstdint>
+#include <cstddef>
 #include <initializer_list>
 #include <iterator>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace dragonfly::http {
 
@@ -19,13 +18,6 @@
 
 /// Header fields in the order received or added. Names are case-insensitive.
 class Headers {
-    /// Where a field stands in the text: its name, and its value right behind that.
-    struct Position {
-        uint32_t begin;
-        uint32_t nameBytes;
-        uint32_t valueBytes;
-    };
-
 public:
     class Iterator {
     public:
@@ -37,32 +29,23 @@
         using pointer = void;
 
         Iterator() = default;
-        Header operator*() const
-        {
-            return this->headers->at(this->index);
-        }
-        Iterator& operator++()
-        {
-            ++this->index;
-            return *this;
-        }
+        Header operator*() const;
+        Iterator& operator++();
         Iterator operator++(int)
         {
             auto before = *this;
-            ++this->index;
+            ++*this;
             return before;
         }
         bool operator==(const Iterator& other) const = default;
 
     private:
         friend class Headers;
-        Iterator(const Headers* headers, size_t index)
-            : headers(headers)
-            , index(index)
+        explicit Iterator(const char* at)
+            : at(at)
         {
         }
-        const Headers* headers = nullptr;
-        size_t index = 0;
+        const char* at = nullptr; ///< the field, or the end of the last one
     };
 
     Headers() = default;
@@ -81,34 +64,30 @@
     /// Releases the room for further fields.
     void shrink();
 
+    /// The number of fields.
     size_t size() const
     {
-        return this->positions.size();
+        return this->fieldCount;
     }
     /// Bytes of memory that the fields take, with room for further ones.
     size_t capacityBytes() const
     {
-        return this->text.capacity() + this->positions.capacity() * sizeof(Position);
+        return this->text.capacity();
     }
     Iterator begin() const
     {
-        return { this, 0 };
+        return Iterator(this->text.data());
     }
     Iterator end() const
     {
-        return { this, this->positions.size() };
+        return Iterator(this->text.data() + this->text.size());
     }
 
 private:
-    Header at(size_t index) const
-    {
-        const auto& position = this->positions[index];
-        const auto field = std::string_view(this->text).substr(position.begin);
-        return { field.substr(0, position.nameBytes), field.substr(position.nameBytes, position.valueBytes) };
-    }
-
-    std::string text; ///< names and values without separators
-    std::vector<Position> positions;
+    /// For each field the sizes of its name and its value, then both. A size takes a byte for each seven bits, the
+    /// lowest first, so that a field takes no more than its line.
+    std::string text;
+    size_t fieldCount = 0;
 };
 
 }
