All that is held for callers counts in one limit, which follows from the memory

Callers of a small instance saw it end for want of memory while others sent bodies that stop short, prompts of many parts, requests behind open answers, or did not read their answers. Cause: the limit on what is received was 16 MiB whatever the memory; open requests, the parts of their prompts and answers that callers do not receive counted nowhere; the limit was enforced after many connections had been read; the system could hold 6 MiB unread for each connection.

One limit, a third of what memory leaves beside the instance's own 32 MiB, has all of these now, by capacity, and connections. A request is admitted, and refused with 503 and Retry-After as soon as its head is read, by what it takes of the room for open requests; it is never ended for others. What is not open is given up by bytes and seconds without progress, so that a crowd of small ones does not make each ordinary body the largest. Answers of a known length take no more than it, are not copied, and the system's receive buffers have a size. The log line of a refusal names its reason and the caller's address.

--- a/src/base/BufferBudget.cpp
+++ b/src/base/BufferBudget.cpp
@@ -5,32 +5,48 @@
 
 namespace dragonfly {
 
-BufferBudget::BufferBudget(size_t limit, QObject* parent)
+namespace {
+
+    /// Buffers that are younger are compared by their size alone.
+    constexpr std::chrono::duration<double> minAge = std::chrono::milliseconds(1);
+
+}
+
+BufferBudget::BufferBudget(size_t limit, GiveUpOrder order, QObject* parent)
     : QObject(parent)
     , limitBytes(limit)
+    , order(order)
 {
 }
 
-void BufferBudget::resize(internal::BufferHolder& holder, size_t bytes)
+void BufferBudget::resize(internal::BufferHolder& holder, size_t bytes, size_t pinnedBytes)
 {
-    this->total += bytes - holder.bytes;
+    this->total += bytes + pinnedBytes - holder.bytes - holder.pinnedBytes;
+    this->pinnedTotal += pinnedBytes - holder.pinnedBytes;
     holder.bytes = bytes;
+    holder.pinnedBytes = pinnedBytes;
     if (this->total <= this->limitBytes || std::exchange(this->isEnforcementDue, true))
         return;
     QMetaObject::invokeMethod(this, &BufferBudget::enforce, Qt::QueuedConnection);
 }
 
-internal::BufferHolder* BufferBudget::largest() const
+/// The holder that is given up next, or none.
+internal::BufferHolder* BufferBudget::next(Clock::time_point now) const
 {
-    const auto found = std::ranges::max_element(this->holders, {}, &internal::BufferHolder::bytes);
-    return found == this->holders.end() ? nullptr : *found;
+    const auto cost = [this, now](const internal::BufferHolder* holder) {
+        const std::chrono::duration<double> age = now - holder->since;
+        const auto bytes = static_cast<double>(holder->bytes);
+        return this->order == GiveUpOrder::Largest ? bytes : bytes * std::max(age.count(), minAge.count());
+    };
+    const auto found = std::ranges::max_element(this->holders, {}, cost);
+    return found == this->holders.end() || !(*found)->bytes ? nullptr : *found;
 }
 
 void BufferBudget::enforce()
 {
     this->isEnforcementDue = false;
     while (this->total > this->limitBytes) {
-        auto* const holder = this->largest();
+        auto* const holder = this->next(Clock::now());
         if (!holder)
             return;
         // A holder that keeps its bytes in spite of the callback must not be chosen for ever.
@@ -72,14 +88,28 @@
 void BufferShare::set(size_t bytes)
 {
     if (this->holder)
-        this->budget->resize(*this->holder, bytes);
+        this->budget->resize(*this->holder, bytes, this->holder->pinnedBytes);
+}
+
+void BufferShare::set(size_t bytes, Clock::time_point since)
+{
+    if (this->holder)
+        this->holder->since = since;
+    this->set(bytes);
+}
+
+void BufferShare::pin(size_t bytes)
+{
+    if (this->holder)
+        this->budget->resize(*this->holder, this->holder->bytes, bytes);
 }
 
 void BufferShare::release()
 {
     if (!this->holder)
         return;
-    this->budget->total -= this->holder->bytes;
+    this->budget->total -= this->holder->bytes + this->holder->pinnedBytes;
+    this->budget->pinnedTotal -= this->holder->pinnedBytes;
     this->budget->holders.erase(this->holder.get());
     this->holder.reset();
 }
--- a/src/daemon/ForwardingDaemon.cpp
+++ b/src/daemon/ForwardingDaemon.cpp
@@ -119,10 +119,12 @@
     this->sync.onWholeRead = [this] { this->onWholeRead(); };
     this->sync.onStoreReturned = [this] { this->onStoreReturned(); };
     this->sync.onFollowedRecordLost = [this](const std::string& key) { this->onOwnRecordLost(key); };
-    this->server.onRefusal = [this](ErrorKind kind) {
-        this->metrics.failed(kind).Increment();
+    this->server.onRefusal = [this](const http::Refusal& refusal) {
+        const auto& answer = answerFor(refusal.kind);
+        this->metrics.failed(refusal.kind).Increment();
         observe::logRequest(observe::RequestOutcome::Refused,
-            { { "outcome", std::string(answerFor(kind).name) }, { "status", std::to_string(answerFor(kind).status) },
+            { { "outcome", std::string(answer.name) }, { "reason", std::string(refusal.reason) },
+                { "address", refusal.address }, { "status", std::to_string(answer.status) },
                 { "execution", "not-run" } });
     };
     this->server.observer = observe::requestObserver(this->metrics, [this](const http::Request& request) {
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -21,14 +21,26 @@
     constexpr uint64_t defaultMemory = 256u << 20;
     /// An instance without requests uses about 30 MiB.
     constexpr uint64_t minMemory = 48u << 20;
-    /// Part of the memory that buffers may hold; growth of a buffer and what is passed on need as much again for a
-    /// moment.
-    constexpr uint64_t bufferMemoryDivisor = 4;
+    /// What an instance uses without requests, with the records of a deployment.
+    constexpr uint64_t ownMemory = 32u << 20;
+    /// The rest of the memory has three equal parts: one for requests and answers that callers have not received, one
+    /// for answers of targets that are not complete, and one for the growth of buffers, what is passed on, and gaps
+    /// between allocations.
+    constexpr uint64_t bufferMemoryDivisor = 3;
     /// Bounds what is freed and read again when faulty targets fill the buffers.
     constexpr uint64_t maxBufferBytes = 64u << 20;
 
-    void readServer(MapReader reader, http::ServerLimits& limits)
+    /// What one of the two kinds of buffers may hold.
+    uint64_t bufferBytesFor(uint64_t memory)
     {
+        return std::min((memory - std::min(memory, ownMemory)) / bufferMemoryDivisor, maxBufferBytes);
+    }
+
+    void readServer(MapReader reader, const Settings& settings, http::ServerLimits& limits)
+    {
+        // The forwarding interface has one server, the other one for each thread.
+        const auto servers = settings.interface == Interface::Forwarding ? 1 : settings.threads;
+        limits.receivedBytes = bufferBytesFor(settings.memory) / servers;
         limits.bodyBytes = reader.bytes("body", limits.bodyBytes);
         limits.headerBytes
             = static_cast<uint32_t>(reader.bytes("headers", limits.headerBytes, std::numeric_limits<uint32_t>::max()));
@@ -131,7 +143,7 @@
         forwarding.requests.policy = settings.policy;
         forwarding.requests.regions = regions;
         forwarding.requests.prefixSlots = settings.prefixSlots;
-        forwarding.requests.bufferBytes = std::min(settings.memory / bufferMemoryDivisor, maxBufferBytes);
+        forwarding.requests.bufferBytes = bufferBytesFor(settings.memory);
     }
 
     void readAll(const std::string& file, const YAML::Node& node, LoadedSettings& loaded)
@@ -160,7 +172,7 @@
         if (settings.platform.empty())
             reader.addProblem("platform", "expected at least one address, such as [127.0.0.1:2379]");
         settings.threads = reader.number("threads", 4, 1, 256);
-        readServer(section("http"), settings.server);
+        readServer(section("http"), settings, settings.server);
         readRequests(section("requests"), settings.requests);
         readRouting(section("routing"), settings);
         readClaims(section("claims"), settings);
--- a/src/entry/Worker.cpp
+++ b/src/entry/Worker.cpp
@@ -78,7 +78,7 @@
     WorkerScope scope { this->shared, targets, loop };
     http::Server server(
         this->limits, [this, &scope](const http::ExchangePointer& exchange) { this->handle(scope, exchange); });
-    server.onRefusal = [this](ErrorKind kind) { this->shared.metrics.failed(kind).Increment(); };
+    server.onRefusal = [this](const http::Refusal& refusal) { this->shared.metrics.failed(refusal.kind).Increment(); };
     server.observer = observe::requestObserver(this->shared.metrics,
         [](const http::Request& request) { return std::string(request.headers.valueOr("X-Request-Id", "")); });
     this->loop = &loop;
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -1,5 +1,6 @@
 #include "forward/ForwardCall.h"
 
+#include "base/Growth.h"
 #include "forward/AnswerStatus.h"
 #include "forward/StreamHead.h"
 
@@ -992,7 +993,7 @@
         this->relayEvents(bytes);
         return;
     }
-    received.body.append(bytes);
+    appendTo(received.body, bytes, received.head.contentLength);
     this->updateBufferShare(slot);
     if (received.isRelayed && endsEvent(received.body, bytes.size()))
         this->takeOverWithEvent();
@@ -1204,11 +1205,11 @@
 {
     const auto status = this->attempt->head.status;
     const auto headers = this->context.dialect.answerHeaders(this->attempt->head);
-    const auto body = std::move(this->attempt->body);
+    auto body = std::move(this->attempt->body);
     if (status < firstServerError)
         routing::recordSuccess(*this->attempt->choice.target->state);
     this->endAttempt(this->attempt, "answered " + std::to_string(status));
-    this->request.exchange->respond(status, headers, body);
+    this->request.exchange->respondWithBody(status, headers, std::move(body));
     this->end("answered", status);
 }
 
--- a/src/forward/Forwarder.cpp
+++ b/src/forward/Forwarder.cpp
@@ -12,6 +12,10 @@
     /// Retry-After of a request that arrives before the first configuration. All instances may be starting at the
     /// same time; reading the configuration takes a few round trips to another region.
     constexpr std::chrono::milliseconds retryAfterStartup { 400 };
+    /// Retry-After of a request for whose prompt there is no room; some open requests end within it.
+    constexpr std::chrono::milliseconds retryAfterOverload { 1000 };
+    /// What a part of a prompt takes: its id, and hashes and lengths of its prefix for each of two attempts.
+    constexpr size_t promptPartBytes = sizeof(PromptPart) + 4 * sizeof(uint64_t);
 
 }
 
@@ -90,6 +94,11 @@
     ForwardRequest request;
     request.exchange = exchange;
     request.metadata = std::move(std::get<RequestMetadata>(parsed));
+    if (!exchange->tryHold(request.metadata.prompt.capacity() * promptPartBytes)) {
+        this->refuse(exchange, request.metadata,
+            { ErrorKind::Overloaded, "too many large prompts are open", Execution::NotRun, retryAfterOverload });
+        return;
+    }
     if (this->context.isStopping) {
         this->refuse(exchange, request.metadata,
             { ErrorKind::NoTarget, "the instance stops", Execution::NotRun, retryAfterStop });
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -349,6 +349,8 @@
     if (this->parser->headComplete && !this->headReported) {
         this->headReported = true;
         this->parser->head.endsWithConnection = this->parser->need_eof();
+        if (const auto length = this->parser->content_length())
+            this->parser->head.contentLength = static_cast<size_t>(*length);
         this->parser->head.isFirstOnConnection = this->requestsWritten == 1;
         if (handlers->onHead)
             handlers->onHead(this->parser->head);
--- a/src/http/Message.h
+++ b/src/http/Message.h
@@ -16,6 +16,8 @@
 struct ResponseHead {
     int status = 0;
     Headers headers;
+    /// Size of the body if the head states it.
+    std::optional<size_t> contentLength = {};
     /// Neither a length nor chunks delimit the body: only the end of the connection shows where it ends.
     bool endsWithConnection = false;
     /// No earlier request was written to the connection, so no other request can have caused the answer.
--- a/src/http/RequestParser.h
+++ b/src/http/RequestParser.h
@@ -1,9 +1,9 @@
 #pragma once
 // Collects the head and the body of a request. What it holds is known at any time, and trailers are not kept.
 
+#include "base/Growth.h"
 #include "http/Message.h"
 
-#include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
 
 namespace dragonfly::http {
@@ -15,20 +15,25 @@
     int version = 0; ///< of HTTP, times ten
     Headers headers; ///< without trailers, which are unchecked and must not select a key or a deadline
     std::string body;
+    size_t bodyLimit = 0; ///< in bytes; no larger body is received
 
     /// Bytes of memory that the request takes, capacity included.
     size_t capacityBytes() const
     {
         return this->target.capacity() + this->headers.capacityBytes() + this->body.capacity();
     }
+    /// The same once the whole body has been received, as far as its length is known.
+    size_t expectedBytes() const
+    {
+        const auto rest = this->is_header_done() ? this->content_length_remaining().value_or(0) : 0;
+        const auto wholeBody = this->body.size() + static_cast<size_t>(rest);
+        return this->capacityBytes() + wholeBody - std::min(wholeBody, this->body.capacity());
+    }
 
 private:
     using Text = boost::beast::string_view;
     using Code = boost::beast::error_code;
 
-    /// A body grows by this part of itself, which bounds its unused capacity.
-    static constexpr size_t growthDivisor = 2;
-
     void on_request_impl(boost::beast::http::verb, Text method, Text target, int version, Code&) override
     {
         this->method.assign(method.data(), method.size());
@@ -52,9 +57,8 @@
     }
     size_t on_body_impl(Text text, Code&) override
     {
-        const auto remaining = this->content_length_remaining();
-        this->append(
-            text, remaining ? std::optional(this->body.size() + static_cast<size_t>(*remaining)) : std::nullopt);
+        const auto rest = static_cast<size_t>(this->content_length_remaining().value_or(text.size()));
+        appendTo(this->body, { text.data(), text.size() }, this->body.size() + rest);
         return text.size();
     }
     void on_chunk_header_impl(uint64_t, Text, Code&) override
@@ -62,27 +66,12 @@
     }
     size_t on_chunk_body_impl(uint64_t, Text text, Code&) override
     {
-        this->append(text, std::nullopt);
+        appendTo(this->body, { text.data(), text.size() }, this->bodyLimit);
         return text.size();
     }
     void on_finish_impl(Code&) override
     {
     }
-
-    /// Appends @p text to the body.
-    /// @param wholeBytes size of the whole body, if it is known
-    void append(Text text, std::optional<size_t> wholeBytes)
-    {
-        const auto needed = this->body.size() + text.size();
-        if (needed > this->body.capacity()) {
-            const auto grown = needed + needed / growthDivisor;
-            std::string larger; // std::string::reserve() of one in use doubles its capacity
-            larger.reserve(std::min(grown, wholeBytes.value_or(grown)));
-            larger.append(this->body);
-            this->body.swap(larger);
-        }
-        this->body.append(text.data(), text.size());
-    }
 };
 
 }
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -18,6 +18,15 @@
     constexpr int listenBacklog = 1024;
     /// Read from a connection at a time.
     constexpr size_t readBufferBytes = 64 << 10;
+    /// The buffer that a head grows in, compared with its bytes; the rest is for other requests beside the largest one.
+    constexpr size_t headExpansion = 8;
+    /// Half of the limit is for one request of the largest size.
+    constexpr size_t leastRequests = 2;
+    /// What an open request takes besides its bytes: its state, and the connection to its target.
+    constexpr size_t openRequestBytes = 8 << 10;
+    /// Of the system, for each connection, since what is not read takes memory too. Covers the round trips of a data
+    /// centre.
+    constexpr int receiveBufferBytes = 64 << 10;
 
     QString peerAddressOf(qintptr descriptor)
     {
@@ -34,10 +43,11 @@
         return QByteArray::number(std::chrono::duration<double>(time).count()).toStdString();
     }
 
-    size_t receivedLimitOf(const ServerLimits& limits)
+    size_t heldLimitOf(const ServerLimits& limits)
     {
-        const auto twoBodies = 2 * std::min(limits.bodyBytes, SIZE_MAX / 2);
-        return std::max(limits.receivedBytes, twoBodies);
+        const auto head = static_cast<size_t>(limits.headerBytes) * headExpansion + openRequestBytes;
+        const auto request = std::min(limits.bodyBytes, SIZE_MAX / leastRequests - head) + head;
+        return std::max(limits.receivedBytes, leastRequests * request);
     }
 
     /// A listening IPv4 socket on an address that other threads may listen on too (SO_REUSEPORT), or -1.
@@ -47,6 +57,7 @@
         const int on = 1;
         setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
         setsockopt(descriptor, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
+        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes)); // is inherited
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_port = htons(endpoint.port);
@@ -64,7 +75,7 @@
 Server::Server(const ServerLimits& limits, Handler handler, QObject* parent)
     : QTcpServer(parent)
     , limits(limits)
-    , received(receivedLimitOf(limits))
+    , held(std::make_shared<BufferBudget>(heldLimitOf(limits), GiveUpOrder::LargestByTime))
     , readBuffer(readBufferBytes)
     , handler(std::move(handler))
 {
@@ -88,7 +99,7 @@
 {
     const bool isIdleTimeLonger = limits.idleTimeout > this->limits.idleTimeout;
     this->limits = limits;
-    this->received.setLimit(receivedLimitOf(limits));
+    this->held->setLimit(heldLimitOf(limits));
     if (!isIdleTimeLonger)
         return;
     for (auto* connection : this->findChildren<ServerConnection*>())
@@ -101,7 +112,7 @@
     auto& countOfAddress = this->connectionsByAddress[address];
     if (this->openConnections >= this->limits.connections || countOfAddress >= this->limits.connectionsPerAddress) {
         if (this->onRefusal)
-            this->onRefusal(ErrorKind::TooManyConnections);
+            this->onRefusal({ ErrorKind::TooManyConnections, "too many callers are connected", address.toStdString() });
         ::close(static_cast<int>(descriptor));
         return;
     }
@@ -148,8 +159,13 @@
 Exchange::Exchange(ServerConnection* connection, Request request)
     : connection(connection)
     , received(std::move(request))
+    , budget(connection->budget())
+    , held(*this->budget, [] {})
     , address(connection->addressText())
 {
+    this->heldBytes = this->received.target.capacity() + this->received.headers.capacityBytes()
+        + this->received.body.capacityBytes() + openRequestBytes;
+    this->held.pin(this->heldBytes);
 }
 
 Exchange::~Exchange()
@@ -158,11 +174,25 @@
         this->connection->endUnanswered(this->received);
 }
 
+bool Exchange::tryHold(size_t bytes)
+{
+    if (!this->budget->mayPin(bytes))
+        return false;
+    this->heldBytes += bytes;
+    this->held.pin(this->heldBytes);
+    return true;
+}
+
 void Exchange::respond(int status, const Headers& headers, std::string_view body)
+{
+    this->respondWithBody(status, headers, std::string(body));
+}
+
+void Exchange::respondWithBody(int status, const Headers& headers, std::string body)
 {
     this->isEnded = true;
     if (this->connection)
-        this->connection->sendResponse(status, headers, body);
+        this->connection->sendResponse(status, headers, std::move(body));
 }
 
 void Exchange::beginStream(int status, const Headers& headers)
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -31,8 +31,10 @@
     std::chrono::milliseconds sendTimeout { 10000 };
     /// From the end of sending to the caller's close; some round trips, so that nothing of the caller's is on its way.
     std::chrono::milliseconds lingerTimeout { 2000 };
-    /// What all connections may hold together of requests that are not complete or wait behind an answer. When it is
-    /// exceeded, those that hold most are refused. There is always room for two bodies of the largest size.
+    /// What all connections may hold together: requests, those that are open included, and what callers have not
+    /// received of their answers. When it is exceeded, the connections that have held most for longest are given up,
+    /// but none whose request is open; a request that would take more than half of what is left is refused. There is
+    /// always room for a request of the largest size if it is the only one.
     size_t receivedBytes = 16u << 20;
     int connections = 4096;
     int connectionsPerAddress = 2048;
@@ -56,12 +58,17 @@
     {
         return this->received;
     }
+    /// Counts @p bytes that the handler holds for the request, until the exchange is destroyed. False if the limit on
+    /// what is held leaves no room for them.
+    bool tryHold(size_t bytes);
     std::string_view peerAddress() const
     {
         return this->address;
     }
 
     void respond(int status, const Headers& headers, std::string_view body);
+    /// The same, for a body that may be large and is not copied.
+    void respondWithBody(int status, const Headers& headers, std::string body);
     void beginStream(int status, const Headers& headers);
     void write(std::string_view chunk);
     void finish();
@@ -82,14 +89,22 @@
 private:
     QPointer<ServerConnection> connection;
     Request received;
+    std::shared_ptr<BufferBudget> budget; ///< of the server, which the exchange may outlive
+    BufferShare held; ///< the request, and what the handler holds for it
+    size_t heldBytes = 0;
     std::string address;
     bool isEnded = false; ///< by respond(), finish() or abort()
 };
 
 using ExchangePointer = std::shared_ptr<Exchange>;
 using Handler = std::function<void(const ExchangePointer&)>;
-/// Called with the error kind when a request or connection is refused before it reaches the handler.
-using RefusalObserver = std::function<void(ErrorKind)>;
+/// A request or connection that is refused before it reaches the handler.
+struct Refusal {
+    ErrorKind kind;
+    std::string_view reason;
+    std::string address; ///< of the caller
+};
+using RefusalObserver = std::function<void(const Refusal&)>;
 
 /// What was received on a connection after it had been decided to close it, and was not read as requests.
 struct DiscardedInput {
@@ -145,11 +160,16 @@
 
 private:
     friend class ServerConnection;
+    friend class Exchange;
     void release(const QString& address);
     void acceptWaiting();
+    bool mayHold(size_t bytes) const
+    {
+        return this->held->mayPin(bytes);
+    }
 
     ServerLimits limits;
-    BufferBudget received;
+    std::shared_ptr<BufferBudget> held; ///< what all connections and open requests hold
     std::vector<char> readBuffer; ///< of the connection that is reading
     Handler handler;
     QHash<QString, int> connectionsByAddress;
--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -33,6 +33,9 @@
     /// Bytes received from a caller after its last answer; bounds the work that a caller causes which never stops.
     constexpr size_t maxDiscardedBytes = 64u << 20;
 
+    /// What a connection takes in memory by itself: its object, two notifiers and a timer.
+    constexpr size_t connectionBytes = 4 << 10;
+
     /// Retry-After of a request that is refused while it is received; some of those that hold the memory end within it.
     constexpr std::chrono::seconds overloadRetryAfter { 1 };
 
@@ -53,7 +56,7 @@
     , address(std::move(address))
     , socket(static_cast<int>(descriptor))
     , firstRequestDeadline(Clock::now() + firstRequestTimeout)
-    , receivedShare(server->received, [this] { this->giveUpInput(); })
+    , share(*server->held, [this] { this->giveUp(); })
 {
     const int on = 1;
     ::setsockopt(this->socket.descriptor(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -61,18 +64,29 @@
     connect(&this->timer, &QTimer::timeout, this, &ServerConnection::checkDeadline);
     this->socket.onReadable = [this] { this->readMore(); };
     this->socket.onWritten = [this] {
+        this->outputSince = Clock::now();
+        this->updateShare();
         if (auto current = this->exchange.lock(); current && current->onDrained)
             current->onDrained();
         this->endSending();
     };
     this->socket.onEnd = [this] { this->onEnd(); };
     this->setDeadline(server->limits.idleTimeout);
+    this->updateShare();
 }
 
 ServerConnection::~ServerConnection()
 {
     this->endRequest();
     this->reportDiscarded();
+    this->release();
+}
+
+/// The descriptor is free again, though this object may be deleted later.
+void ServerConnection::release()
+{
+    if (std::exchange(this->isReleased, true))
+        return;
     this->server->release(this->address);
 }
 
@@ -106,7 +120,7 @@
         this->checkDelivery();
         break;
     case State::Answering:
-        if (this->unparsed.size() < maxUnparsedBytes)
+        if (!this->isReadingPaused)
             break;
         if (this->hasCallerClosed()) {
             this->onEnd();
@@ -125,6 +139,8 @@
 {
     this->state = State::Closed;
     this->socket.close();
+    this->release();
+    this->updateShare();
     auto current = this->exchange.lock();
     this->endRequest();
     this->deleteLater();
@@ -149,18 +165,30 @@
     }
     this->readAvailable();
     this->updateShare();
+    this->server->held->enforce(); // many connections may be read before the event loop would do so
 }
 
 void ServerConnection::updateShare()
 {
+    if (this->state == State::Closed) {
+        this->share.set(0);
+        return;
+    }
     const auto parsed = this->parser ? this->parser->capacityBytes() : 0;
     // While a connection is read, nothing stays with the system for long.
     const auto unread = this->isReadingPaused ? this->socket.unreadBytes() : 0;
-    this->receivedShare.set(this->unparsed.capacity() + parsed + unread);
+    const auto input = this->unparsed.capacity() + parsed + unread;
+    const auto output = this->socket.capacityBytes();
+    const bool isRequestBegun = this->state == State::Headers || this->state == State::Body;
+    const auto since = output ? this->outputSince : isRequestBegun ? this->inputSince : this->idleSince;
+    // The connection of an open request cannot be given up without it.
+    const bool isPinned = this->state == State::Answering;
+    this->share.pin(isPinned ? connectionBytes : 0);
+    this->share.set(input + output + (isPinned ? 0 : connectionBytes), since);
 }
 
-/// Called for the connection that holds most when all together hold more than allowed.
-void ServerConnection::giveUpInput()
+/// Called for the connection that has held most for longest when all together hold more than allowed.
+void ServerConnection::giveUp()
 {
     switch (this->state) {
     case State::Headers:
@@ -169,13 +197,21 @@
         break;
     case State::Idle:
     case State::Answering:
-        // Requests wait behind an answer. The reset tells the caller that they were not read.
-        if (this->server->onRefusal)
-            this->server->onRefusal(ErrorKind::Overloaded);
-        this->reset();
+        // Requests wait behind an answer, or the caller does not receive one. The reset tells it that they were not
+        // read, and that the answer is incomplete.
+        if (!this->unparsed.empty() || this->socket.unsentBytes()) {
+            if (this->server->onRefusal)
+                this->server->onRefusal({ ErrorKind::Overloaded, "too much waits behind an answer or is not received",
+                    this->addressText() });
+            this->reset();
+        } else if (this->state == State::Idle) {
+            this->drop();
+        }
         break;
     case State::Closing:
     case State::ClosingUnread:
+        this->drop();
+        break;
     case State::Closed:
         break;
     }
@@ -268,7 +304,9 @@
             this->parser.emplace();
             this->parser->header_limit(this->server->limits.headerBytes);
             this->parser->body_limit(this->server->limits.bodyBytes);
+            this->parser->bodyLimit = this->server->limits.bodyBytes;
             this->state = State::Headers;
+            this->inputSince = Clock::now();
             this->searchedBytes = 0;
             this->firstRequestDeadline = {};
             this->setDeadline(this->server->limits.headerTimeout);
@@ -318,7 +356,11 @@
         this->state = State::Body;
         this->setDeadline(this->server->limits.bodyTimeout);
         if (this->parser->headers.valueOr("Expect", "") == "100-continue")
-            this->socket.write("HTTP/1.1 100 Continue\r\n\r\n");
+            this->send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (!this->server->mayHold(this->parser->expectedBytes())) {
+        this->refuse(ErrorKind::Overloaded, "too many large requests are open", overloadRetryAfter);
+        return false;
     }
     if (!this->parser->is_done())
         return used > 0;
@@ -345,7 +387,7 @@
 void ServerConnection::refuse(ErrorKind kind, std::string detail, std::chrono::seconds retryAfter)
 {
     if (this->server->onRefusal)
-        this->server->onRefusal(kind);
+        this->server->onRefusal({ kind, detail, this->addressText() });
     this->state = State::Answering;
     this->keepAlive = false;
     const Error error { kind, std::move(detail), Execution::NotRun, {} };
@@ -355,7 +397,7 @@
         headers.add("Retry-After", std::to_string(retryAfter.count()));
     auto text = this->headText(answerFor(kind).status, headers, "Content-Length: " + std::to_string(body.size()));
     text.append(body);
-    this->socket.write(std::move(text));
+    this->send(std::move(text));
     this->closeInOrder(CloseReason::Refused);
 }
 
@@ -433,14 +475,14 @@
     return text;
 }
 
-void ServerConnection::sendResponse(int status, const Headers& headers, std::string_view body)
+void ServerConnection::sendResponse(int status, const Headers& headers, std::string body)
 {
     if (this->state != State::Answering)
         return;
     this->keepAlive = this->keepAlive && this->mayKeep();
     auto text = this->headText(status, headers, "Content-Length: " + std::to_string(body.size()));
-    text.append(body);
-    this->socket.write(std::move(text));
+    this->send(std::move(text));
+    this->send(std::move(body));
     this->onAnswerSent();
 }
 
@@ -451,7 +493,7 @@
     this->keepAlive = this->keepAlive && this->mayKeep();
     this->isHeadSent = true;
     auto text = this->headText(status, headers, "Transfer-Encoding: chunked");
-    this->socket.write(std::move(text));
+    this->send(std::move(text));
 }
 
 void ServerConnection::sendChunk(std::string_view chunk)
@@ -462,17 +504,25 @@
     const auto* const end = std::to_chars(digits.data(), digits.data() + digits.size(), chunk.size(), 16).ptr;
     std::string text(digits.data(), static_cast<size_t>(end - digits.data()));
     text.append("\r\n").append(chunk).append("\r\n");
-    this->socket.write(std::move(text));
+    this->send(std::move(text));
 }
 
 void ServerConnection::sendLastChunk()
 {
     if (this->state != State::Answering)
         return;
-    this->socket.write("0\r\n\r\n");
+    this->send("0\r\n\r\n");
     this->onAnswerSent();
 }
 
+void ServerConnection::send(std::string bytes)
+{
+    if (!this->socket.unsentBytes())
+        this->outputSince = Clock::now();
+    this->socket.write(std::move(bytes));
+    this->updateShare();
+}
+
 void ServerConnection::onAnswerSent()
 {
     this->endRequest();
@@ -482,6 +532,7 @@
     }
     this->state = State::Idle;
     this->idleSince = Clock::now();
+    this->updateShare();
     this->setDeadline(this->server->limits.idleTimeout);
     // The next request may already be here; it is read from the event loop, to avoid recursion.
     QMetaObject::invokeMethod(
@@ -523,6 +574,8 @@
     this->state = State::Closed;
     this->endRequest();
     this->socket.close();
+    this->release();
+    this->updateShare();
     this->deleteLater();
 }
 
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -16,7 +16,7 @@
     ServerConnection(Server* server, qintptr descriptor, QString address);
     ~ServerConnection() override;
 
-    void sendResponse(int status, const Headers& headers, std::string_view body);
+    void sendResponse(int status, const Headers& headers, std::string body);
     void sendHead(int status, const Headers& headers);
     void sendChunk(std::string_view chunk);
     void sendLastChunk();
@@ -29,6 +29,11 @@
     /// Keeps an idle connection until the idle time of the server's limits has passed, unless it is kept for longer.
     void extendIdleTime();
 
+    const std::shared_ptr<BufferBudget>& budget() const
+    {
+        return this->server->held;
+    }
+
     int64_t unsentBytes() const
     {
         return static_cast<int64_t>(this->socket.unsentBytes());
@@ -62,8 +67,9 @@
     void readAvailable();
     void discardAvailable();
     void updateShare();
-    void giveUpInput();
+    void giveUp();
     void reset();
+    void release();
     void onEnd();
     void reportDiscarded();
     void endRequest();
@@ -72,6 +78,7 @@
     void dispatch();
     /// @param retryAfter zero: no Retry-After header
     void refuse(ErrorKind kind, std::string detail, std::chrono::seconds retryAfter = std::chrono::seconds(0));
+    void send(std::string bytes);
     void onAnswerSent();
     bool hasWaitingInput() const;
     bool mayKeep() const;
@@ -92,6 +99,8 @@
     QTimer timer;
     Deadline deadline;
     Clock::time_point idleSince = Clock::now(); ///< valid in Idle
+    Clock::time_point inputSince; ///< valid in Headers and Body: when the request began
+    Clock::time_point outputSince; ///< valid while there is something unsent: its last progress, or its begin
     Deadline firstRequestDeadline; ///< a drain does not close a connection without a request before
     State state = State::Idle;
     std::optional<RequestParser> parser;
@@ -100,9 +109,11 @@
     std::string unparsed;
     size_t searchedBytes = 0; ///< of a head, those in which its end was looked for
     std::string_view input; ///< in parse(): what it has not consumed, instead of `unparsed`
-    BufferShare receivedShare; ///< of what was received and is not handed on
+    /// Of the connection itself, what was received and is not handed on, and what the caller has not received.
+    BufferShare share;
     std::weak_ptr<Exchange> exchange;
     bool isReadingPaused = false; ///< in Answering: as much is unparsed as may be
+    bool isReleased = false; ///< it counts no longer as one of the server's connections
     bool isRequestOpen = false; ///< from a request received whole to the end of its answer, or of its connection
     bool isHeadSent = false; ///< in Answering: of a stream
     bool hasCallerAskedToClose = false; ///< with its last request
--- a/src/http/StreamSocket.cpp
+++ b/src/http/StreamSocket.cpp
@@ -1,9 +1,11 @@
 #include "http/StreamSocket.h"
 
+#include <array>
 #include <cerrno>
 #include <fcntl.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 #include <utility>
 
@@ -11,8 +13,10 @@
 
 namespace {
 
-    /// Sent bytes are removed from the front of longer buffers when they make up half of them.
-    constexpr size_t minCompactedBytes = 64 << 10;
+    /// Pieces that are sent by one call.
+    constexpr size_t maxSentPieces = 8;
+    /// Smaller pieces are appended to the one before, so that many of them take few calls.
+    constexpr size_t mergedBytes = 4 << 10;
 
     bool isTransient(int error)
     {
@@ -69,10 +73,16 @@
 {
     if (!this->isOpen() || this->hasFailed)
         return;
-    if (this->outgoing.empty())
-        this->outgoing = std::move(bytes);
-    else
-        this->outgoing.append(bytes);
+    this->unsent += bytes.size();
+    if (!this->outgoing.empty() && bytes.size() <= mergedBytes && this->outgoing.back().size() <= mergedBytes) {
+        auto& last = this->outgoing.back();
+        this->outgoingCapacity -= last.capacity();
+        last.append(bytes);
+        this->outgoingCapacity += last.capacity();
+    } else if (!bytes.empty()) {
+        this->outgoingCapacity += bytes.capacity();
+        this->outgoing.push_back(std::move(bytes));
+    }
     if (this->writeNotifier.isEnabled() || std::exchange(this->isFlushDue, true))
         return;
     QMetaObject::invokeMethod(
@@ -87,25 +97,56 @@
 void StreamSocket::flush()
 {
     this->isFlushDue = false;
-    while (this->isOpen() && !this->hasFailed && this->unsentBytes()) {
-        const auto rest = std::string_view(this->outgoing).substr(this->sent);
-        const auto count = ::send(this->handle, rest.data(), rest.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    while (this->isOpen() && !this->hasFailed && this->unsent) {
+        const auto count = this->sendSome();
         if (count >= 0) {
-            this->sent += static_cast<size_t>(count);
+            this->removeSent(static_cast<size_t>(count));
         } else if (errno != EINTR) {
             this->hasFailed = !isTransient(errno);
             break;
         }
     }
-    if (this->hasFailed || !this->unsentBytes()) {
-        this->outgoing = {};
-        this->sent = 0;
-    } else if (this->sent > minCompactedBytes && this->sent > this->outgoing.size() / 2) {
-        this->outgoing = this->outgoing.substr(this->sent);
-        this->sent = 0;
-    }
+    if (this->hasFailed)
+        this->clearOutgoing();
     if (this->isOpen())
-        this->writeNotifier.setEnabled(this->unsentBytes() > 0);
+        this->writeNotifier.setEnabled(this->unsent > 0);
+}
+
+ssize_t StreamSocket::sendSome()
+{
+    std::array<iovec, maxSentPieces> pieces {};
+    size_t count = 0;
+    for (auto& piece : this->outgoing) {
+        const auto skipped = count ? 0 : this->sent;
+        pieces[count++] = { piece.data() + skipped, piece.size() - skipped };
+        if (count == pieces.size())
+            break;
+    }
+    msghdr message {};
+    message.msg_iov = pieces.data();
+    message.msg_iovlen = count;
+    return ::sendmsg(this->handle, &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+}
+
+void StreamSocket::removeSent(size_t count)
+{
+    this->unsent -= count;
+    this->sent += count;
+    while (!this->outgoing.empty() && this->sent >= this->outgoing.front().size()) {
+        this->sent -= this->outgoing.front().size();
+        this->outgoingCapacity -= this->outgoing.front().capacity();
+        this->outgoing.pop_front();
+    }
+    if (this->outgoing.empty())
+        this->clearOutgoing();
+}
+
+void StreamSocket::clearOutgoing()
+{
+    this->outgoing = {};
+    this->sent = 0;
+    this->unsent = 0;
+    this->outgoingCapacity = 0;
 }
 
 void StreamSocket::close()
@@ -115,8 +156,7 @@
     this->readNotifier.setEnabled(false);
     this->writeNotifier.setEnabled(false);
     ::close(std::exchange(this->handle, -1));
-    this->outgoing = {};
-    this->sent = 0;
+    this->clearOutgoing();
 }
 
 void StreamSocket::onReadActivated()
--- a/src/http/StreamSocket.h
+++ b/src/http/StreamSocket.h
@@ -4,6 +4,7 @@
 
 #include <QObject>
 #include <QSocketNotifier>
+#include <deque>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -41,12 +42,12 @@
     /// Bytes that the system has not taken.
     size_t unsentBytes() const
     {
-        return this->outgoing.size() - this->sent;
+        return this->unsent;
     }
     /// Memory that unsent bytes take.
     size_t capacityBytes() const
     {
-        return this->outgoing.capacity();
+        return this->outgoingCapacity;
     }
     /// Closes now. Nothing is called any more.
     void close();
@@ -59,13 +60,18 @@
 private:
     void onReadActivated();
     void onWriteActivated();
+    ssize_t sendSome();
+    void removeSent(size_t count);
+    void clearOutgoing();
     void scheduleEnd();
 
     int handle;
     QSocketNotifier readNotifier;
     QSocketNotifier writeNotifier; ///< enabled while the system takes no more
-    std::string outgoing;
-    size_t sent = 0; ///< bytes of outgoing
+    std::deque<std::string> outgoing;
+    size_t sent = 0; ///< bytes of the first of them
+    size_t unsent = 0; ///< bytes of all of them without those
+    size_t outgoingCapacity = 0; ///< of all of them
     bool isFlushDue = false; ///< flush() follows from the event loop
     bool hasEnded = false; ///< the end of what the other side sends was read, or the connection failed
     bool hasFailed = false; ///< nothing can be sent any more
--- a/tests/BufferBudgetTest.cpp
+++ b/tests/BufferBudgetTest.cpp
@@ -2,6 +2,7 @@
 
 #include "base/BufferBudget.h"
 #include "tests/support/Process.h"
+#include "tests/support/Site.h"
 
 #include <QCoreApplication>
 #include <criterion/criterion.h>
@@ -140,3 +141,59 @@
     }
     cr_assert_eq(buffers.givenUp, std::vector<std::string>({ "a", "b", "c" }));
 }
+
+Test(bufferBudget, smallOnesWithoutProgressAreGivenUpBeforeALargeOneThatHasJustArrived)
+{
+    const Application application;
+    BufferBudget budget(1000, GiveUpOrder::LargestByTime);
+    std::vector<std::string> givenUp;
+    const auto now = Clock::now();
+    std::vector<BufferShare> small;
+    for (int i = 0; i < 10; ++i) {
+        small.emplace_back(budget, [&, i] {
+            givenUp.push_back("small");
+            small[static_cast<size_t>(i)] = {};
+        });
+        small.back().set(90, now - 10s);
+    }
+    BufferShare large(budget, [&] { givenUp.emplace_back("large"); });
+    large.set(300, now);
+    budget.enforce();
+    cr_assert_eq(givenUp, std::vector<std::string>(3, "small"));
+}
+
+Test(bufferBudget, pinnedBytesCountAndAreNotGivenUp)
+{
+    const Application application;
+    BufferBudget budget(1000, GiveUpOrder::LargestByTime);
+    int calls = 0;
+    BufferShare pinned(budget, [&calls] { ++calls; });
+    pinned.pin(1100);
+    budget.enforce();
+    cr_assert_eq(calls, 0);
+    cr_assert_eq(budget.used(), 1100u);
+    BufferShare other(budget, [&other, &calls] {
+        ++calls;
+        other = {};
+    });
+    other.set(10);
+    budget.enforce();
+    cr_assert_eq(calls, 1);
+}
+
+Test(bufferBudget, pinnedBytesLeaveRoomForSmallerOnes)
+{
+    const Application application;
+    BufferBudget budget(1000);
+    BufferShare share(budget, [] {});
+    cr_expect(budget.mayPin(500));
+    cr_expect_not(budget.mayPin(501));
+    size_t pinned = 0;
+    for (size_t bytes : { 500, 100, 50, 50, 20 }) {
+        cr_expect(budget.mayPin(bytes), "%zu beside %zu", bytes, pinned);
+        pinned += bytes;
+        share.pin(pinned);
+    }
+    cr_expect_not(budget.mayPin(50));
+    cr_expect(budget.mayPin(10));
+}
--- a/tests/CrowdTest.cpp
+++ b/tests/CrowdTest.cpp
@@ -74,6 +74,7 @@
     Process* entry = nullptr;
     Crowd crowd;
     uint64_t mostHeld = 0; ///< resident memory of the instance, and what it has not read
+    uint64_t mostUnread = 0;
 
     /// @param httpSettings further fields of the section "http"
     explicit CrowdSite(const std::string& httpSettings = "")
@@ -102,7 +103,9 @@
     }
     void sample()
     {
-        this->mostHeld = std::max(this->mostHeld, this->entry->residentBytes() + unreadBytesAt(this->entry->address()));
+        const auto unread = unreadBytesAt(this->entry->address());
+        this->mostUnread = std::max(this->mostUnread, unread);
+        this->mostHeld = std::max(this->mostHeld, this->entry->residentBytes() + unread);
     }
     void add(size_t count, const std::function<std::string(size_t)>& bytesOf)
     {
@@ -134,9 +137,10 @@
         const auto held = std::max(this->mostHeld, this->entry->peakResidentBytes());
         const auto first = this->crowd.peek(0);
         std::fprintf(stderr,
-            "%s: held %.1f MiB of 64, %zu descriptors, %d of %zu callers answered or closed, the first with \"%s\"\n",
-            name, static_cast<double>(held) / (1 << 20), descriptors, this->crowd.answered(), this->crowd.size(),
-            first.substr(0, first.find("\r\n")).c_str());
+            "%s: held %.1f MiB of 64, unread up to %.1f, %zu descriptors, %d of %zu callers answered or closed, the "
+            "first with \"%s\"\n",
+            name, static_cast<double>(held) / (1 << 20), static_cast<double>(this->mostUnread) / (1 << 20), descriptors,
+            this->crowd.answered(), this->crowd.size(), first.substr(0, first.find("\r\n")).c_str());
         cr_expect(this->entry->isRunning(), "%s: the process has ended", name);
         cr_expect_leq(held, memoryBytes, "%s: %.1f MiB", name, static_cast<double>(held) / (1 << 20));
         cr_expect_leq(descriptors, maxDescriptors, "%s: %zu descriptors", name, descriptors);
--- a/tests/PlatformAdapterTest.cpp
+++ b/tests/PlatformAdapterTest.cpp
@@ -37,10 +37,10 @@
             { "X-Dragonflyarch-Deadline-Ms", "8000" }, { "Authorization", "Bearer secret" }, { "X-Other", "kept" },
             { "Connection", "keep-alive, X-Hop" }, { "X-Hop", "this connection only" },
             { "connection", "X-Other-Hop ,x-third-hop" }, { "x-other-hop", "this connection only" },
-            { "X-Third-Hop", "this connection only" },
-            { "X-Dragonflyarch-Tenant", "forged" }, { "x-dragonflyarch-cache-salt", "forged" },
-            { "X-Dragonflyarch-Hold", "forged" }, { "Kv-From", "forged" }, { "X-Dragonflyarch-Kv-Backup", "forged" },
-            { "X-Dragonflyarch-Pin-Ms", "forged" }, { "X-Dragonflyarch-Request-Urgency", "0" } },
+            { "X-Third-Hop", "this connection only" }, { "X-Dragonflyarch-Tenant", "forged" },
+            { "x-dragonflyarch-cache-salt", "forged" }, { "X-Dragonflyarch-Hold", "forged" }, { "Kv-From", "forged" },
+            { "X-Dragonflyarch-Kv-Backup", "forged" }, { "X-Dragonflyarch-Pin-Ms", "forged" },
+            { "X-Dragonflyarch-Request-Urgency", "0" } },
         "body" };
 }
 
