HTTP server: a new caller takes the place of the connection that waits longest for its own

Callers got no answer, and their connections were closed, while others held all connections with parts of requests or with nothing, for as long as these may last: 5 s for a head, 30 s for a body, the idle time. At the limit, the connection that has waited longest for its caller is closed now, with 503 and Retry-After if a part of a request has arrived; open requests are never ended, and idle connections on which a request has arrived are passed over.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -24,6 +24,8 @@
     constexpr size_t leastRequests = 2;
     /// What an open request takes besides its bytes: its state, and the connection to its target.
     constexpr size_t openRequestBytes = 8 << 10;
+    /// Connections with a request that has not been read that are passed over when room is made for another one.
+    constexpr int maxPassedOver = 8;
     /// Of the system, for each connection, since what is not read takes memory too. Covers the round trips of a data
     /// centre.
     constexpr int receiveBufferBytes = 64 << 10;
@@ -110,13 +112,15 @@
 {
     const auto address = peerAddressOf(descriptor);
     auto& countOfAddress = this->connectionsByAddress[address];
-    if (this->openConnections >= this->limits.connections || countOfAddress >= this->limits.connectionsPerAddress) {
+    const bool isAddressFull = countOfAddress >= this->limits.connectionsPerAddress;
+    const bool isFull = isAddressFull || this->openConnections >= this->limits.connections;
+    if (isFull && !this->makeRoom(isAddressFull ? &address : nullptr)) {
         if (this->onRefusal)
             this->onRefusal({ ErrorKind::TooManyConnections, "too many callers are connected", address.toStdString() });
         ::close(static_cast<int>(descriptor));
         return;
     }
-    ++countOfAddress;
+    ++this->connectionsByAddress[address]; // the connection that has made room may have been the only one
     ++this->openConnections;
     new ServerConnection(this, descriptor, address); // deletes itself when the connection ends
 }
@@ -128,6 +132,31 @@
         this->connectionsByAddress.remove(address);
 }
 
+/// The connection that has waited longest for its caller; null if there is none.
+/// @param address of the callers whose connections are meant; null for all
+ServerConnection* Server::findLongestWaiting(const QString* address) const
+{
+    ServerConnection* longest = nullptr;
+    for (auto* connection : this->connections) {
+        const auto since = connection->waitingForCallerSince();
+        const bool isMeant = since && (!address || connection->callerAddress() == *address);
+        if (isMeant && (!longest || *since < *longest->waitingForCallerSince()))
+            longest = connection;
+    }
+    return longest;
+}
+
+/// Closes a connection for another one; false if all have open requests.
+bool Server::makeRoom(const QString* address)
+{
+    auto* longest = this->findLongestWaiting(address);
+    for (int i = 0; longest && i < maxPassedOver && longest->noticeInput(); ++i)
+        longest = this->findLongestWaiting(address);
+    if (longest)
+        longest->closeForOther();
+    return longest;
+}
+
 void Server::close()
 {
     this->acceptWaiting();
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -17,6 +17,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <unordered_set>
 
 namespace dragonfly::http {
 
@@ -163,6 +164,8 @@
     friend class Exchange;
     void release(const QString& address);
     void acceptWaiting();
+    ServerConnection* findLongestWaiting(const QString* address) const;
+    bool makeRoom(const QString* address);
     bool mayHold(size_t bytes) const
     {
         return this->held->mayPin(bytes);
@@ -173,6 +176,7 @@
     std::vector<char> readBuffer; ///< of the connection that is reading
     Handler handler;
     QHash<QString, int> connectionsByAddress;
+    std::unordered_set<ServerConnection*> connections; ///< those that have a descriptor
     std::atomic<int> openConnections { 0 };
     bool closing = false; ///< heads of answers say "Connection: close"
     bool draining = false; ///< connections are closed as soon as they are idle
--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -58,6 +58,7 @@
     , firstRequestDeadline(Clock::now() + firstRequestTimeout)
     , share(*server->held, [this] { this->giveUp(); })
 {
+    server->connections.insert(this);
     const int on = 1;
     ::setsockopt(this->socket.descriptor(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     this->timer.setSingleShot(true);
@@ -87,6 +88,7 @@
 {
     if (std::exchange(this->isReleased, true))
         return;
+    this->server->connections.erase(this);
     this->server->release(this->address);
 }
 
@@ -217,6 +219,42 @@
     }
 }
 
+std::optional<Clock::time_point> ServerConnection::waitingForCallerSince() const
+{
+    switch (this->state) {
+    case State::Idle:
+        return this->idleSince;
+    case State::Headers:
+    case State::Body:
+        return this->inputSince;
+    case State::Closing:
+    case State::ClosingUnread:
+        // It has its answer, or a part that it does not take.
+        return this->sendingEnded ? Clock::time_point::min() : this->outputSince;
+    case State::Answering:
+    case State::Closed:
+        break;
+    }
+    return std::nullopt;
+}
+
+bool ServerConnection::noticeInput()
+{
+    if (this->state != State::Idle || !this->hasWaitingInput())
+        return false;
+    this->idleSince = Clock::now();
+    return true;
+}
+
+void ServerConnection::closeForOther()
+{
+    if (this->state == State::Headers || this->state == State::Body) {
+        this->refuse(ErrorKind::Overloaded, "too many callers are connected", overloadRetryAfter);
+        this->socket.flush();
+    }
+    this->drop();
+}
+
 void ServerConnection::reset()
 {
     const linger immediately { 1, 0 };
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -29,10 +29,20 @@
     /// Keeps an idle connection until the idle time of the server's limits has passed, unless it is kept for longer.
     void extendIdleTime();
 
+    /// Since when nothing is done for the caller, who has sent no whole request or has all answers; nothing otherwise.
+    std::optional<Clock::time_point> waitingForCallerSince() const;
+    /// Whether a request has arrived on the idle connection that the event loop has not read. It is then not idle.
+    bool noticeInput();
+    /// Closes the connection, since another caller wants one.
+    void closeForOther();
     const std::shared_ptr<BufferBudget>& budget() const
     {
         return this->server->held;
     }
+    const QString& callerAddress() const
+    {
+        return this->address;
+    }
 
     int64_t unsentBytes() const
     {
