HTTP server: an instance without descriptors makes room and accepts again

Callers got no answer any more, and the process kept its processor busy, once callers had taken all descriptors: Qt's server keeps the first error of its socket, EAGAIN, takes EMFILE for it, and tries again at once and without end (92,021 calls of accept4 in 8 s, all EMFILE). The server accepts by itself now. It leaves half of the descriptors to the connections to targets and to the instance, and when none is left it closes the connections that wait longest for their callers and accepts again after 50 ms.

The listeners of tunnels and operators are still Qt's.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -7,7 +7,9 @@
 #include <QJsonObject>
 #include <algorithm>
 #include <cerrno>
+#include <limits>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -26,6 +28,12 @@
     constexpr size_t openRequestBytes = 8 << 10;
     /// Connections with a request that has not been read that are passed over when room is made for another one.
     constexpr int maxPassedOver = 8;
+    /// Descriptors for files, the store, peers and operators.
+    constexpr rlim_t ownDescriptors = 200;
+    /// Of few descriptors in all, the instance itself gets this part.
+    constexpr rlim_t ownDescriptorsDivisor = 4;
+    /// How long accepting pauses when no descriptor is left; requests end meanwhile.
+    constexpr std::chrono::milliseconds acceptRetryInterval { 50 };
     /// Of the system, for each connection, since what is not read takes memory too. Covers the round trips of a data
     /// centre.
     constexpr int receiveBufferBytes = 64 << 10;
@@ -52,6 +60,16 @@
         return std::max(limits.receivedBytes, leastRequests * request);
     }
 
+    /// The number of callers that may be connected, so that each request can have a connection to a target as well.
+    int descriptorLimitNow()
+    {
+        rlimit descriptors {};
+        if (::getrlimit(RLIMIT_NOFILE, &descriptors))
+            return std::numeric_limits<int>::max();
+        const auto own = std::min(ownDescriptors, descriptors.rlim_cur / ownDescriptorsDivisor);
+        return static_cast<int>(std::min<rlim_t>((descriptors.rlim_cur - own) / 2, std::numeric_limits<int>::max()));
+    }
+
     /// A listening IPv4 socket on an address that other threads may listen on too (SO_REUSEPORT), or -1.
     int openListeningSocket(const Endpoint& endpoint)
     {
@@ -78,6 +96,7 @@
     : QTcpServer(parent)
     , limits(limits)
     , held(std::make_shared<BufferBudget>(heldLimitOf(limits), GiveUpOrder::LargestByTime))
+    , descriptorLimit(descriptorLimitNow())
     , readBuffer(readBufferBytes)
     , handler(std::move(handler))
 {
@@ -94,6 +113,10 @@
     const int descriptor = openListeningSocket(endpoint);
     if (descriptor < 0 || !this->setSocketDescriptor(descriptor))
         return Error { ErrorKind::Internal, "cannot listen on " + endpoint.toString(), Execution::NotRun, {} };
+    // Qt's server does not report that no descriptor is left, but tries again at once and without end.
+    this->pauseAccepting();
+    this->acceptNotifier = std::make_unique<QSocketNotifier>(descriptor, QSocketNotifier::Read);
+    connect(this->acceptNotifier.get(), &QSocketNotifier::activated, this, &Server::acceptWaiting);
     return Endpoint { endpoint.host, this->serverPort() };
 }
 
@@ -113,7 +136,7 @@
     const auto address = peerAddressOf(descriptor);
     auto& countOfAddress = this->connectionsByAddress[address];
     const bool isAddressFull = countOfAddress >= this->limits.connectionsPerAddress;
-    const bool isFull = isAddressFull || this->openConnections >= this->limits.connections;
+    const bool isFull = isAddressFull || this->openConnections >= this->connectionLimit();
     if (isFull && !this->makeRoom(isAddressFull ? &address : nullptr)) {
         if (this->onRefusal)
             this->onRefusal({ ErrorKind::TooManyConnections, "too many callers are connected", address.toStdString() });
@@ -132,6 +155,11 @@
         this->connectionsByAddress.remove(address);
 }
 
+int Server::connectionLimit() const
+{
+    return std::min(this->limits.connections, this->descriptorLimit);
+}
+
 /// The connection that has waited longest for its caller; null if there is none.
 /// @param address of the callers whose connections are meant; null for all
 ServerConnection* Server::findLongestWaiting(const QString* address) const
@@ -157,9 +185,24 @@
     return longest;
 }
 
+/// No descriptor is left: makes room, and accepts again in a while.
+void Server::onAcceptFailed()
+{
+    this->descriptorLimit = descriptorLimitNow();
+    while (this->openConnections > this->connectionLimit() && this->makeRoom(nullptr)) { }
+    if (!this->acceptNotifier)
+        return;
+    this->acceptNotifier->setEnabled(false);
+    QTimer::singleShot(acceptRetryInterval, this, [this] {
+        if (this->acceptNotifier)
+            this->acceptNotifier->setEnabled(true);
+    });
+}
+
 void Server::close()
 {
     this->acceptWaiting();
+    this->acceptNotifier.reset();
     QTcpServer::close();
 }
 
@@ -170,6 +213,10 @@
     const auto listener = static_cast<int>(this->socketDescriptor());
     for (int accepted = 0; accepted < listenBacklog; ++accepted) {
         const int descriptor = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0 && (errno == EMFILE || errno == ENFILE)) {
+            this->onAcceptFailed();
+            return;
+        }
         if (descriptor < 0 && errno != EINTR && errno != ECONNABORTED)
             return;
         if (descriptor >= 0)
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -12,6 +12,7 @@
 #include <QHostAddress>
 #include <QObject>
 #include <QPointer>
+#include <QSocketNotifier>
 #include <QTcpServer>
 #include <QTimer>
 #include <atomic>
@@ -164,6 +165,8 @@
     friend class Exchange;
     void release(const QString& address);
     void acceptWaiting();
+    void onAcceptFailed();
+    int connectionLimit() const;
     ServerConnection* findLongestWaiting(const QString* address) const;
     bool makeRoom(const QString* address);
     bool mayHold(size_t bytes) const
@@ -173,6 +176,8 @@
 
     ServerLimits limits;
     std::shared_ptr<BufferBudget> held; ///< what all connections and open requests hold
+    std::unique_ptr<QSocketNotifier> acceptNotifier; ///< while it listens
+    int descriptorLimit; ///< on connections, so that each open request can have another one to its target
     std::vector<char> readBuffer; ///< of the connection that is reading
     Handler handler;
     QHash<QString, int> connectionsByAddress;
