Settings: callers may hold all that the memory leaves

Bodies are held once and are not passed on by copies, so that a reserve for the system and for growth is enough: the default is what the memory leaves beside the instance, the answers of targets and that reserve; a third, as before, on the smallest instances. On 260 MiB it is 138 MiB.

--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -23,24 +23,39 @@
     constexpr uint64_t minMemory = 48u << 20;
     /// What an instance uses without requests, with the records of a deployment.
     constexpr uint64_t ownMemory = 32u << 20;
-    /// The rest of the memory has three equal parts: one for requests and answers that callers have not received, one
-    /// for answers of targets that are not complete, and one for the growth of buffers, what is passed on, and gaps
-    /// between allocations.
+    /// Part of the rest that answers of targets may hold while they are not complete; callers may hold as much, and
+    /// what else is left.
     constexpr uint64_t bufferMemoryDivisor = 3;
+    /// What is left for what the system has received, the growth of buffers and gaps between allocations: this part of
+    /// the memory, and not less than some hundred receive buffers.
+    constexpr uint64_t reserveDivisor = 10;
+    constexpr uint64_t minReserve = 16u << 20;
     /// Bounds what is freed and read again when faulty targets fill the buffers.
-    constexpr uint64_t maxBufferBytes = 64u << 20;
+    constexpr uint64_t maxAnswerBufferBytes = 64u << 20;
 
-    /// What one of the two kinds of buffers may hold.
-    uint64_t bufferBytesFor(uint64_t memory)
+    uint64_t difference(uint64_t a, uint64_t b)
     {
-        return std::min((memory - std::min(memory, ownMemory)) / bufferMemoryDivisor, maxBufferBytes);
+        return a - std::min(a, b);
+    }
+
+    /// What incomplete answers of targets may hold.
+    uint64_t answerBytesFor(uint64_t memory)
+    {
+        return std::min(difference(memory, ownMemory) / bufferMemoryDivisor, maxAnswerBufferBytes);
+    }
+
+    /// What may be held for callers.
+    uint64_t callerBytesFor(uint64_t memory)
+    {
+        const auto used = ownMemory + answerBytesFor(memory) + std::max(memory / reserveDivisor, minReserve);
+        return std::max(difference(memory, ownMemory) / bufferMemoryDivisor, difference(memory, used));
     }
 
     void readServer(MapReader reader, const Settings& settings, http::ServerLimits& limits)
     {
         // The forwarding interface has one server, the other one for each thread.
         const auto servers = settings.interface == Interface::Forwarding ? 1 : settings.threads;
-        limits.receivedBytes = bufferBytesFor(settings.memory) / servers;
+        limits.receivedBytes = callerBytesFor(settings.memory) / servers;
         limits.bodyBytes = reader.bytes("body", limits.bodyBytes);
         limits.headerBytes
             = static_cast<uint32_t>(reader.bytes("headers", limits.headerBytes, std::numeric_limits<uint32_t>::max()));
@@ -143,7 +158,7 @@
         forwarding.requests.policy = settings.policy;
         forwarding.requests.regions = regions;
         forwarding.requests.prefixSlots = settings.prefixSlots;
-        forwarding.requests.bufferBytes = bufferBytesFor(settings.memory);
+        forwarding.requests.bufferBytes = answerBytesFor(settings.memory);
     }
 
     void readAll(const std::string& file, const YAML::Node& node, LoadedSettings& loaded)
