Settings: with the interface for completions, callers hold 16 MiB a thread at most, as before

The limit that follows from the memory let two threads hold 122 MB of bodies without end, where ServerInputTest bodiesWithoutEndDoNotFillMemoryTogether allows 64; this interface has no limit on what it holds of answers, so that the whole memory is not for callers. The default of 16 MiB is back there, and less if the memory has less.

--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -53,9 +53,11 @@
 
     void readServer(MapReader reader, const Settings& settings, http::ServerLimits& limits)
     {
-        // The forwarding interface has one server, the other one for each thread.
-        const auto servers = settings.interface == Interface::Forwarding ? 1 : settings.threads;
-        limits.receivedBytes = callerBytesFor(settings.memory) / servers;
+        const auto callerBytes = callerBytesFor(settings.memory);
+        // The other interface has a server for each thread, and what it holds of answers has no limit.
+        limits.receivedBytes = settings.interface == Interface::Forwarding
+            ? callerBytes
+            : std::min<uint64_t>(limits.receivedBytes, callerBytes / settings.threads);
         limits.bodyBytes = reader.bytes("body", limits.bodyBytes);
         limits.headerBytes
             = static_cast<uint32_t>(reader.bytes("headers", limits.headerBytes, std::numeric_limits<uint32_t>::max()));
