--- a/review/stand-ins-3/lab.h
+++ b/review/stand-ins-3/lab.h
@@ -790,10 +790,12 @@
         ::waitpid(this->process, nullptr, 0);
         this->process = -1;
     }
-    /// Whether it ended by itself.
-    bool hasEnded() const
+    /// Whether it has ended, after a signal or by itself.
+    bool hasEnded()
     {
-        return this->process > 0 && ::waitpid(this->process, nullptr, WNOHANG) != 0;
+        if (this->process > 0 && ::waitpid(this->process, nullptr, WNOHANG) != 0)
+            this->process = -1;
+        return this->process <= 0;
     }
     bool isReady() const;
     void waitUntilReady() const
