--- a/review/stand-ins-3/lab.h
+++ b/review/stand-ins-3/lab.h
@@ -2,6 +2,7 @@
 // What the scripts of review/11 to review/15 share: the platform's store, connections, a client, and the processes of
 // the system. All addresses are loopback addresses, on free ports. Follows the users' page PROTOCOL.md.
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <chrono>
@@ -287,6 +288,7 @@
 public:
     explicit Connection(int fd)
         : fd(fd)
+        , number(nextNumber()++)
     {
         const int on = 1;
         ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -362,8 +364,14 @@
     }
 
     int fd;
+    const uint64_t number; ///< that no other connection has
 
 private:
+    static std::atomic<uint64_t>& nextNumber()
+    {
+        static std::atomic<uint64_t> next { 1 };
+        return next;
+    }
     bool more(Clock::time_point until)
     {
         const auto left = std::chrono::duration_cast<milliseconds>(until - Clock::now()).count();
@@ -618,7 +626,7 @@
         if (path == "/api/kv-txn")
             return this->transact(call, status);
         if (path == "/api/kv-lease") {
-            const milliseconds time(std::max<int64_t>(call["ttl_ms"].integer(), 1000));
+            const milliseconds time(std::clamp<int64_t>(call["ttl_ms"].integer(), 1000, 600000));
             this->leases[++this->lastLease] = { time, Clock::now() + time };
             return "{\"lease\":" + std::to_string(this->lastLease) + ",\"ttl_ms\":" + std::to_string(time.count())
                 + "}";
@@ -636,6 +644,18 @@
     }
     std::string transact(const Json& call, int& status)
     {
+        const auto isReserved = [](const std::string& key) {
+            return key.compare(0, 3, "op/") == 0 || key.compare(0, 8, "servers/") == 0;
+        };
+        bool isRefused = call["expected"].list.size() + call["writes"].list.size() + call["remove"].list.size() > 32;
+        for (const auto& row : call["writes"].list)
+            isRefused = isRefused || isReserved(row["key"].text);
+        for (const auto& key : call["remove"].list)
+            isRefused = isRefused || isReserved(key.text);
+        if (isRefused) {
+            status = 403;
+            return "{}";
+        }
         bool isMet = true;
         std::string found;
         for (const auto& row : call["expected"].list) {
--- a/review/stand-ins-3/late_bytes.cpp
+++ b/review/stand-ins-3/late_bytes.cpp
@@ -22,10 +22,10 @@
         const std::lock_guard lock(this->mutex);
         const bool isOn = this->record.seconds() >= this->from && this->record.seconds() < this->from + longest;
         this->answers += isOn;
-        const auto refusal = std::exchange(this->refusals[connection], "");
+        const auto refusal = std::exchange(this->refusals[connection->number], "");
         constexpr auto refused = "HTTP/1.1 503 ";
         if (answer.compare(0, std::strlen(refused), refused) == 0)
-            this->refusals[connection] = answer;
+            this->refusals[connection->number] = answer;
         const bool isDue = isOn && !refusal.empty() && answer.compare(0, std::strlen(refused), refused) != 0
             && this->copies + 1 <= largestShare * this->answers;
         if (!isDue)
@@ -44,7 +44,7 @@
 private:
     Record& record;
     std::mutex mutex;
-    std::map<const Connection*, std::string> refusals; ///< the last answer on a connection if it was one
+    std::map<uint64_t, std::string> refusals; ///< the last answer on a connection if it was one
 };
 
 }
